Pass each token on at once and act on a first request at once

Cause: the chunk encoder flushes into its output but does not flush the output, so a buffered writer below it held every event until the stream's end; and a queued first request waited for the next tick of the schedule. Ruled out: the client (a raw socket saw the same) and the engine stand-in, which shares the writer. Change: the encoder writes to the socket itself; the pool tells the control loop of a first waiter, a reserved slot is ordered in the same step, and the schedule ticks every 50 ms instead of 200 ms. The steppers look for the stop, as their channel now outlives the schedule: a daemon hung in its stop before that.

--- a/crates/tansyknot-config/src/settings.rs
+++ b/crates/tansyknot-config/src/settings.rs
@@ -136,7 +136,7 @@
         Self {
             config: Span::from_secs(1),
             hosts: Span::from_secs(1),
-            replicas: Span::from_millis(200),
+            replicas: Span::from_millis(50),
         }
     }
 }
--- a/crates/tansyknot-config/src/unit.rs
+++ b/crates/tansyknot-config/src/unit.rs
@@ -128,7 +128,7 @@
 
 /// Writes with the largest unit that divides the number.
 fn write_quantity(f: &mut fmt::Formatter<'_>, n: u64, units: &[(&str, u64)]) -> fmt::Result {
-    let fits = units.iter().filter(|(_, scale)| n > 0 && n % scale == 0);
+    let fits = units.iter().filter(|(_, scale)| n > 0 && n.is_multiple_of(*scale));
     let (unit, scale) = fits.max_by_key(|(_, scale)| *scale).unwrap_or(&units[0]);
     write!(f, "{}{unit}", n / scale)
 }
--- a/crates/tansyknot-control/src/pools.rs
+++ b/crates/tansyknot-control/src/pools.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         mpsc::{self, Receiver, RecvTimeoutError, SyncSender},
     },
     time::Duration,
@@ -76,8 +76,12 @@
     last_use: Option<Time>,
 }
 
+/// Told of a service whose first request begins to wait.
+pub type OnWaiting = Box<dyn Fn(&ServiceName) + Send + Sync>;
+
 /// The pools of all services.
 pub struct Pools {
+    on_waiting: OnceLock<OnWaiting>,
     entries: Mutex<HashMap<ServiceName, Arc<Mutex<Entry>>>>,
     routing: Box<dyn Routing>,
     clock: Arc<dyn Clock>,
@@ -86,7 +90,13 @@
 impl Pools {
     /// Makes an empty set of pools.
     pub fn new(routing: Box<dyn Routing>, clock: Arc<dyn Clock>) -> Self {
-        Self { entries: Mutex::default(), routing, clock }
+        Self { on_waiting: OnceLock::new(), entries: Mutex::default(), routing, clock }
+    }
+
+    /// Sets who is told, at once, of a service whose first request begins to wait.
+    pub fn set_on_waiting(&self, on_waiting: OnWaiting) {
+        // The daemon sets it once at the start; a second call would change nothing.
+        let _ = self.on_waiting.set(on_waiting);
     }
 
     /// Asks for a target.
@@ -104,6 +114,11 @@
             Arrival::Queued(ticket) => {
                 let (tx, rx) = mpsc::sync_channel(1);
                 entry.signals.insert(ticket, tx);
+                let is_first = entry.pool.waiting() == 1;
+                drop(entry);
+                if is_first && let Some(on_waiting) = self.on_waiting.get() {
+                    on_waiting(ask.service);
+                }
                 Acquired::Queued(ticket, rx)
             }
             Arrival::Refused(wait) => Acquired::Refused(overloaded(wait)),
--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -107,12 +107,15 @@
     next_step: Time,
 }
 
+/// What each peer last said that it has waiting for a service, and when.
+type RemoteDemand = HashMap<DaemonName, (Waiting, Time)>;
+
 /// The control loop.
 pub struct Reconciler {
     parts: Parts,
     usage: Usage,
     states: Mutex<HashMap<ServiceName, Arc<Mutex<ServiceState>>>>,
-    remote: Mutex<HashMap<ServiceName, HashMap<DaemonName, (Waiting, Time)>>>,
+    remote: Mutex<HashMap<ServiceName, RemoteDemand>>,
 }
 
 /// What the operators decided for a service with a model.
@@ -270,6 +273,10 @@
         if acts {
             let demand = self.demand(service, &local, decided.as_ref(), now);
             self.adjust(service, state, &mut replicas, decided.as_ref(), &demand)?;
+            // A slot that was just reserved is ordered at once: a caller waits for it.
+            for target in unordered(state) {
+                self.advance_slot(service, state, &mut replicas, &target, acts)?;
+            }
         }
         Ok(())
     }
@@ -386,6 +393,11 @@
     }
 }
 
+fn unordered(state: &ServiceState) -> Vec<TargetName> {
+    let fresh = state.work.iter().filter(|(_, work)| !work.ordered && work.orders == 0);
+    fresh.map(|(target, _)| target.clone()).collect()
+}
+
 fn targets(row: &ReplicaRow) -> Vec<TargetName> {
     row.slots.iter().map(|slot| slot.target.clone()).collect()
 }
--- a/crates/tansyknot-edge/src/explain.rs
+++ b/crates/tansyknot-edge/src/explain.rs
@@ -99,10 +99,10 @@
     /// Keeps a trail in place of the oldest.
     pub fn keep(&self, trail: Trail) {
         let mut kept = self.kept.lock().expect("no holder of the lock panics");
-        if kept.order.len() == REMEMBERED {
-            if let Some(oldest) = kept.order.pop_front() {
-                kept.trails.remove(&oldest);
-            }
+        if kept.order.len() == REMEMBERED
+            && let Some(oldest) = kept.order.pop_front()
+        {
+            kept.trails.remove(&oldest);
         }
         kept.order.push_back(trail.request.clone());
         kept.trails.insert(trail.request.clone(), trail);
--- a/crates/tansyknot-edge/src/gateway.rs
+++ b/crates/tansyknot-edge/src/gateway.rs
@@ -217,10 +217,10 @@
         let mut avoid = Vec::new();
         for attempt in 1..=MAX_ATTEMPTS {
             let mut place = self.place(run, req, &avoid)?;
-            if key.is_none() {
-                if let Some(replay) = self.take_key(run, req, key)? {
-                    return Ok(Written::Nothing(replay));
-                }
+            if key.is_none()
+                && let Some(replay) = self.take_key(run, req, key)?
+            {
+                return Ok(Written::Nothing(replay));
             }
             let began = self.now();
             let target = place.target.clone();
@@ -299,10 +299,10 @@
         let Some(target) = self.parts.hosts.live_target(target) else {
             return Ok(Tried::Failed(Failure::NotSent));
         };
-        if let Some(adapter) = &req.adapter {
-            if self.parts.replicas.load_adapter(&target, &req.service, adapter).is_err() {
-                return Ok(Tried::Failed(Failure::RefusedToStart));
-            }
+        if let Some(adapter) = &req.adapter
+            && self.parts.replicas.load_adapter(&target, &req.service, adapter).is_err()
+        {
+            return Ok(Tried::Failed(Failure::RefusedToStart));
         }
         let now = self.now();
         let left = req.deadline.since(now);
--- a/crates/tansyknot-edge/src/http/respond.rs
+++ b/crates/tansyknot-edge/src/http/respond.rs
@@ -1,7 +1,7 @@
 //! Writing answers: whole ones and streams.
 
 use std::{
-    io::{self, BufWriter, Write},
+    io::{self, Write},
     net::{Shutdown, TcpStream},
 };
 
@@ -67,7 +67,7 @@
 }
 
 enum Body {
-    Chunked(Encoder<BufWriter<TcpStream>>),
+    Chunked(Encoder<TcpStream>),
     /// For callers of HTTP/1.0: the end of the connection ends the body.
     Plain(TcpStream),
 }
@@ -95,7 +95,7 @@
     let mut out = stream.try_clone()?;
     out.write_all(&buf)?;
     let body = if http_1_1 {
-        Body::Chunked(Encoder::with_flush_after_write(BufWriter::new(out)))
+        Body::Chunked(Encoder::with_flush_after_write(out))
     } else {
         Body::Plain(out)
     };
--- a/crates/tansyknot-standins/src/engine.rs
+++ b/crates/tansyknot-standins/src/engine.rs
@@ -64,6 +64,7 @@
 /// Faults of an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each fault is switched on by itself")]
 pub struct EngineFaults {
     /// Streams are cut off after this many events; zero never.
     pub cut_after_events: u64,
--- a/crates/tansyknotd/src/control.rs
+++ b/crates/tansyknotd/src/control.rs
@@ -28,6 +28,8 @@
 
 /// Threads that take steps; a step waits for the table and for engines.
 const STEPPERS: usize = 8;
+/// How often a thread without a step to take looks whether to stop.
+const STOP_LOOK: Duration = Duration::from_millis(100);
 /// How often every replica row is read, for services without requests.
 const SCAN_EVERY: Duration = Duration::from_secs(10);
 /// How often callers with an attempt under way are looked at.
@@ -107,6 +109,7 @@
 ) -> Vec<JoinHandle<()>> {
     let (tx, rx) = mpsc::channel();
     let rx = Arc::new(Mutex::new(rx));
+    nudge(control, &tx);
     let mut threads = vec![
         follow_config(control, refresh, stop),
         follow_hosts(control, refresh, stop),
@@ -116,11 +119,24 @@
         sweep(control, stop),
     ];
     for _ in 0..STEPPERS {
-        threads.push(stepper(control, &rx));
+        threads.push(stepper(control, &rx, stop));
     }
     threads
 }
 
+/// Has a step taken at once for a service whose first request begins to wait.
+fn nudge(control: &Arc<Control>, tx: &Sender<ServiceName>) {
+    let tx = Mutex::new(tx.clone());
+    let reconciler = Arc::downgrade(&control.reconciler);
+    control.pools.set_on_waiting(Box::new(move |service| {
+        if let Some(reconciler) = reconciler.upgrade() {
+            reconciler.hear_change(service);
+        }
+        // Without steppers the daemon is stopping, and the request is given up at its deadline.
+        let _ = tx.lock().expect("no holder of the lock panics").send(service.clone());
+    }));
+}
+
 fn follow_config(
     control: &Arc<Control>,
     refresh: &Refresh,
@@ -158,20 +174,26 @@
             return;
         }
         for service in control.reconciler.due() {
-            // The steppers end only after this sender is gone.
+            // The steppers outlive this loop or end with it.
             let _ = tx.send(service);
         }
     })
 }
 
-fn stepper(control: &Arc<Control>, rx: &Arc<Mutex<Receiver<ServiceName>>>) -> JoinHandle<()> {
+fn stepper(
+    control: &Arc<Control>,
+    rx: &Arc<Mutex<Receiver<ServiceName>>>,
+    stop: &Arc<StopFlag>,
+) -> JoinHandle<()> {
     let control = Arc::clone(control);
     let rx = Arc::clone(rx);
-    let take = move || rx.lock().expect("no holder of the lock panics").recv();
+    let stop = Arc::clone(stop);
+    let take = move || rx.lock().expect("no holder of the lock panics").recv_timeout(STOP_LOOK);
     thread::Builder::new()
         .name("step".to_owned())
         .spawn(move || {
-            while let Ok(service) = take() {
+            while !stop.is_set() {
+                let Ok(service) = take() else { continue };
                 // A failed step has given up what it must; the config loop logs the table's state.
                 let _ = control.reconciler.step(&service);
             }
