Coordinate each service at one daemon, over a SWIM-like membership

Cause: every daemon placed replicas and read rows for itself; at 340 daemons a burst for one model would be 340 racing writers and 6800 reads a second. Ruled out: heartbeats as rows (57,000 renewals) and a flat exchange (340 squared). Change: UDP membership with one probe a round and bounded news, a coordinator for each service by rendezvous hash, demand and use sent to it alone, changes of a row told to the daemons that use it, and waiting daemons that read the row with a doubling pause.

--- a/crates/tansyknot-control/src/lib.rs
+++ b/crates/tansyknot-control/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod claim;
 pub mod config;
-pub mod demand;
 pub mod directory;
 pub mod hosts;
 pub mod idempotency;
--- a/crates/tansyknot-control/src/pools.rs
+++ b/crates/tansyknot-control/src/pools.rs
@@ -12,6 +12,7 @@
 use tansyknot_core::{
     clock::{Clock, Time},
     name::{ServiceName, TargetName},
+    peer::Waiting,
     refusal::{Reason, Refusal},
 };
 use tansyknot_policy::{
@@ -20,8 +21,6 @@
     routing::Routing,
 };
 
-use crate::demand::Waiting;
-
 /// What a waiting request is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Signal {
--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -19,6 +19,7 @@
     clock::{Clock, Time},
     engine::Engine,
     name::{DaemonName, Incarnation, ServiceName, TargetName},
+    peer::{PeerListener, Peers, ServiceUse, Waiting},
     refusal::{Reason, Refusal},
     replica::{self, ReplicaRow},
     table::Table,
@@ -32,7 +33,6 @@
 use crate::{
     claim::{Claim, Watch},
     config::{self, ConfigView},
-    demand::{Peers, Waiting},
     directory::Directory,
     hosts::HostView,
     pools::{LocalDemand, Pools},
@@ -43,10 +43,16 @@
 
 /// A daemon that does not coordinate acts itself after its requests have waited this long.
 const FALLBACK_AFTER: Duration = Duration::from_millis(800);
+/// Uses are reported once a second; this takes up a late round.
+const REPORT_SPAN: Duration = Duration::from_millis(1500);
 /// What a peer said about its demand is forgotten after this long.
 const REMOTE_DEMAND_SPAN: Duration = Duration::from_secs(3);
 /// A coordinator looks at a service without demand this often.
 const QUIET_STEP: Duration = Duration::from_secs(1);
+/// A daemon that waits for a coordinator reads the row again after this long at first.
+const FOLLOW_FIRST: Duration = Duration::from_millis(200);
+/// And then after twice as long each time, up to this.
+const FOLLOW_LONGEST: Duration = Duration::from_millis(1600);
 /// A service whose last step failed is tried again after this long.
 const FAILED_STEP: Duration = Duration::from_millis(500);
 /// When a caller should come back while the table is away.
@@ -104,6 +110,7 @@
     draining_since: HashMap<TargetName, Time>,
     checked_at: HashMap<TargetName, Time>,
     waiting_since: Option<Time>,
+    follow_pause: Duration,
     next_step: Time,
 }
 
@@ -151,28 +158,33 @@
         Self { parts, usage: Usage::default(), states: Mutex::default(), remote: Mutex::default() }
     }
 
-    /// Takes in what a peer has waiting for a service.
-    pub fn hear_demand(&self, service: &ServiceName, daemon: &DaemonName, waiting: Waiting) {
+    /// Tells the coordinators which services this daemon uses.
+    pub fn report_use(&self) {
         let now = self.parts.clock.now();
-        let mut remote = self.remote.lock().expect("no holder of the lock panics");
-        remote.entry(service.clone()).or_default().insert(daemon.clone(), (waiting, now));
-        drop(remote);
-        if waiting.waiting > 0 || waiting.in_flight > 0 {
-            self.usage.record(service, now);
+        let mut uses = Vec::new();
+        for service in self.parts.pools.services() {
+            let local = self.parts.pools.demand(&service);
+            let Some(last) = local.last_use else { continue };
+            let in_flight = local.waiting.in_flight;
+            let ago = if in_flight > 0 { Duration::ZERO } else { now.since(last) };
+            if ago >= REPORT_SPAN {
+                continue;
+            }
+            if self.parts.peers.is_coordinator(&service) {
+                self.usage.record(&service, now.before(ago));
+            } else {
+                uses.push(ServiceUse { service, ago, in_flight });
+            }
+        }
+        if !uses.is_empty() {
+            self.parts.peers.used(&uses);
         }
-        self.make_due(service);
     }
 
-    /// Takes in that a peer used a service `ago` before now.
-    pub fn hear_use(&self, service: &ServiceName, ago: Duration) {
+    fn hear_waiting(&self, service: &ServiceName, daemon: &DaemonName, waiting: Waiting) {
         let now = self.parts.clock.now();
-        self.usage.record(service, Time::from_micros(now.as_micros().saturating_sub(micros(ago))));
-    }
-
-    /// Takes in that the replica row of a service has changed.
-    pub fn hear_change(&self, service: &ServiceName) {
-        self.parts.directory.mark_stale(service);
-        self.make_due(service);
+        let mut remote = self.remote.lock().expect("no holder of the lock panics");
+        remote.entry(service.clone()).or_default().insert(daemon.clone(), (waiting, now));
     }
 
     /// Reads every replica row, for services that nobody has asked this daemon for.
@@ -244,9 +256,7 @@
         let now = self.parts.clock.now();
         match &result {
             Ok(()) | Err(Error::Conflict { .. }) => {
-                let busy =
-                    !state.work.is_empty() || self.parts.pools.demand(service).waiting.waiting > 0;
-                state.next_step = if busy { now } else { now + QUIET_STEP };
+                state.next_step = now + self.pause(service, &mut state);
             }
             Err(e) => {
                 state.next_step = now + FAILED_STEP;
@@ -260,6 +270,24 @@
         }
     }
 
+    /// Returns the time until the next step if nothing is heard before.
+    fn pause(&self, service: &ServiceName, state: &mut ServiceState) -> Duration {
+        let waits = self.parts.pools.demand(service).waiting.waiting > 0;
+        let acts = self.parts.peers.is_coordinator(service);
+        if !state.work.is_empty() || (waits && acts) {
+            state.follow_pause = FOLLOW_FIRST;
+            return Duration::ZERO;
+        }
+        if !waits {
+            state.follow_pause = FOLLOW_FIRST;
+            return QUIET_STEP;
+        }
+        // The coordinator tells when the row changes; reading it again is for lost messages.
+        let pause = state.follow_pause.max(FOLLOW_FIRST);
+        state.follow_pause = (pause * 2).min(FOLLOW_LONGEST);
+        pause
+    }
+
     fn step_locked(&self, service: &ServiceName, state: &mut ServiceState) -> Result<()> {
         let now = self.parts.clock.now();
         let local = self.note_local(service, state, now);
@@ -393,6 +421,28 @@
     }
 }
 
+impl PeerListener for Reconciler {
+    fn hear_demand(&self, service: &ServiceName, daemon: &DaemonName, waiting: Waiting) {
+        self.hear_waiting(service, daemon, waiting);
+        self.usage.record(service, self.parts.clock.now());
+        self.make_due(service);
+    }
+
+    fn hear_use(&self, daemon: &DaemonName, uses: &[ServiceUse]) {
+        let now = self.parts.clock.now();
+        for used in uses {
+            self.usage.record(&used.service, now.before(used.ago));
+            let waiting = Waiting { waiting: 0, in_flight: used.in_flight };
+            self.hear_waiting(&used.service, daemon, waiting);
+        }
+    }
+
+    fn hear_change(&self, service: &ServiceName) {
+        self.parts.directory.mark_stale(service);
+        self.make_due(service);
+    }
+}
+
 fn unordered(state: &ServiceState) -> Vec<TargetName> {
     let fresh = state.work.iter().filter(|(_, work)| !work.ordered && work.orders == 0);
     fresh.map(|(target, _)| target.clone()).collect()
@@ -401,7 +451,3 @@
 fn targets(row: &ReplicaRow) -> Vec<TargetName> {
     row.slots.iter().map(|slot| slot.target.clone()).collect()
 }
-
-fn micros(span: Duration) -> u64 {
-    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/tansyknot-core/src/clock.rs
+++ b/crates/tansyknot-core/src/clock.rs
@@ -35,6 +35,15 @@
     }
 }
 
+impl Time {
+    /// Returns the point `span` before this one, not before the clock's start.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Time {
+        let us = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(us))
+    }
+}
+
 impl Add<Duration> for Time {
     type Output = Time;
 
--- a/crates/tansyknot-core/src/lib.rs
+++ b/crates/tansyknot-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod host;
 pub mod label;
 pub mod name;
+pub mod peer;
 pub mod refusal;
 pub mod replica;
 pub mod table;
--- a/crates/tansyknot-control/src/demand.rs
+++ b/crates/tansyknot-core/src/peer.rs
@@ -1,10 +1,11 @@
-//! What a daemon asks of the coordinator of a service, and who that is.
+//! What daemons tell each other about services, and who coordinates which.
 
 use std::time::Duration;
 
-use tansyknot_core::name::{DaemonName, ServiceName};
 use xxhash_rust::xxh3;
 
+use crate::name::{DaemonName, ServiceName};
+
 /// Requests of one daemon for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Waiting {
@@ -14,21 +15,44 @@
     pub in_flight: u32,
 }
 
-/// Reaches the coordinators of services.
+/// The use of one service by one daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceUse {
+    /// The service.
+    pub service: ServiceName,
+    /// How long ago it was last used.
+    pub ago: Duration,
+    /// Requests that are being served.
+    pub in_flight: u32,
+}
+
+/// Reaches the coordinators of services. Every message may be lost.
 pub trait Peers: Send + Sync {
     /// Tells whether this daemon coordinates `service`.
     fn is_coordinator(&self, service: &ServiceName) -> bool;
 
-    /// Tells the coordinator of `service` what this daemon has waiting. Messages may be lost.
+    /// Tells the coordinator of `service` what this daemon has waiting.
     fn wake(&self, service: &ServiceName, waiting: Waiting);
 
-    /// Tells the coordinator that `service` was used `ago` before now.
-    fn used(&self, service: &ServiceName, ago: Duration);
+    /// Tells the coordinators of services that they were used.
+    fn used(&self, uses: &[ServiceUse]);
 
-    /// Tells daemons that the replica row of `service` has changed.
+    /// Tells the daemons that use `service` that its replica row has changed.
     fn changed(&self, service: &ServiceName);
 }
 
+/// Takes in what peers say.
+pub trait PeerListener: Send + Sync {
+    /// A peer has requests waiting for a service.
+    fn hear_demand(&self, service: &ServiceName, daemon: &DaemonName, waiting: Waiting);
+
+    /// A peer has used services.
+    fn hear_use(&self, daemon: &DaemonName, uses: &[ServiceUse]);
+
+    /// The replica row of a service has changed.
+    fn hear_change(&self, service: &ServiceName);
+}
+
 /// A daemon without peers coordinates everything.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Alone;
@@ -40,7 +64,7 @@
 
     fn wake(&self, _: &ServiceName, _: Waiting) {}
 
-    fn used(&self, _: &ServiceName, _: Duration) {}
+    fn used(&self, _: &[ServiceUse]) {}
 
     fn changed(&self, _: &ServiceName) {}
 }
--- /dev/null
+++ b/crates/tansyknot-gossip/src/node.rs
@@ -0,0 +1,276 @@
+//! A daemon's socket for peers: membership rounds, demand messages, counts of what was dropped.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tansyknot_core::{
+    clock::Clock,
+    event,
+    name::{DaemonName, ServiceName},
+    peer::{self, PeerListener, Peers, ServiceUse, Waiting},
+};
+
+use crate::{
+    interest::Interest,
+    members::{Members, MembersOptions, Myself, Outgoing},
+    message::{self, Envelope, MAX_BYTES, Message, Update, UseEntry},
+};
+
+/// How long a read of the socket waits; rounds are at most this late.
+const READ_TIMEOUT: Duration = Duration::from_millis(50);
+/// Uses in one datagram: names have up to 120 bytes.
+const USES: usize = 9;
+
+/// What a node has sent, received and dropped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Datagrams received and understood.
+    pub received: u64,
+    /// Datagrams dropped.
+    pub dropped: u64,
+}
+
+/// A daemon's node.
+pub struct Node {
+    socket: UdpSocket,
+    clock: Arc<dyn Clock>,
+    members: Mutex<Members>,
+    interest: Mutex<Interest>,
+    listener: OnceLock<Arc<dyn PeerListener>>,
+    sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    received: AtomicU64,
+    dropped: AtomicU64,
+}
+
+impl Node {
+    /// Binds the socket of `me`; port 0 takes any free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be taken.
+    pub fn bind(
+        mut me: Myself,
+        options: MembersOptions,
+        clock: Arc<dyn Clock>,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(me.address)?;
+        socket.set_read_timeout(Some(READ_TIMEOUT))?;
+        me.address = socket.local_addr()?;
+        Ok(Self {
+            socket,
+            clock,
+            members: Mutex::new(Members::new(me, options)),
+            interest: Mutex::default(),
+            listener: OnceLock::new(),
+            sent: AtomicU64::new(0),
+            sent_bytes: AtomicU64::new(0),
+            received: AtomicU64::new(0),
+            dropped: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns where the node listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does not say.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sets who takes in what peers say about services.
+    pub fn set_listener(&self, listener: Arc<dyn PeerListener>) {
+        // The daemon sets it once at the start; a second call would change nothing.
+        let _ = self.listener.set(listener);
+    }
+
+    /// Takes in daemons that the table lists.
+    pub fn join(&self, daemons: Vec<Update>) {
+        let now = self.clock.now();
+        self.members.lock().expect("no holder of the lock panics").join(daemons, now);
+    }
+
+    /// Returns the daemons that answer, this one included.
+    pub fn alive(&self) -> Vec<DaemonName> {
+        self.members.lock().expect("no holder of the lock panics").alive().cloned().collect()
+    }
+
+    /// Returns what has been sent, received and dropped.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            sent: self.sent.load(Ordering::Relaxed),
+            sent_bytes: self.sent_bytes.load(Ordering::Relaxed),
+            received: self.received.load(Ordering::Relaxed),
+            dropped: self.dropped.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Waits for one datagram for a moment, takes it in, and moves the rounds on.
+    pub fn turn(&self) {
+        let mut buf = [0; MAX_BYTES + 1];
+        if let Ok((length, from)) = self.socket.recv_from(&mut buf) {
+            self.take(&buf[..length], from);
+        }
+        let now = self.clock.now();
+        let out = {
+            let mut members = self.members.lock().expect("no holder of the lock panics");
+            members.tick(now, &mut rand::rng())
+        };
+        self.send_all(out);
+    }
+
+    fn take(&self, datagram: &[u8], from: SocketAddr) {
+        let envelope = match message::decode(datagram) {
+            Ok(envelope) => envelope,
+            Err(dropped) => {
+                let count = self.dropped.fetch_add(1, Ordering::Relaxed) + 1;
+                // A flood of strays must not become a flood of log lines.
+                if count.is_power_of_two() {
+                    event::DATAGRAM_DROPPED.emit(&[("why", &dropped), ("count", &count)]);
+                }
+                return;
+            }
+        };
+        self.received.fetch_add(1, Ordering::Relaxed);
+        match envelope.message {
+            Message::Wake { service, waiting, in_flight } => {
+                self.note_interest(&service, &envelope.from);
+                let waiting = Waiting { waiting, in_flight };
+                self.tell(|l| l.hear_demand(&service, &envelope.from, waiting));
+            }
+            Message::Used { uses } => {
+                let uses = uses.into_iter().map(service_use).collect::<Vec<_>>();
+                for used in &uses {
+                    self.note_interest(&used.service, &envelope.from);
+                }
+                self.tell(|l| l.hear_use(&envelope.from, &uses));
+            }
+            Message::Changed { service } => self.tell(|l| l.hear_change(&service)),
+            other => {
+                let now = self.clock.now();
+                let out = {
+                    let mut members = self.members.lock().expect("no holder of the lock panics");
+                    members.receive(from, other, now)
+                };
+                self.send_all(out);
+            }
+        }
+    }
+
+    fn note_interest(&self, service: &ServiceName, daemon: &DaemonName) {
+        let now = self.clock.now();
+        let mut interest = self.interest.lock().expect("no holder of the lock panics");
+        interest.note(service, daemon, now);
+    }
+
+    fn tell(&self, f: impl FnOnce(&dyn PeerListener)) {
+        if let Some(listener) = self.listener.get() {
+            f(listener.as_ref());
+        }
+    }
+
+    fn send_all(&self, out: Vec<Outgoing>) {
+        for Outgoing { to, message } in out {
+            self.send(to, message);
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: Message) {
+        let from = {
+            let members = self.members.lock().expect("no holder of the lock panics");
+            members.me().clone()
+        };
+        let Ok(datagram) = message::encode(&Envelope { from, message }) else { return };
+        // A datagram that can't be sent is like one that was lost; every message allows for it.
+        if self.socket.send_to(&datagram, to).is_ok() {
+            self.sent.fetch_add(1, Ordering::Relaxed);
+            self.sent_bytes.fetch_add(datagram.len() as u64, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the coordinator of a service and its address, `None` if it is this daemon.
+    fn coordinator(&self, service: &ServiceName) -> Option<(DaemonName, SocketAddr)> {
+        let members = self.members.lock().expect("no holder of the lock panics");
+        let daemon = peer::coordinator(service, members.alive())?;
+        let address = members.address(daemon)?;
+        Some((daemon.clone(), address))
+    }
+}
+
+impl Peers for Node {
+    fn is_coordinator(&self, service: &ServiceName) -> bool {
+        self.coordinator(service).is_none()
+    }
+
+    fn wake(&self, service: &ServiceName, waiting: Waiting) {
+        let Some((_, to)) = self.coordinator(service) else { return };
+        let message = Message::Wake {
+            service: service.clone(),
+            waiting: waiting.waiting,
+            in_flight: waiting.in_flight,
+        };
+        self.send(to, message);
+    }
+
+    fn used(&self, uses: &[ServiceUse]) {
+        let mut by_daemon: HashMap<SocketAddr, Vec<UseEntry>> = HashMap::new();
+        for used in uses {
+            if let Some((_, to)) = self.coordinator(&used.service) {
+                by_daemon.entry(to).or_default().push(use_entry(used));
+            }
+        }
+        for (to, entries) in by_daemon {
+            for part in entries.chunks(USES) {
+                self.send(to, Message::Used { uses: part.to_vec() });
+            }
+        }
+    }
+
+    fn changed(&self, service: &ServiceName) {
+        let now = self.clock.now();
+        let daemons = {
+            let mut interest = self.interest.lock().expect("no holder of the lock panics");
+            interest.daemons(service, now)
+        };
+        let mut addresses: Vec<SocketAddr> = {
+            let members = self.members.lock().expect("no holder of the lock panics");
+            daemons.iter().filter_map(|daemon| members.address(daemon)).collect()
+        };
+        // A daemon that acted in the coordinator's place tells the coordinator first.
+        addresses.extend(self.coordinator(service).map(|(_, to)| to));
+        addresses.sort();
+        addresses.dedup();
+        for to in addresses {
+            self.send(to, Message::Changed { service: service.clone() });
+        }
+    }
+}
+
+fn use_entry(used: &ServiceUse) -> UseEntry {
+    UseEntry {
+        service: used.service.clone(),
+        ago_ms: u32::try_from(used.ago.as_millis()).unwrap_or(u32::MAX),
+        in_flight: used.in_flight,
+    }
+}
+
+fn service_use(entry: UseEntry) -> ServiceUse {
+    ServiceUse {
+        service: entry.service,
+        ago: Duration::from_millis(u64::from(entry.ago_ms)),
+        in_flight: entry.in_flight,
+    }
+}
--- a/crates/tansyknotd/src/control.rs
+++ b/crates/tansyknotd/src/control.rs
@@ -11,18 +11,23 @@
 
 use tansyknot_config::settings::Refresh;
 use tansyknot_control::{
-    config::ConfigView, demand::Peers, hosts::HostView, idempotency, pools::Pools,
-    publish::Publisher, reconcile::Reconciler,
+    config::ConfigView, hosts::HostView, idempotency, pools::Pools, publish::Publisher,
+    reconcile::Reconciler, replicas,
 };
 use tansyknot_core::{
     Error,
     clock::Clock,
     event::{self, Event},
     host::HostList,
-    name::ServiceName,
+    name::{DaemonName, ServiceName},
+    peer::{PeerListener, Peers},
     table::Table,
 };
 use tansyknot_edge::watch::CallerWatch;
+use tansyknot_gossip::{
+    message::{Liveness, Update},
+    node::Node,
+};
 
 use crate::loops::{self, StopFlag};
 
@@ -36,6 +41,10 @@
 const WATCH_EVERY: Duration = Duration::from_millis(200);
 /// How often old rows of idempotency keys are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(60);
+/// How often the table is asked for daemons that this one does not know.
+const JOIN_EVERY: Duration = Duration::from_secs(10);
+/// How often the use of services is reported to their coordinators.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Old rows deleted at once.
 const SWEEP_ROWS: usize = 200;
 
@@ -56,7 +65,7 @@
     /// The control loop.
     pub reconciler: Arc<Reconciler>,
     /// The other daemons.
-    pub peers: Arc<dyn Peers>,
+    pub node: Arc<Node>,
     /// The callers with an attempt under way.
     pub watch: Arc<CallerWatch>,
     /// The clock.
@@ -117,6 +126,9 @@
         scan(control, stop),
         watch(control, stop),
         sweep(control, stop),
+        peers(control, stop),
+        join(control, stop),
+        report_use(control, stop),
     ];
     for _ in 0..STEPPERS {
         threads.push(stepper(control, &rx, stop));
@@ -221,10 +233,39 @@
     // One daemon sweeps: the coordinator of a name that no service can have.
     let sweeper = ServiceName::from("/sweep");
     loops::every("sweep", SWEEP_EVERY, stop, move || {
-        if !control.peers.is_coordinator(&sweeper) {
+        if !control.node.is_coordinator(&sweeper) {
             return;
         }
         let at_ms = control.clock.wall_ms();
         while let Ok(1..) = idempotency::sweep(control.table.as_ref(), at_ms, SWEEP_ROWS) {}
     })
 }
+
+/// Receives datagrams and moves the membership's rounds on.
+fn peers(control: &Arc<Control>, stop: &Arc<StopFlag>) -> JoinHandle<()> {
+    let control = Arc::clone(control);
+    loops::every("peers", Duration::ZERO, stop, move || control.node.turn())
+}
+
+/// Takes in the daemons that the table lists.
+fn join(control: &Arc<Control>, stop: &Arc<StopFlag>) -> JoinHandle<()> {
+    let control = Arc::clone(control);
+    loops::every("join", JOIN_EVERY, stop, move || {
+        // Without the table the members that are known stay.
+        let Ok(daemons) = replicas::read_daemons(control.table.as_ref()) else { return };
+        let updates = daemons.into_iter().map(|(daemon, row)| Update {
+            daemon: DaemonName::from(daemon.as_str()),
+            address: row.peer_address,
+            availability_zone: row.availability_zone,
+            // The member itself knows its number; any word of its own goes before this.
+            number: 0,
+            liveness: Liveness::Alive,
+        });
+        control.node.join(updates.collect());
+    })
+}
+
+fn report_use(control: &Arc<Control>, stop: &Arc<StopFlag>) -> JoinHandle<()> {
+    let control = Arc::clone(control);
+    loops::every("report", REPORT_EVERY, stop, move || control.reconciler.report_use())
+}
--- a/crates/tansyknotd/src/daemon.rs
+++ b/crates/tansyknotd/src/daemon.rs
@@ -14,7 +14,6 @@
 use tansyknot_config::settings::{Limits, Settings};
 use tansyknot_control::{
     config::ConfigView,
-    demand::{Alone, Peers},
     directory::Directory,
     hosts::HostView,
     pools::Pools,
@@ -27,6 +26,7 @@
     engine::Engine,
     event,
     name::Incarnation,
+    peer::{PeerListener, Peers},
     replica::DaemonRow,
     table::Table,
     telemetry::Recorder,
@@ -37,6 +37,10 @@
     http::server::{self, Handler, Lifecycle, ServerOptions},
     watch::CallerWatch,
 };
+use tansyknot_gossip::{
+    members::{MembersOptions, Myself},
+    node::Node,
+};
 use tansyknot_platform::{engine::HttpEngine, host::HttpHostList, table::HttpTable};
 use tansyknot_policy::{
     placement::NearestCheckpoint, retention::LeastCost, routing::ZoneTwoChoices,
@@ -103,7 +107,7 @@
     pools: Arc<Pools>,
     directory: Arc<Directory>,
     publisher: Arc<Publisher>,
-    peers: Arc<dyn Peers>,
+    node: Arc<Node>,
     recorder: Arc<dyn Recorder>,
     lifecycle: Arc<Lifecycle>,
     explainer: Arc<Explainer>,
@@ -128,7 +132,6 @@
         };
         let recorder = telemetry::recorder(&settings.telemetry).map_err(io::Error::other)?;
         Ok(Self {
-            clock,
             table: Arc::new(HttpTable::new(settings.platform.table, timeout)),
             engine: Arc::new(HttpEngine::new(timeout)),
             hosts,
@@ -136,12 +139,13 @@
             pools,
             directory,
             publisher: Arc::new(publisher),
-            peers: Arc::new(Alone),
+            node: Arc::new(bind_node(settings, &clock)?),
             recorder: Arc::from(recorder),
             lifecycle: Arc::default(),
             explainer: Arc::default(),
             watch: Arc::default(),
             incarnation: replicas::new_incarnation(settings.name.as_str()),
+            clock,
         })
     }
 
@@ -154,7 +158,7 @@
             pools: Arc::clone(&self.pools),
             directory: Arc::clone(&self.directory),
             publisher: Arc::clone(&self.publisher),
-            peers: Arc::clone(&self.peers),
+            peers: Arc::clone(&self.node) as Arc<dyn Peers>,
             placement: Box::new(NearestCheckpoint),
             retention: Box::new(LeastCost),
             clock: Arc::clone(&self.clock),
@@ -215,7 +219,7 @@
             pools: Arc::clone(&self.pools),
             publisher: Arc::clone(&self.publisher),
             reconciler: Arc::clone(reconciler),
-            peers: Arc::clone(&self.peers),
+            node: Arc::clone(&self.node),
             watch: Arc::clone(&self.watch),
             clock: Arc::clone(&self.clock),
         }
@@ -237,6 +241,7 @@
             operators::bind(settings.listen.operators, shared.operators(settings))
                 .map_err(io::Error::other)?;
         let reconciler = shared.reconciler();
+        shared.node.set_listener(Arc::clone(&reconciler) as Arc<dyn PeerListener>);
         let control = Arc::new(shared.control(settings, &reconciler));
         let gateway: Arc<dyn Handler> = Arc::new(shared.gateway(settings, &reconciler));
 
@@ -244,7 +249,9 @@
             serve_callers(listener, &settings.limits, gateway, &shared.lifecycle),
             serve_operators(operators_server, &stop_loops),
         ];
-        threads.push(register_then_control(settings, &shared, control, &stop_loops));
+        let registration =
+            register_then_control(settings, &shared, operators, control, &stop_loops);
+        threads.push(registration);
         event::STARTED.emit(&[
             ("daemon", &settings.name),
             ("incarnation", &shared.incarnation),
@@ -320,6 +327,16 @@
     }
 }
 
+fn bind_node(settings: &Settings, clock: &Arc<dyn Clock>) -> io::Result<Node> {
+    let me = Myself {
+        daemon: settings.name.clone(),
+        address: settings.listen.peers,
+        availability_zone: settings.availability_zone.clone(),
+        number: clock.wall_ms(),
+    };
+    Node::bind(me, MembersOptions::default(), Arc::clone(clock))
+}
+
 fn serve_callers(
     listener: TcpListener,
     limits: &Limits,
@@ -353,13 +370,14 @@
 fn register_then_control(
     settings: &Settings,
     shared: &Shared,
+    operators: SocketAddr,
     control: Arc<Control>,
     stop: &Arc<StopFlag>,
 ) -> JoinHandle<()> {
     let row = DaemonRow {
         incarnation: shared.incarnation.clone(),
-        peer_address: settings.listen.peers,
-        operators_address: settings.listen.operators,
+        peer_address: shared.node.address().unwrap_or(settings.listen.peers),
+        operators_address: operators,
         availability_zone: settings.availability_zone.clone(),
     };
     let name = settings.name.clone();
--- a/crates/tansyknotd/src/replicas.rs
+++ b/crates/tansyknotd/src/replicas.rs
@@ -13,6 +13,7 @@
     engine::Engine,
     host::Target,
     name::{AdapterName, ServiceName, TargetName},
+    peer::PeerListener,
 };
 use tansyknot_edge::gateway::Replicas;
 
