Prove limit, memory, take-over and leaving with fakes under faults

Cause: the mechanisms stood without a proof. Change: fakes of the table, the engines and the list of hosts that cut, hold, lose and go silent, and tables of fault cases for engines that check fencing tokens and that ignore them. Whether each fails without its mechanism is checked next.

--- /dev/null
+++ b/crates/tansyknot-control/tests/replicas.rs
@@ -0,0 +1,342 @@
+//! Replicas never over the limit, memory never overcommitted: bursts, races and faults.
+
+mod support;
+
+use support::{Daemon, GB, World};
+use tansyknot_core::{
+    host::{Fencing, HostState},
+    name::{ServiceName, TargetName},
+    replica::SlotState,
+};
+use tansyknot_standins::fake::CommitFault;
+use yare::parameterized;
+
+use crate::support::OBJECTS;
+
+fn most(world: &World, service: &str) -> usize {
+    world.engines.observed().replicas.get(&ServiceName::from(service)).copied().unwrap_or(0)
+}
+
+/// Steps every daemon in turn while time passes and loads finish.
+fn run(world: &World, daemons: &[Daemon], service: &str, rounds: usize) {
+    for round in 0..rounds {
+        for daemon in daemons {
+            daemon.observe(world);
+            let _ = daemon.step(service);
+        }
+        world.advance(500);
+        if round % 2 == 1 {
+            world.engines.finish_loads();
+        }
+    }
+}
+
+#[parameterized(
+    three_daemons_checked = { 3, 1, Fencing::Checked },
+    seven_daemons_checked = { 7, 1, Fencing::Checked },
+    seven_daemons_two_replicas = { 7, 2, Fencing::Checked },
+    three_daemons_ignored = { 3, 1, Fencing::Ignored },
+    seven_daemons_ignored = { 7, 2, Fencing::Ignored },
+)]
+fn burst_loads_no_more_than_the_limit(daemons: usize, limit: u32, fencing: Fencing) {
+    let world = World::new(&[80, 80, 80, 80], fencing);
+    world.apply(limit);
+    let daemons: Vec<Daemon> = (0..daemons).map(|i| world.daemon(&format!("d{i}"))).collect();
+    for daemon in &daemons {
+        for _ in 0..20 {
+            let _ = daemon.request(&world, "permit");
+        }
+    }
+    run(&world, &daemons, "permit", 12);
+    assert!(most(&world, "permit") >= 1);
+    assert!(most(&world, "permit") <= limit as usize);
+    assert_eq!(world.slot_states("permit")[0], SlotState::Ready);
+}
+
+#[parameterized(
+    reply_lost = { &[CommitFault::LostReply] },
+    reply_lost_twice = { &[CommitFault::LostReply, CommitFault::LostReply] },
+    request_lost = { &[CommitFault::LostRequest] },
+    request_then_reply_lost = { &[CommitFault::LostRequest, CommitFault::LostReply] },
+    unreachable = { &[CommitFault::Unreachable] },
+    ready_mark_lost = { &[CommitFault::None, CommitFault::LostReply, CommitFault::LostRequest] },
+)]
+fn faulty_commits_neither_double_nor_lose_a_replica(faults: &[CommitFault]) {
+    for fencing in [Fencing::Checked, Fencing::Ignored] {
+        let world = World::new(&[80, 80, 80], fencing);
+        world.apply(1);
+        let daemons = [world.daemon("d0"), world.daemon("d1")];
+        daemons[0].table.script(faults.iter().copied());
+        for daemon in &daemons {
+            let _ = daemon.request(&world, "permit");
+        }
+        run(&world, &daemons, "permit", 40);
+        assert_eq!(most(&world, "permit"), 1);
+        assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+    }
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn lowered_limit_stops_a_reservation_decided_before_it(fencing: Fencing) {
+    let world = World::new(&[80, 80, 80], fencing);
+    world.apply(1);
+    let daemon = world.daemon("d0");
+    let _ = daemon.request(&world, "permit");
+    // The daemon still has the limit of one in force when the operators allow none.
+    world.apply(0);
+    let _ = daemon.step("permit");
+    assert_eq!(most(&world, "permit"), 0);
+    assert_eq!(world.slot_states("permit"), []);
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn lowered_limit_drains_the_surplus(fencing: Fencing) {
+    let world = World::new(&[80, 80, 80], fencing);
+    world.apply_text(&OBJECTS.replace("{max: MAX}", "{min: 2, max: 2}"));
+    let daemons = [world.daemon("d0")];
+    run(&world, &daemons, "permit", 12);
+    assert_eq!(world.engines.loaded(&ServiceName::from("permit")), 2);
+    world.apply(1);
+    run(&world, &daemons, "permit", 12);
+    assert_eq!(world.engines.loaded(&ServiceName::from("permit")), 1);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn memory_is_never_overcommitted(fencing: Fencing) {
+    let world = World::new(&[20, 20], fencing);
+    world.apply(2);
+    let daemons = [world.daemon("d0"), world.daemon("d1"), world.daemon("d2")];
+    for daemon in &daemons {
+        for service in ["permit", "summary"] {
+            for _ in 0..10 {
+                let _ = daemon.request(&world, service);
+            }
+        }
+    }
+    for _ in 0..10 {
+        run(&world, &daemons, "permit", 1);
+        run(&world, &daemons, "summary", 1);
+    }
+    for target in ["e0", "e1"] {
+        assert!(world.reserved_bytes(target) <= 20 * GB);
+    }
+    assert!(world.engines.observed().used_bytes.values().all(|used| *used <= 20 * GB));
+    let refused: u64 = ["e0", "e1"]
+        .map(|t| world.engines.models(&TargetName::from(t)).peaks().refused_loads)
+        .iter()
+        .sum();
+    assert_eq!(refused, 0, "a load was ordered for which there was no memory");
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn memory_in_use_without_a_reservation_counts(fencing: Fencing) {
+    let world = World::new(&[20], fencing);
+    world.apply(1);
+    let stray = tansyknot_core::engine::LoadOrder {
+        service: ServiceName::from("stray"),
+        checkpoint: "stray".to_owned(),
+        memory_bytes: 10 * GB,
+        fence: 1,
+    };
+    let models = world.engines.models(&TargetName::from("e0"));
+    models.begin_load(&stray).expect("the engine is empty");
+    let daemons = [world.daemon("d0")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 6);
+    assert_eq!(world.slot_states("permit"), []);
+    assert_eq!(models.peaks().refused_loads, 0);
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn killed_holder_is_replaced_on_the_same_target(fencing: Fencing) {
+    let world = World::new(&[80, 80, 80], fencing);
+    world.apply(1);
+    let first = world.daemon("d0");
+    let _ = first.request(&world, "permit");
+    first.step("permit").expect("the table is up");
+    drop(first);
+    let daemons = [world.daemon("d1")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 40);
+    assert_eq!(most(&world, "permit"), 1);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+}
+
+/// A holder is frozen while its load order is on its way; another takes over, and the slot is
+/// given up; then the order arrives.
+#[parameterized(
+    checked = { Fencing::Checked, true },
+    ignored = { Fencing::Ignored, false },
+)]
+fn order_of_a_frozen_holder_never_makes_a_second_replica(fencing: Fencing, freed: bool) {
+    let world = World::new(&[80, 80, 80], fencing);
+    world.apply(1);
+    let frozen = world.daemon("d0");
+    let _ = frozen.request(&world, "permit");
+    world.engines.hold_loads(true);
+    frozen.step("permit").expect("the table is up");
+    world.engines.hold_loads(false);
+
+    let daemons = [world.daemon("d1")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 40);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+    // Nobody asks any more: the slot is drained and given up if that is safe.
+    daemons[0].pools.refuse_waiting(
+        &ServiceName::from("permit"),
+        &tansyknot_core::refusal::Refusal::not_run(
+            tansyknot_core::refusal::Reason::NoCapacity,
+            "test",
+        ),
+    );
+    release_all(&daemons[0], "permit");
+    for _ in 0..200 {
+        run(&world, &daemons, "permit", 1);
+    }
+    let slots = world.slot_states("permit");
+    assert_eq!(slots.is_empty(), freed, "{slots:?}");
+
+    // The frozen holder wakes and its order arrives at last.
+    world.engines.deliver_held();
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 20);
+    assert_eq!(most(&world, "permit"), 1);
+}
+
+/// Ends the requests that the pool counts as in flight.
+fn release_all(daemon: &Daemon, service: &str) {
+    let service = ServiceName::from(service);
+    for i in 0..8 {
+        for _ in 0..10 {
+            daemon.pools.release(&service, &TargetName::new(format!("e{i}")), None);
+        }
+    }
+}
+
+#[test]
+fn slot_held_for_a_frozen_holder_is_freed_once_its_incarnation_is_gone() {
+    let world = World::new(&[80, 80], Fencing::Ignored);
+    world.apply(1);
+    let frozen = world.daemon("d0");
+    let _ = frozen.request(&world, "permit");
+    world.engines.hold_loads(true);
+    frozen.step("permit").expect("the table is up");
+    world.engines.hold_loads(false);
+    world.apply(0);
+    let daemons = [world.daemon("d1")];
+    run(&world, &daemons, "permit", 60);
+    assert_eq!(world.slot_states("permit"), [SlotState::Draining]);
+    // A new run under the same name proves that the old one has ended.
+    let _restarted = world.daemon("d0");
+    run(&world, &daemons, "permit", 60);
+    assert_eq!(world.slot_states("permit"), []);
+    assert_eq!(world.reserved_bytes("e0") + world.reserved_bytes("e1"), 0);
+}
+
+#[test]
+fn order_is_not_sent_after_the_claim_has_lapsed() {
+    let world = World::new(&[80], Fencing::Ignored);
+    world.apply(1);
+    let daemon = world.daemon("d0");
+    let _ = daemon.request(&world, "permit");
+    world.engines.set_silent(&TargetName::from("e0"), false);
+    world.engines.lose_replies(true);
+    daemon.step("permit").expect("the table is up");
+    let row = |w: &World| {
+        let service = ServiceName::from("permit");
+        tansyknot_control::replicas::read_replicas(&w.table, &service).expect("up").row
+    };
+    let before = row(&world).last_fence;
+    // The daemon was paused past its claim: it must claim anew before it orders anew.
+    world.advance(11_000);
+    world.engines.lose_replies(false);
+    daemon.step("permit").expect("the table is up");
+    assert_eq!(row(&world).last_fence, before + 1);
+    run(&world, &[daemon], "permit", 8);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn engine_that_restarts_is_noticed_and_its_replica_loaded_again(fencing: Fencing) {
+    let world = World::new(&[80], fencing);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 8);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+    release_all(&daemons[0], "permit");
+    world.engines.add(&TargetName::from("e0"), 80 * GB, fencing);
+    run(&world, &daemons, "permit", 10);
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 20);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+    assert_eq!(world.engines.loaded(&ServiceName::from("permit")), 1);
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn reclaimed_host_frees_the_slot_for_another(fencing: Fencing) {
+    let world = World::new(&[80, 80], fencing);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 8);
+    let service = ServiceName::from("permit");
+    let row = tansyknot_control::replicas::read_replicas(&world.table, &service).expect("up").row;
+    let gone = row.slots[0].target.clone();
+    world.engines.set_silent(&gone, true);
+    world.hosts.state.mark(&gone, None);
+    run(&world, &daemons, "permit", 60);
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 20);
+    let row = tansyknot_control::replicas::read_replicas(&world.table, &service).expect("up").row;
+    assert_eq!(row.slots.len(), 1);
+    assert_ne!(row.slots[0].target, gone);
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn silent_engine_keeps_its_slot_and_memory_counted(fencing: Fencing) {
+    let world = World::new(&[80], fencing);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    let _ = daemons[0].request(&world, "permit");
+    daemons[0].step("permit").expect("the table is up");
+    world.engines.set_silent(&TargetName::from("e0"), true);
+    run(&world, &daemons, "permit", 100);
+    assert_eq!(world.slot_states("permit").len(), 1);
+    assert_eq!(world.reserved_bytes("e0"), 16 * GB);
+}
+
+#[test]
+fn all_daemons_restarted_at_once_find_the_replicas_again() {
+    let world = World::new(&[80, 80], Fencing::Checked);
+    world.apply(1);
+    let daemons = [world.daemon("d0"), world.daemon("d1")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 8);
+    drop(daemons);
+    let daemons = [world.daemon("d0"), world.daemon("d1")];
+    for daemon in &daemons {
+        let _ = daemon.request(&world, "permit");
+        daemon.step("permit").expect("the table is up");
+        assert!(daemon.pools.demand(&ServiceName::from("permit")).has_upstream);
+    }
+    assert_eq!(world.engines.models(&TargetName::from("e0")).peaks().loads
+        + world.engines.models(&TargetName::from("e1")).peaks().loads, 1);
+}
+
+#[test]
+fn leaving_target_is_closed_with_the_next_reading_of_the_list() {
+    let world = World::new(&[80, 80], Fencing::Checked);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 8);
+    let service = ServiceName::from("permit");
+    assert!(daemons[0].pools.demand(&service).has_upstream);
+    for target in ["e0", "e1"] {
+        world.hosts.state.mark(&TargetName::from(target), Some(HostState::Leaving));
+    }
+    daemons[0].observe(&world);
+    assert!(!daemons[0].pools.demand(&service).has_upstream);
+}
--- /dev/null
+++ b/crates/tansyknot-control/tests/support/mod.rs
@@ -0,0 +1,205 @@
+//! A small world for tests of the control loop: rows, engines, hosts, a clock that stands still.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::{sync::Arc, time::Duration};
+
+use tansyknot_config::{document, store::Op};
+use tansyknot_control::{
+    config::{self, Author, ConfigView},
+    directory::Directory,
+    hosts::HostView,
+    pools::{Acquired, Ask, Pools},
+    publish::Publisher,
+    reconcile::{Parts, Reconciler},
+    replicas,
+};
+use tansyknot_core::{
+    clock::{Clock, ManualClock},
+    engine::Engine,
+    host::{Fencing, HostState, Target, TargetKind},
+    name::{Incarnation, ServiceName, TargetName, ZoneName},
+    peer::Alone,
+    replica::{DaemonRow, SlotState},
+    table::Table,
+};
+use tansyknot_policy::{
+    placement::NearestCheckpoint, pool::PoolOptions, queue::Waiter, retention::LeastCost,
+    routing::ZoneTwoChoices,
+};
+use tansyknot_standins::fake::{FakeEngines, FakeHosts, FakeTable};
+
+pub(crate) const GB: u64 = 1_000_000_000;
+
+/// Two services of 16 GB each and a rule with room for `MAX` replicas.
+pub(crate) const OBJECTS: &str = "
+kind: service
+name: permit
+labels: {desk: permits}
+backend: {model: {checkpoint: permit-8b, memory: 16GB}}
+---
+kind: service
+name: summary
+labels: {desk: permits}
+backend: {model: {checkpoint: summary-8b, memory: 16GB}}
+---
+kind: rule
+name: desk
+services: desk=permits
+targets: pool=models
+replicas: {max: MAX}
+retention: {at_least: 10s, at_most: 60s}
+";
+
+pub(crate) struct World {
+    pub(crate) table: FakeTable,
+    pub(crate) engines: Arc<FakeEngines>,
+    pub(crate) hosts: FakeHosts,
+    pub(crate) clock: ManualClock,
+}
+
+pub(crate) struct Daemon {
+    pub(crate) table: FakeTable,
+    pub(crate) hosts: Arc<HostView>,
+    pub(crate) config: Arc<ConfigView>,
+    pub(crate) pools: Arc<Pools>,
+    pub(crate) publisher: Arc<Publisher>,
+    pub(crate) reconciler: Reconciler,
+    pub(crate) incarnation: Incarnation,
+}
+
+impl World {
+    /// Makes engines with the given memory each, named `e0`, `e1`, ….
+    pub(crate) fn new(memory_gb: &[u64], fencing: Fencing) -> Self {
+        let world = Self {
+            table: FakeTable::default(),
+            engines: Arc::default(),
+            hosts: FakeHosts::default(),
+            clock: ManualClock::new(),
+        };
+        let mut targets = Vec::new();
+        for (i, gb) in memory_gb.iter().enumerate() {
+            let target = engine_target(i, gb * GB, fencing);
+            world.engines.add(&target.name, gb * GB, fencing);
+            targets.push(target);
+        }
+        world.hosts.state.set(targets);
+        world
+    }
+
+    /// Applies the usual objects with this limit on replicas.
+    pub(crate) fn apply(&self, max: u32) -> u64 {
+        self.apply_text(&OBJECTS.replace("MAX", &max.to_string()))
+    }
+
+    pub(crate) fn apply_text(&self, text: &str) -> u64 {
+        let objects = document::read(text, "test").expect("the test's objects are right");
+        let ops: Vec<Op> = objects.into_iter().map(Op::Put).collect();
+        let table = self.table.another_path();
+        let (head, _) = config::read_head(&table).expect("the table is up");
+        let author = Author { name: "test".to_owned(), at_ms: 0 };
+        config::apply(&table, head.version, &ops, &author).expect("nobody races")
+    }
+
+    /// Starts a daemon that has read the configuration and the list.
+    pub(crate) fn daemon(&self, name: &str) -> Daemon {
+        let daemon = self.unread_daemon(name);
+        daemon.observe(self);
+        daemon
+    }
+
+    pub(crate) fn unread_daemon(&self, name: &str) -> Daemon {
+        let table = self.table.another_path();
+        let clock: Arc<dyn Clock> = Arc::new(self.clock.clone());
+        let hosts = Arc::new(HostView::default());
+        let config = Arc::new(ConfigView::default());
+        let pools = Arc::new(Pools::new(Box::new(ZoneTwoChoices::default()), Arc::clone(&clock)));
+        let directory = Arc::new(Directory::default());
+        let publisher = Arc::new(Publisher {
+            config: Arc::clone(&config),
+            hosts: Arc::clone(&hosts),
+            directory: Arc::clone(&directory),
+            pools: Arc::clone(&pools),
+        });
+        let incarnation = replicas::new_incarnation(name);
+        let row = DaemonRow {
+            incarnation: incarnation.clone(),
+            peer_address: ([127, 0, 0, 1], 1).into(),
+            operators_address: ([127, 0, 0, 1], 2).into(),
+            availability_zone: ZoneName::from("z0"),
+        };
+        replicas::register_daemon(&self.table, name, &row).expect("the table is up");
+        let reconciler = Reconciler::new(Parts {
+            table: Arc::new(table.clone()) as Arc<dyn Table>,
+            engine: Arc::clone(&self.engines) as Arc<dyn Engine>,
+            hosts: Arc::clone(&hosts),
+            config: Arc::clone(&config),
+            pools: Arc::clone(&pools),
+            directory,
+            publisher: Arc::clone(&publisher),
+            peers: Arc::new(Alone),
+            placement: Box::new(NearestCheckpoint),
+            retention: Box::new(LeastCost),
+            clock,
+            incarnation: incarnation.clone(),
+        });
+        Daemon { table, hosts, config, pools, publisher, reconciler, incarnation }
+    }
+
+    pub(crate) fn advance(&self, ms: u64) {
+        self.clock.advance(Duration::from_millis(ms));
+    }
+
+    pub(crate) fn slot_states(&self, service: &str) -> Vec<SlotState> {
+        let service = ServiceName::from(service);
+        let row = replicas::read_replicas(&self.table, &service).expect("the table is up").row;
+        row.slots.iter().map(|s| s.state).collect()
+    }
+
+    pub(crate) fn reserved_bytes(&self, target: &str) -> u64 {
+        let target = TargetName::from(target);
+        replicas::read_memory(&self.table, &target).expect("the table is up").row.reserved_bytes()
+    }
+}
+
+impl Daemon {
+    /// Reads the configuration and the list of hosts.
+    pub(crate) fn observe(&self, world: &World) {
+        self.config.follow(&self.table).expect("the table is up");
+        self.hosts.refresh(&world.hosts, world.clock.now()).expect("the list is up");
+        self.publisher.publish_all();
+    }
+
+    /// Lets a request wait for the service.
+    pub(crate) fn request(&self, world: &World, service: &str) -> Acquired {
+        let service = ServiceName::from(service);
+        let deadline = world.clock.now() + Duration::from_secs(60);
+        let ask = Ask {
+            service: &service,
+            waiter: Waiter { rank: 0, deadline },
+            prefix: None,
+            avoid: &[],
+        };
+        self.pools.acquire(&ask, pool_options())
+    }
+
+    pub(crate) fn step(&self, service: &str) -> tansyknot_core::Result<()> {
+        self.reconciler.step(&ServiceName::from(service))
+    }
+}
+
+pub(crate) fn pool_options() -> PoolOptions {
+    PoolOptions { availability_zone: ZoneName::from("z0"), per_upstream: 4, waiting_max: 100 }
+}
+
+pub(crate) fn engine_target(i: usize, memory_bytes: u64, fencing: Fencing) -> Target {
+    Target {
+        name: TargetName::new(format!("e{i}")),
+        address: ([127, 0, 0, 1], 9000 + i as u16).into(),
+        availability_zone: ZoneName::new(format!("z{}", i % 3)),
+        state: HostState::Live,
+        kind: TargetKind::Engine,
+        memory_bytes,
+        fencing,
+        labels: [("pool".into(), "models".into())].into(),
+    }
+}
--- a/crates/tansyknot-standins/src/lib.rs
+++ b/crates/tansyknot-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! switched on, `POST /faults` replaces them.
 
 pub mod engine;
+pub mod fake;
 pub mod hosts;
 pub mod plain;
 pub mod server;
