Prove the races between read and write, and random interleavings of faults

Cause: a check by mutation showed that the tests stepped daemons one after the other: without the limit's check, the rows' versions or the settling of a lost reply they still passed. A step that wrote nothing left its hook behind and locked the test against itself; the hook is cleared now.

--- /dev/null
+++ b/crates/tansyknot-control/tests/races.rs
@@ -0,0 +1,185 @@
+//! Two daemons between each other's read and write, and random interleavings of faults.
+
+mod support;
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use support::{Daemon, GB, World};
+use tansyknot_core::{
+    host::Fencing,
+    name::{ServiceName, TargetName},
+};
+use tansyknot_standins::fake::CommitFault;
+use yare::parameterized;
+
+/// One daemon has read the rows; before it commits, another does all of its step.
+#[parameterized(
+    same_service_limit_one = { &[80, 80], "permit", "permit", Fencing::Checked },
+    same_service_ignoring = { &[80, 80], "permit", "permit", Fencing::Ignored },
+    memory_for_one_of_two = { &[20], "permit", "summary", Fencing::Checked },
+    memory_for_one_ignoring = { &[20], "permit", "summary", Fencing::Ignored },
+)]
+fn reservation_between_read_and_write_wins_alone(
+    memory_gb: &[u64],
+    first: &'static str,
+    second: &'static str,
+    fencing: Fencing,
+) {
+    let world = World::new(memory_gb, fencing);
+    world.apply(1);
+    let slow = world.daemon("d0");
+    let fast = Arc::new(world.daemon("d1"));
+    let _ = slow.request(&world, first);
+    let _ = fast.request(&world, second);
+    let inner = Arc::clone(&fast);
+    slow.table.set_before_commit(Box::new(move || inner.step(second).expect("the table is up")));
+    slow.step(first).expect("a lost race is no failure");
+    world.engines.finish_loads();
+    let reserved = world.slot_states("permit").len() + world.slot_states("summary").len();
+    assert_eq!(reserved, 1);
+    assert!(world.engines.observed().replicas.values().all(|n| *n <= 1));
+    let refused: u64 = world
+        .hosts
+        .state
+        .list()
+        .iter()
+        .map(|t| world.engines.models(&t.name).peaks().refused_loads)
+        .sum();
+    assert_eq!(refused, 0);
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Request(usize),
+    Release(usize),
+    Step(usize),
+    /// The second daemon steps between the reads and the write of the first.
+    StepAround(usize, usize),
+    Advance(u64),
+    FinishLoads,
+    Hold(bool),
+    Deliver,
+    Down(usize, bool),
+    Commit(usize, CommitFault),
+    LoseReplies(bool),
+    Silent(usize, bool),
+    Restart(usize),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let daemon = 0..DAEMONS;
+    let engine = 0..ENGINES;
+    let fault = prop_oneof![
+        Just(CommitFault::LostReply),
+        Just(CommitFault::LostRequest),
+        Just(CommitFault::Unreachable),
+    ];
+    prop_oneof![
+        4 => daemon.clone().prop_map(Op::Request),
+        2 => daemon.clone().prop_map(Op::Release),
+        12 => daemon.clone().prop_map(Op::Step),
+        4 => (daemon.clone(), daemon.clone()).prop_map(|(a, b)| Op::StepAround(a, b)),
+        6 => (100_u64..15_000).prop_map(Op::Advance),
+        4 => Just(Op::FinishLoads),
+        2 => any::<bool>().prop_map(Op::Hold),
+        2 => Just(Op::Deliver),
+        1 => (daemon.clone(), any::<bool>()).prop_map(|(d, b)| Op::Down(d, b)),
+        3 => (daemon.clone(), fault).prop_map(|(d, f)| Op::Commit(d, f)),
+        1 => any::<bool>().prop_map(Op::LoseReplies),
+        1 => (engine, any::<bool>()).prop_map(|(e, b)| Op::Silent(e, b)),
+        1 => daemon.prop_map(Op::Restart),
+    ]
+}
+
+const DAEMONS: usize = 3;
+const ENGINES: usize = 3;
+const SERVICE: &str = "permit";
+
+fn act(world: &World, daemons: &mut [Arc<Daemon>], op: &Op) {
+    match op {
+        Op::Request(d) => drop(daemons[*d].request(world, SERVICE)),
+        Op::Release(d) => {
+            for e in 0..ENGINES {
+                let target = TargetName::new(format!("e{e}"));
+                daemons[*d].pools.release(&ServiceName::from(SERVICE), &target, None);
+            }
+        }
+        Op::Step(d) => drop(daemons[*d].step(SERVICE)),
+        Op::StepAround(a, b) => {
+            let inner = Arc::clone(&daemons[*b]);
+            if a != b {
+                daemons[*a].table.set_before_commit(Box::new(move || drop(inner.step(SERVICE))));
+            }
+            drop(daemons[*a].step(SERVICE));
+            // Without this, a step that wrote nothing would leave the other one's for later.
+            daemons[*a].table.clear_before_commit();
+        }
+        Op::Advance(ms) => world.advance(*ms),
+        Op::FinishLoads => world.engines.finish_loads(),
+        Op::Hold(hold) => world.engines.hold_loads(*hold),
+        Op::Deliver => drop(world.engines.deliver_held()),
+        Op::Down(d, down) => daemons[*d].table.set_down(*down),
+        Op::Commit(d, fault) => daemons[*d].table.script([*fault]),
+        Op::LoseReplies(lose) => world.engines.lose_replies(*lose),
+        Op::Silent(e, silent) => {
+            world.engines.set_silent(&TargetName::new(format!("e{e}")), *silent);
+        }
+        // The process ends; an order that it had sent has arrived or is lost with it.
+        Op::Restart(d) => {
+            world.engines.deliver_held();
+            daemons[*d] = Arc::new(world.daemon(&format!("d{d}")));
+        }
+    }
+}
+
+/// A replica that an engine has but that no row counts could never be found again.
+fn every_loaded_model_has_a_slot(world: &World) -> bool {
+    let service = ServiceName::from(SERVICE);
+    let row = tansyknot_control::replicas::read_replicas(&world.table, &service).expect("up").row;
+    (0..ENGINES).map(|e| TargetName::new(format!("e{e}"))).all(|target| {
+        let loaded = world.engines.models(&target).status().model(&service).is_some();
+        !loaded || row.slot(&target).is_some()
+    })
+}
+
+fn never_over(ops: &[Op], limit: u32, fencing: Fencing) -> Result<(), TestCaseError> {
+    let world = World::new(&[20; ENGINES], fencing);
+    world.apply(limit);
+    let mut daemons: Vec<Arc<Daemon>> =
+        (0..DAEMONS).map(|d| Arc::new(world.daemon(&format!("d{d}")))).collect();
+    for op in ops {
+        act(&world, &mut daemons, op);
+        prop_assert!(every_loaded_model_has_a_slot(&world), "after {op:?}");
+        let observed = world.engines.observed();
+        prop_assert!(observed.replicas.values().all(|n| *n <= limit as usize), "after {op:?}");
+        prop_assert!(observed.used_bytes.values().all(|b| *b <= 20 * GB), "after {op:?}");
+        prop_assert!(world.slot_states(SERVICE).len() <= limit as usize, "after {op:?}");
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn limit_and_memory_hold_under_any_interleaving_checked(
+        ops in prop::collection::vec(op(), 1..120),
+        limit in 1_u32..3,
+    ) {
+        never_over(&ops, limit, Fencing::Checked)?;
+    }
+
+    #[test]
+    fn limit_and_memory_hold_under_any_interleaving_ignored(
+        ops in prop::collection::vec(op(), 1..120),
+        limit in 1_u32..3,
+    ) {
+        never_over(&ops, limit, Fencing::Ignored)?;
+    }
+}
--- a/crates/tansyknot-control/tests/replicas.rs
+++ b/crates/tansyknot-control/tests/replicas.rs
@@ -321,8 +321,11 @@
         daemon.step("permit").expect("the table is up");
         assert!(daemon.pools.demand(&ServiceName::from("permit")).has_upstream);
     }
-    assert_eq!(world.engines.models(&TargetName::from("e0")).peaks().loads
-        + world.engines.models(&TargetName::from("e1")).peaks().loads, 1);
+    assert_eq!(
+        world.engines.models(&TargetName::from("e0")).peaks().loads
+            + world.engines.models(&TargetName::from("e1")).peaks().loads,
+        1
+    );
 }
 
 #[test]
--- a/crates/tansyknot-standins/src/fake.rs
+++ b/crates/tansyknot-standins/src/fake.rs
@@ -35,6 +35,9 @@
     Unreachable,
 }
 
+/// What another process does between a daemon's reads and its next commit.
+pub type BeforeCommit = Box<dyn FnOnce() + Send>;
+
 /// A fake of the table service. Clones share the rows but have faults of their own, as
 /// daemons with paths of their own to the table have.
 #[derive(Clone, Default)]
@@ -43,6 +46,7 @@
     pub state: Arc<TableState>,
     down: Arc<AtomicBool>,
     commits: Arc<Mutex<VecDeque<CommitFault>>>,
+    before_commit: Arc<Mutex<Option<BeforeCommit>>>,
 }
 
 impl FakeTable {
@@ -67,6 +71,16 @@
         self.state.faults.lock().expect("no holder of the lock panics").stale_commits = commits;
     }
 
+    /// Has `f` run before the next commit on this path, after the daemon has read.
+    pub fn set_before_commit(&self, f: BeforeCommit) {
+        *self.before_commit.lock().expect("no holder of the lock panics") = Some(f);
+    }
+
+    /// Forgets what was to run before the next commit.
+    pub fn clear_before_commit(&self) {
+        *self.before_commit.lock().expect("no holder of the lock panics") = None;
+    }
+
     fn check_up(&self) -> Result<()> {
         if self.down.load(Ordering::SeqCst) {
             return Err(Error::unreachable("table", "down"));
@@ -92,6 +106,10 @@
 
     fn commit(&self, txn: &Transaction) -> Result<()> {
         self.check_up()?;
+        let before = self.before_commit.lock().expect("no holder of the lock panics").take();
+        if let Some(before) = before {
+            before();
+        }
         let fault = self.commits.lock().expect("no holder of the lock panics").pop_front();
         match fault.unwrap_or(CommitFault::None) {
             CommitFault::None => self.apply(txn),
