Prove accepted configuration and idempotency keys; check the first read

Cause: a daemon that has just started knows no version, so a stale first read would have brought an older configuration in force than it had before. Change: the first version is confirmed by a transaction that only checks the head's row version; tables of lost replies, races, stale reads, gaps, outages and midnight between two daemons' clocks.

--- a/crates/tansyknot-control/src/config.rs
+++ b/crates/tansyknot-control/src/config.rs
@@ -266,6 +266,9 @@
             event::CONFIG_OLDER_IGNORED.emit(&[("read", &head.version), ("in_force", &current)]);
             return Ok(Followed::OlderIgnored(head.version));
         }
+        if current == 0 && !is_newest(table, head_row)? {
+            return Ok(Followed::OlderIgnored(head.version));
+        }
         let digest = self.with(Store::digest);
         if head.version == current && head.digest == digest {
             self.set_head_row(head_row);
@@ -336,6 +339,18 @@
     }
 }
 
+/// Asks the table itself whether a row version of the head is the newest.
+///
+/// A read may be stale, a commit's condition may not. A daemon that has just started knows no
+/// version yet, so that only this keeps it from accepting one older than it had before.
+fn is_newest(table: &dyn Table, head_row: RowVersion) -> Result<bool> {
+    match table.commit(&Transaction::default().check(HEAD_KEY, head_row)) {
+        Ok(()) => Ok(true),
+        Err(Error::Conflict { .. }) => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
 /// Reads all rows with a prefix, page by page.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/tansyknot-control/tests/config.rs
@@ -0,0 +1,206 @@
+//! Accepted configuration: once, in force, never older again.
+
+mod support;
+
+use support::{OBJECTS, World};
+use tansyknot_config::{
+    document,
+    object::Object,
+    store::{ConfigVersion, Op},
+};
+use tansyknot_control::config::{self, ApplyError, Author, ConfigView, Followed};
+use tansyknot_core::{
+    host::Fencing,
+    table::{Table, Transaction},
+};
+use tansyknot_standins::fake::{CommitFault, FakeTable};
+use yare::parameterized;
+
+fn adapter(name: &str) -> Op {
+    let text = format!("kind: adapter\nname: {name}\nservice: permit\n");
+    Op::Put(document::read(&text, "test").expect("the object is right").remove(0))
+}
+
+fn author(name: &str) -> Author {
+    Author { name: name.to_owned(), at_ms: 1 }
+}
+
+fn apply_one(table: &FakeTable, base: ConfigVersion, name: &str) -> Result<u64, ApplyError> {
+    config::apply(table, base, &[adapter(name)], &author(name))
+}
+
+#[parameterized(
+    no_fault = { &[] },
+    reply_lost = { &[CommitFault::LostReply] },
+    request_lost = { &[CommitFault::LostRequest] },
+    both_lost = { &[CommitFault::LostRequest, CommitFault::LostReply] },
+)]
+fn change_is_accepted_once_whatever_reply_is_lost(faults: &[CommitFault]) {
+    let table = FakeTable::default();
+    table.script(faults.iter().copied());
+    assert_eq!(apply_one(&table, 0, "a"), Ok(1));
+    let (head, _) = config::read_head(&table).expect("up");
+    assert_eq!(head.version, 1);
+    assert_eq!(config::read_changes(&table, 0, 10).expect("up").len(), 1);
+}
+
+#[parameterized(
+    no_fault = { &[] },
+    reply_lost = { &[CommitFault::LostReply] },
+    request_lost = { &[CommitFault::LostRequest] },
+)]
+fn loser_of_a_race_is_told_which_version_won(faults: &[CommitFault]) {
+    let table = FakeTable::default();
+    let rival = table.another_path();
+    table.set_before_commit(Box::new(move || {
+        assert_eq!(apply_one(&rival, 0, "rival"), Ok(1));
+    }));
+    table.script(faults.iter().copied());
+    assert_eq!(apply_one(&table, 0, "late"), Err(ApplyError::Lost { won: 1 }));
+    let changes = config::read_changes(&table, 0, 10).expect("up");
+    assert_eq!(changes.iter().map(|c| c.author.as_str()).collect::<Vec<_>>(), ["rival"]);
+}
+
+#[test]
+fn change_on_top_of_an_older_version_is_refused() {
+    let table = FakeTable::default();
+    apply_one(&table, 0, "a").expect("nobody races");
+    apply_one(&table, 1, "b").expect("nobody races");
+    assert_eq!(apply_one(&table, 1, "c"), Err(ApplyError::Lost { won: 2 }));
+}
+
+#[test]
+fn every_version_is_followed_in_order() {
+    let table = FakeTable::default();
+    let view = ConfigView::default();
+    assert_eq!(view.follow(&table), Ok(Followed::Unchanged));
+    for version in 1..=5 {
+        apply_one(&table, version - 1, &format!("a{version}")).expect("nobody races");
+        assert_eq!(view.follow(&table), Ok(Followed::Raised(version)));
+    }
+    assert_eq!(view.with(|s| s.adapters().count()), 5);
+}
+
+#[test]
+fn stale_read_never_lowers_the_version() {
+    let table = FakeTable::default();
+    table.set_stale(2);
+    let view = ConfigView::default();
+    for version in 1..=4 {
+        apply_one_fresh(&table, version - 1, &format!("a{version}"));
+    }
+    table.set_stale(0);
+    assert_eq!(view.follow(&table), Ok(Followed::Raised(4)));
+    table.set_stale(2);
+    assert_eq!(view.follow(&table), Ok(Followed::OlderIgnored(2)));
+    assert_eq!(view.version(), 4);
+    table.set_stale(0);
+    assert_eq!(view.follow(&table), Ok(Followed::Unchanged));
+}
+
+/// Applies with fresh reads although stale states are being kept.
+fn apply_one_fresh(table: &FakeTable, base: ConfigVersion, name: &str) {
+    let kept = table.state.faults().stale_commits;
+    table.state.faults.lock().expect("no panic").stale_commits = usize::MAX;
+    apply_one(table, base, name).expect("nobody races");
+    table.set_stale(kept);
+}
+
+#[test]
+fn restarted_daemon_does_not_accept_a_stale_first_read() {
+    let table = FakeTable::default();
+    table.set_stale(1);
+    for version in 1..=3 {
+        apply_one_fresh(&table, version - 1, &format!("a{version}"));
+    }
+    let restarted = ConfigView::default();
+    assert_eq!(restarted.follow(&table), Ok(Followed::OlderIgnored(2)));
+    assert_eq!(restarted.version(), 0);
+    table.set_stale(0);
+    assert_eq!(restarted.follow(&table), Ok(Followed::Raised(3)));
+}
+
+#[test]
+fn outage_leaves_the_version_in_force() {
+    let table = FakeTable::default();
+    let view = ConfigView::default();
+    apply_one(&table, 0, "a").expect("nobody races");
+    view.follow(&table).expect("up");
+    table.set_down(true);
+    assert!(view.follow(&table).is_err());
+    assert_eq!(view.version(), 1);
+    assert_eq!(view.with(|s| s.adapters().count()), 1);
+    // A daemon that starts during the outage has no configuration, rather than an older one.
+    let restarted = ConfigView::default();
+    assert!(restarted.follow(&table).is_err());
+    assert_eq!(restarted.version(), 0);
+}
+
+#[test]
+fn daemon_far_behind_reads_the_objects_instead_of_the_changes() {
+    let table = FakeTable::default();
+    let view = ConfigView::default();
+    apply_one(&table, 0, "a0").expect("nobody races");
+    view.follow(&table).expect("up");
+    for version in 1..=450 {
+        apply_one(&table, version, &format!("a{version}")).expect("nobody races");
+    }
+    assert_eq!(view.follow(&table), Ok(Followed::Raised(451)));
+    assert_eq!(view.with(|s| s.adapters().count()), 451);
+}
+
+#[test]
+fn missing_change_is_made_good_from_the_objects() {
+    let table = FakeTable::default();
+    let view = ConfigView::default();
+    apply_one(&table, 0, "a").expect("nobody races");
+    view.follow(&table).expect("up");
+    apply_one(&table, 1, "b").expect("nobody races");
+    apply_one(&table, 2, "c").expect("nobody races");
+    let lost = Transaction::default().set(config::change_key(2), None);
+    table.commit(&lost).expect("up");
+    assert_eq!(view.follow(&table), Ok(Followed::Raised(3)));
+    assert_eq!(view.with(|s| s.adapters().count()), 3);
+}
+
+#[test]
+fn rows_that_do_not_belong_together_are_not_brought_in_force() {
+    let table = FakeTable::default();
+    apply_one(&table, 0, "a").expect("nobody races");
+    apply_one(&table, 1, "b").expect("nobody races");
+    // As a scan of a lagging copy would show it: the newest object is not there yet.
+    let lagging = Transaction::default().set("config/object/adapter/b", None);
+    table.commit(&lagging).expect("up");
+    let view = ConfigView::default();
+    assert_eq!(view.follow(&table), Ok(Followed::Inconsistent));
+    assert_eq!(view.version(), 0);
+}
+
+#[test]
+fn deleted_object_is_gone_and_stays_gone() {
+    let table = FakeTable::default();
+    let view = ConfigView::default();
+    apply_one(&table, 0, "a").expect("nobody races");
+    apply_one(&table, 1, "b").expect("nobody races");
+    view.follow(&table).expect("up");
+    let op = Op::Delete("adapter/a".to_owned());
+    config::apply(&table, 2, &[op], &author("x")).expect("nobody races");
+    view.follow(&table).expect("up");
+    let fresh = ConfigView::default();
+    fresh.follow(&table).expect("up");
+    for view in [&view, &fresh] {
+        let names: Vec<String> = view.with(|s| s.adapters().map(|(n, _)| n.to_string()).collect());
+        assert_eq!(names, ["b"]);
+    }
+}
+
+#[test]
+fn difference_leaves_equal_objects_out() {
+    let world = World::new(&[80], Fencing::Checked);
+    world.apply(1);
+    let current = config::read_objects(&world.table).expect("up");
+    let same = document::read(&OBJECTS.replace("MAX", "1"), "test").expect("right");
+    assert_eq!(config::difference(&current, &same), []);
+    let other: Vec<Object> = document::read(&OBJECTS.replace("MAX", "2"), "test").expect("right");
+    assert_eq!(config::difference(&current, &other).len(), 1);
+}
--- /dev/null
+++ b/crates/tansyknot-control/tests/idempotency.rs
@@ -0,0 +1,146 @@
+//! At most one run for each key, whatever is lost and whoever asks.
+
+use tansyknot_control::idempotency::{self, Begin, KeptAnswer, KeyUse};
+use tansyknot_core::name::{CallerName, Incarnation, RequestId};
+use tansyknot_standins::fake::{CommitFault, FakeTable};
+use yare::parameterized;
+
+const DAY_MS: u64 = 86_400_000;
+
+struct Retry {
+    caller: CallerName,
+    request: RequestId,
+    incarnation: Incarnation,
+    body: &'static str,
+    at_ms: u64,
+}
+
+impl Retry {
+    fn new(daemon: &str, request: &str) -> Self {
+        Self {
+            caller: CallerName::from("hauler"),
+            request: RequestId::from(request),
+            incarnation: Incarnation::new(format!("{daemon}#1")),
+            body: "body",
+            at_ms: 100 * DAY_MS,
+        }
+    }
+
+    fn begin(&self, table: &FakeTable) -> tansyknot_core::Result<Begin> {
+        let key = KeyUse {
+            caller: &self.caller,
+            key_hash: "k",
+            request_hash: self.body,
+            request: &self.request,
+            incarnation: &self.incarnation,
+            at_ms: self.at_ms,
+        };
+        idempotency::begin(table, &key)
+    }
+}
+
+fn fresh(begin: tansyknot_core::Result<Begin>) -> idempotency::KeyHandle {
+    match begin {
+        Ok(Begin::Fresh(handle)) => handle,
+        other => panic!("not a first use: {other:?}"),
+    }
+}
+
+fn answer() -> KeptAnswer {
+    KeptAnswer { status: 200, content_type: "text/plain".to_owned(), body: "done".to_owned() }
+}
+
+#[test]
+fn second_daemon_learns_that_the_first_has_the_key() {
+    let table = FakeTable::default();
+    let _first = fresh(Retry::new("d0", "r0").begin(&table));
+    let second = Retry::new("d1", "r1").begin(&table.another_path());
+    assert_eq!(second, Ok(Begin::Started(RequestId::from("r0"))));
+}
+
+#[test]
+fn retry_is_given_the_first_answer() {
+    let table = FakeTable::default();
+    let first = fresh(Retry::new("d0", "r0").begin(&table));
+    idempotency::finish(&table, &first, Some(answer())).expect("up");
+    let second = Retry::new("d1", "r1").begin(&table);
+    assert_eq!(second, Ok(Begin::Done(Some(answer()))));
+}
+
+#[test]
+fn key_with_another_request_is_refused() {
+    let table = FakeTable::default();
+    let _first = fresh(Retry::new("d0", "r0").begin(&table));
+    let other = Retry { body: "other", ..Retry::new("d1", "r1") };
+    assert_eq!(other.begin(&table), Ok(Begin::Reused));
+}
+
+#[test]
+fn callers_keys_never_meet() {
+    let table = FakeTable::default();
+    let _first = fresh(Retry::new("d0", "r0").begin(&table));
+    let caller = CallerName::from("other");
+    let _second = fresh(Retry { caller, ..Retry::new("d0", "r1") }.begin(&table));
+}
+
+#[test]
+fn released_key_may_run() {
+    let table = FakeTable::default();
+    let first = fresh(Retry::new("d0", "r0").begin(&table));
+    idempotency::release(&table, &first).expect("up");
+    let _second = fresh(Retry::new("d1", "r1").begin(&table));
+    // A release that comes late must not free the second use.
+    idempotency::release(&table, &first).expect("up");
+    let third = Retry::new("d2", "r2").begin(&table);
+    assert_eq!(third, Ok(Begin::Started(RequestId::from("r1"))));
+}
+
+#[parameterized(
+    reply_lost = { CommitFault::LostReply, true },
+    request_lost = { CommitFault::LostRequest, true },
+    unreachable = { CommitFault::Unreachable, false },
+)]
+fn lost_messages_never_give_a_key_twice(fault: CommitFault, first_has_it: bool) {
+    let table = FakeTable::default();
+    table.script([fault]);
+    let first = Retry::new("d0", "r0").begin(&table);
+    let second = Retry::new("d1", "r1").begin(&table.another_path());
+    let got = |b: &tansyknot_core::Result<Begin>| matches!(b, Ok(Begin::Fresh(_)));
+    assert_eq!(got(&first), first_has_it);
+    assert_eq!(got(&second), !first_has_it);
+}
+
+#[test]
+fn lost_write_of_the_answer_leaves_the_key_started() {
+    let table = FakeTable::default();
+    let first = fresh(Retry::new("d0", "r0").begin(&table));
+    table.script([CommitFault::LostRequest, CommitFault::Unreachable]);
+    assert!(idempotency::finish(&table, &first, Some(answer())).is_err());
+    let second = Retry::new("d1", "r1").begin(&table);
+    assert_eq!(second, Ok(Begin::Started(RequestId::from("r0"))));
+}
+
+#[parameterized(
+    first_clock_ahead = { 101 * DAY_MS, 101 * DAY_MS - 1 },
+    second_clock_ahead = { 101 * DAY_MS - 1, 101 * DAY_MS },
+    a_day_later = { 100 * DAY_MS, 101 * DAY_MS },
+)]
+fn midnight_between_two_daemons_gives_the_key_once(first_ms: u64, second_ms: u64) {
+    let table = FakeTable::default();
+    let rival = table.another_path();
+    let other = Retry { at_ms: second_ms, ..Retry::new("d1", "r1") };
+    table.set_before_commit(Box::new(move || drop(fresh(other.begin(&rival)))));
+    let first = Retry { at_ms: first_ms, ..Retry::new("d0", "r0") }.begin(&table);
+    assert_eq!(first, Ok(Begin::Started(RequestId::from("r1"))));
+}
+
+#[test]
+fn sweep_deletes_only_rows_past_their_days() {
+    let table = FakeTable::default();
+    let _old = fresh(Retry::new("d0", "r0").begin(&table));
+    let new = Retry { at_ms: 102 * DAY_MS, ..Retry::new("d0", "r1") };
+    let _new = fresh(new.begin(&table));
+    assert_eq!(idempotency::sweep(&table, 102 * DAY_MS, 10), Ok(0));
+    assert_eq!(idempotency::sweep(&table, 103 * DAY_MS, 10), Ok(1));
+    assert_eq!(new.begin(&table), Ok(Begin::Started(RequestId::from("r1"))));
+}
