--- a/crates/tansyknot-control/src/pools.rs
+++ b/crates/tansyknot-control/src/pools.rs
@@ -72,6 +72,7 @@
 struct Entry {
     pool: Pool,
     signals: HashMap<Ticket, SyncSender<Signal>>,
+    published: bool,
     last_use: Option<Time>,
 }
 
@@ -98,6 +99,15 @@
         let _ = self.on_waiting.set(on_waiting);
     }
 
+    /// Makes the pool of a service if there is none; tells whether its targets were ever set.
+    ///
+    /// A request must not be refused for want of targets that are only not yet set.
+    pub fn prepare(&self, service: &ServiceName, options: &PoolOptions) -> bool {
+        let entry = self.entry_or_insert(service, options);
+        let entry = entry.lock().expect("no holder of the lock panics");
+        entry.published
+    }
+
     /// Asks for a target.
     pub fn acquire(&self, ask: &Ask<'_>, options: PoolOptions) -> Acquired {
         let entry = self.entry_or_insert(ask.service, &options);
@@ -169,12 +179,20 @@
         }
     }
 
+    /// Tells whether a service has an open target that is not among `avoid`.
+    pub fn has_upstream_besides(&self, service: &ServiceName, avoid: &[TargetName]) -> bool {
+        let Some(entry) = self.entry(service) else { return false };
+        let entry = entry.lock().expect("no holder of the lock panics");
+        entry.pool.has_upstream_besides(avoid)
+    }
+
     /// Replaces the targets of a service and grants what waits for them.
     pub fn set_upstreams(&self, service: &ServiceName, upstreams: &[Upstream]) {
         let Some(entry) = self.entry(service) else { return };
         let mut entry = entry.lock().expect("no holder of the lock panics");
         let routing = self.routing.as_ref();
         let grants = entry.pool.set_upstreams(upstreams, routing, &mut rand::rng());
+        entry.published = true;
         entry.signal(grants);
     }
 
@@ -257,7 +275,12 @@
         let mut entries = self.entries.lock().expect("no holder of the lock panics");
         let entry = entries.entry(service.clone()).or_insert_with(|| {
             let pool = Pool::new(options.clone());
-            Arc::new(Mutex::new(Entry { pool, signals: HashMap::new(), last_use: None }))
+            Arc::new(Mutex::new(Entry {
+                pool,
+                signals: HashMap::new(),
+                published: false,
+                last_use: None,
+            }))
         });
         Arc::clone(entry)
     }
--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -100,6 +100,8 @@
     began: Time,
     /// Load orders sent for it.
     orders: u32,
+    /// When the last load order without an answer was sent.
+    unanswered: Option<Time>,
 }
 
 /// What this process knows of one service.
--- a/crates/tansyknot-control/src/reconcile/place.rs
+++ b/crates/tansyknot-control/src/reconcile/place.rs
@@ -116,7 +116,7 @@
             Err(e) => return Err(e),
         };
         let claim = Claim::new(row.last_fence, before);
-        let work = SlotWork { claim, ordered: false, began: before, orders: 0 };
+        let work = SlotWork { claim, ordered: false, began: before, orders: 0, unanswered: None };
         state.work.insert(asked.target.name.clone(), work);
         event::REPLICA_RESERVED.emit(&[
             ("service", service),
--- a/crates/tansyknot-control/src/reconcile/slot.rs
+++ b/crates/tansyknot-control/src/reconcile/slot.rs
@@ -24,6 +24,9 @@
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// The coordinator asks the engine of a ready replica this often.
 const CHECK_EVERY: Duration = Duration::from_secs(2);
+/// An order that an engine has not read by then has been dropped with its connection. Engines
+/// that ignore fencing tokens give no better word; docs/PROMISES.md says what this leaves open.
+const ORDER_LIFETIME: Duration = Duration::from_secs(60);
 /// Load orders before a slot is given up.
 const MAX_ORDERS: u32 = 3;
 
@@ -88,9 +91,15 @@
         let row = self.change(service, replicas, target, &SlotChange::Claim)?;
         let Some(slot) = row.slot(target) else { return Ok(()) };
         let claim = Claim::new(slot.fence, before);
-        let orders = state.work.get(target).map_or(0, |w| w.orders);
-        let began = state.work.get(target).map_or(before, |w| w.began);
-        state.work.insert(target.clone(), SlotWork { claim, ordered: false, began, orders });
+        let old = state.work.get(target);
+        let work = SlotWork {
+            claim,
+            ordered: false,
+            began: old.map_or(before, |w| w.began),
+            orders: old.map_or(0, |w| w.orders),
+            unanswered: old.and_then(|w| w.unanswered),
+        };
+        state.work.insert(target.clone(), work);
         Ok(())
     }
 
@@ -187,6 +196,12 @@
                 Ok(())
             }
             Error::OutOfMemory => self.begin_drain(service, state, replicas, slot),
+            e if e.may_have_taken_effect() => {
+                if let Some(work) = state.work.get_mut(&slot.target) {
+                    work.unanswered = Some(self.parts.clock.now());
+                }
+                Ok(())
+            }
             // The order is idempotent on this target: it is sent again under this claim or the
             // next. Until the engine answers, the slot and its memory stay counted.
             _ => Ok(()),
@@ -239,7 +254,8 @@
         event::REPLICA_DRAINING.emit(&[("service", service), ("target", &slot.target)]);
         let fence = row.slot(&slot.target).map_or(slot.fence, |s| s.fence);
         let claim = Claim::new(fence, before);
-        let work = SlotWork { claim, ordered: false, began: before, orders: 0 };
+        let unanswered = state.work.get(&slot.target).and_then(|w| w.unanswered);
+        let work = SlotWork { claim, ordered: false, began: before, orders: 0, unanswered };
         state.work.insert(slot.target.clone(), work);
         state.draining_since.insert(slot.target.clone(), before);
         Ok(())
@@ -313,7 +329,7 @@
         target: Option<&Target>,
     ) -> Result<()> {
         let checked = target.is_some_and(|t| t.fencing == Fencing::Checked);
-        if !checked && self.has_order_under_way(slot)? {
+        if !checked && (self.has_order_under_way(slot)? || self.is_order_fresh(state, slot)) {
             event::REPLICA_HELD.emit(&[("service", service), ("target", &slot.target)]);
             return Ok(());
         }
@@ -327,6 +343,12 @@
         self.reread(service, replicas)
     }
 
+    /// Tells whether a load order of this process that was never answered may still arrive.
+    fn is_order_fresh(&self, state: &ServiceState, slot: &Slot) -> bool {
+        let unanswered = state.work.get(&slot.target).and_then(|w| w.unanswered);
+        unanswered.is_some_and(|at| self.parts.clock.now().since(at) < ORDER_LIFETIME)
+    }
+
     /// Tells whether an incarnation other than this one may still have a load order on its way.
     fn has_order_under_way(&self, slot: &Slot) -> Result<bool> {
         for incarnation in &slot.ordering {
--- a/crates/tansyknot-control/tests/replicas.rs
+++ b/crates/tansyknot-control/tests/replicas.rs
@@ -343,3 +343,42 @@
     daemons[0].observe(&world);
     assert!(!daemons[0].pools.demand(&service).has_upstream);
 }
+
+/// The holder is not frozen, but its load order stays on its way while the slot is given up.
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn unanswered_order_of_the_same_holder_never_makes_a_lost_replica(fencing: Fencing) {
+    let world = World::new(&[80], fencing);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    let _ = daemons[0].request(&world, "permit");
+    world.engines.hold_loads(true);
+    daemons[0].step("permit").expect("the table is up");
+    world.engines.hold_loads(false);
+    world.hosts.state.mark(&TargetName::from("e0"), Some(HostState::Leaving));
+    run(&world, &daemons, "permit", 8);
+    // An engine that checks refuses the old order; from one that does not, the slot is kept.
+    world.engines.deliver_held();
+    let loaded = world.engines.loaded(&ServiceName::from("permit"));
+    assert_eq!(loaded, world.slot_states("permit").len().min(loaded));
+    run(&world, &daemons, "permit", 140);
+    assert_eq!(world.slot_states("permit"), []);
+    assert_eq!(world.engines.loaded(&ServiceName::from("permit")), 0);
+}
+
+#[parameterized(checked = { Fencing::Checked }, ignored = { Fencing::Ignored })]
+fn replica_with_a_request_in_flight_is_not_ordered_away(fencing: Fencing) {
+    let world = World::new(&[80], fencing);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 8);
+    let models = world.engines.models(&TargetName::from("e0"));
+    let running = models.begin_request("permit").expect("the model is ready");
+    world.apply(0);
+    run(&world, &daemons, "permit", 40);
+    assert_eq!(models.peaks().busy_unloads, 0);
+    assert_eq!(world.slot_states("permit"), [SlotState::Draining]);
+    drop(running);
+    run(&world, &daemons, "permit", 20);
+    assert_eq!(world.slot_states("permit"), []);
+}
--- a/crates/tansyknot-edge/src/gateway.rs
+++ b/crates/tansyknot-edge/src/gateway.rs
@@ -24,7 +24,7 @@
     name::{
         self, AttemptId, DaemonName, Incarnation, RequestId, ServiceName, TargetName, ZoneName,
     },
-    refusal::{Reason, Refusal},
+    refusal::{Outcome, Reason, Refusal},
     table::Table,
     telemetry::Recorder,
 };
@@ -164,6 +164,35 @@
     owned_by: &'static str,
 }
 
+/// The attempts for one request so far.
+#[derive(Default)]
+struct Tries {
+    count: u32,
+    avoid: Vec<TargetName>,
+    may_have_run: bool,
+}
+
+impl Tries {
+    fn note(&mut self, target: &TargetName, failure: Failure) {
+        self.count += 1;
+        self.may_have_run = self.may_have_run || !failure.is_not_run();
+        if failure != Failure::NotLoaded {
+            self.avoid.push(target.clone());
+        }
+    }
+
+    /// Keeps a refusal from saying "not run" after an attempt that may have run.
+    fn soften(&self, refusal: Refusal) -> Refusal {
+        if !self.may_have_run || refusal.outcome == Outcome::Unknown {
+            return refusal;
+        }
+        Refusal::unknown(
+            Reason::TargetFailed,
+            format!("an attempt broke; then: {}", refusal.detail),
+        )
+    }
+}
+
 impl Gateway {
     /// Makes the pipeline.
     pub fn new(parts: Parts, options: GatewayOptions) -> Self {
@@ -214,9 +243,9 @@
         permit: &Permit<'_>,
         key: &mut Option<KeyHandle>,
     ) -> Result<Written, Refusal> {
-        let mut avoid = Vec::new();
-        for attempt in 1..=MAX_ATTEMPTS {
-            let mut place = self.place(run, req, &avoid)?;
+        let mut tries = Tries::default();
+        loop {
+            let mut place = self.place(run, req, &tries.avoid).map_err(|r| tries.soften(r))?;
             if key.is_none()
                 && let Some(replay) = self.take_key(run, req, key)?
             {
@@ -224,7 +253,8 @@
             }
             let began = self.now();
             let target = place.target.clone();
-            let failure = match self.attempt(run, req, &target)? {
+            let tried = self.attempt(run, req, &target).map_err(|r| tries.soften(r))?;
+            let failure = match tried {
                 Tried::Written(written) => {
                     if !matches!(written, Written::Part(_)) {
                         place.answered(self.now().since(began));
@@ -234,13 +264,13 @@
                 }
                 Tried::Failed(failure) => failure,
             };
+            drop(place);
             self.note_failure(run, req, &target, failure);
-            if !self.may_retry(req, permit, &target, failure) || attempt == MAX_ATTEMPTS {
-                return Err(final_refusal(failure));
+            tries.note(&target, failure);
+            if !self.may_retry(req, permit, &target, failure, &tries) {
+                return Err(tries.soften(final_refusal(failure)));
             }
-            avoid.push(target);
         }
-        Err(final_refusal(Failure::NotSent))
     }
 
     fn place(
@@ -462,15 +492,22 @@
         permit: &Permit<'_>,
         target: &TargetName,
         failure: Failure,
+        tries: &Tries,
     ) -> bool {
+        if tries.count >= MAX_ATTEMPTS {
+            return false;
+        }
         let safe = match failure {
-            // The engine's word costs the target nothing, so it needs no budget.
+            // The engine's word costs the target nothing, so it needs no budget; the request
+            // waits for the replica to be loaded again.
             Failure::NotLoaded => return true,
             Failure::NotSent | Failure::RefusedToStart => true,
             Failure::Broken => req.is_repeatable(),
             Failure::TimedOut => false,
         };
-        safe && self.target_budget(target, RetryBudget::take) && permit.take_retry()
+        // A request for which no target is left is given up now, not at its deadline.
+        let elsewhere = self.parts.pools.has_upstream_besides(&req.service, &tries.avoid);
+        safe && elsewhere && self.target_budget(target, RetryBudget::take) && permit.take_retry()
     }
 
     fn target_budget<T>(&self, target: &TargetName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
@@ -485,7 +522,7 @@
         let settled = match result {
             Ok(Written::Nothing(whole)) => idempotency::finish(table, &handle, kept(whole)),
             Ok(Written::Stream(_)) => idempotency::finish(table, &handle, None),
-            Err(refusal) if refusal.outcome == tansyknot_core::refusal::Outcome::NotRun => {
+            Err(refusal) if refusal.outcome == Outcome::NotRun => {
                 idempotency::release(table, &handle)
             }
             // The outcome is unknown, and a started row says just that.
--- a/crates/tansyknot-edge/src/stage/place.rs
+++ b/crates/tansyknot-edge/src/stage/place.rs
@@ -78,16 +78,12 @@
             prefix: req.prefix,
             avoid,
         };
-        let first = self.pools.demand(&req.service);
-        let mut acquired = self.pools.acquire(&ask, self.options(req));
-        if first.last_use.is_none() {
-            // The pool has just been made; rows and hosts that are known already fill it.
+        let options = self.options(req);
+        if !self.pools.prepare(&req.service, &options) {
+            // Rows and hosts that are known already fill a pool that has just been made.
             self.publisher.publish(&req.service);
-            if let Acquired::Refused(_) = acquired {
-                acquired = self.pools.acquire(&ask, self.options(req));
-            }
         }
-        match acquired {
+        match self.pools.acquire(&ask, options) {
             Acquired::Granted(target) => Ok(self.granted(req, target, false)),
             Acquired::Refused(refusal) => Err(refusal),
             Acquired::Queued(ticket, rx) => self.wait(req, ticket, &rx, caller),
--- a/crates/tansyknot-policy/src/pool.rs
+++ b/crates/tansyknot-policy/src/pool.rs
@@ -127,6 +127,11 @@
         self.members.iter().any(|m| m.open)
     }
 
+    /// Tells whether an upstream is open that is not among `avoid`.
+    pub fn has_upstream_besides(&self, avoid: &[TargetName]) -> bool {
+        self.members.iter().any(|m| m.open && !avoid.contains(&m.upstream.target))
+    }
+
     /// Says that the first replica is expected at `at`, or that none is on its way.
     pub fn expect_ready(&mut self, at: Option<Time>) {
         self.ready_at = at;
--- a/crates/tansyknot-standins/src/engine/models.rs
+++ b/crates/tansyknot-standins/src/engine/models.rs
@@ -35,6 +35,8 @@
     pub refused_loads: u64,
     /// Loads begun.
     pub loads: u64,
+    /// Orders to remove a model that was serving requests.
+    pub busy_unloads: u64,
 }
 
 struct Model {
@@ -141,6 +143,7 @@
         self.with(|state| {
             self.check_fence(state, &order.service, order.fence)?;
             if state.models.get(&order.service).is_some_and(|m| m.report.in_flight > 0) {
+                state.peaks.busy_unloads += 1;
                 return Err(OrderError::Busy);
             }
             state.models.remove(&order.service);
--- a/crates/tansyknot-standins/src/plain.rs
+++ b/crates/tansyknot-standins/src/plain.rs
@@ -23,6 +23,8 @@
 pub struct PlainFaults {
     /// A call takes this long.
     pub slow_ms: u64,
+    /// Calls wait until this is switched off.
+    pub hold: bool,
     /// The answer is cut off after the call has run.
     pub cut_answers: bool,
 }
@@ -67,6 +69,9 @@
             *count
         };
         thread::sleep(Duration::from_millis(faults.slow_ms));
+        while self.faults.lock().expect("no holder of the lock panics").hold {
+            thread::sleep(Duration::from_millis(1));
+        }
         if faults.cut_answers {
             stream.shutdown(Shutdown::Both)?;
             return Ok(After::Close);
