--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -119,6 +119,17 @@
 /// What each peer last said that it has waiting for a service, and when.
 type RemoteDemand = HashMap<DaemonName, (Waiting, Time)>;
 
+/// The accelerators that hold one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AcceleratorUse {
+    /// The service.
+    pub service: ServiceName,
+    /// Accelerators with the model, in any state.
+    pub loaded: u32,
+    /// Those with a request.
+    pub busy: u32,
+}
+
 /// The control loop.
 pub struct Reconciler {
     parts: Parts,
@@ -160,6 +171,28 @@
         Self { parts, usage: Usage::default(), states: Mutex::default(), remote: Mutex::default() }
     }
 
+    /// Returns the accelerators that hold the services this daemon coordinates.
+    ///
+    /// A replica counts as one accelerator; it is busy while it has a request.
+    pub fn accelerators(&self) -> Vec<AcceleratorUse> {
+        let now = self.parts.clock.now();
+        let mut uses = Vec::new();
+        for service in self.parts.directory.services() {
+            if !self.parts.peers.is_coordinator(&service) {
+                continue;
+            }
+            let Some(row) = self.parts.directory.row(&service) else { continue };
+            let loaded = u32::try_from(row.slots.len()).unwrap_or(u32::MAX);
+            if loaded > 0 {
+                let local = self.parts.pools.demand(&service);
+                let demand = self.demand(&service, &local, None, now);
+                let busy = demand.in_flight.min(loaded);
+                uses.push(AcceleratorUse { service, loaded, busy });
+            }
+        }
+        uses
+    }
+
     /// Tells the coordinators which services this daemon uses.
     pub fn report_use(&self) {
         let now = self.parts.clock.now();
--- a/crates/tansyknotd/src/control.rs
+++ b/crates/tansyknotd/src/control.rs
@@ -11,8 +11,13 @@
 
 use tansyknot_config::settings::Refresh;
 use tansyknot_control::{
-    config::ConfigView, hosts::HostView, idempotency, pools::Pools, publish::Publisher,
-    reconcile::Reconciler, replicas,
+    config::ConfigView,
+    hosts::HostView,
+    idempotency,
+    pools::Pools,
+    publish::Publisher,
+    reconcile::{AcceleratorUse, Reconciler},
+    replicas,
 };
 use tansyknot_core::{
     Error,
@@ -22,6 +27,7 @@
     name::{DaemonName, ServiceName},
     peer::{PeerListener, Peers},
     table::Table,
+    telemetry::Recorder,
 };
 use tansyknot_edge::watch::CallerWatch;
 use tansyknot_gossip::{
@@ -68,6 +74,8 @@
     pub node: Arc<Node>,
     /// The callers with an attempt under way.
     pub watch: Arc<CallerWatch>,
+    /// Where figures go.
+    pub recorder: Arc<dyn Recorder>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
 }
@@ -261,7 +269,21 @@
     })
 }
 
+/// Counts the accelerator time since the last round.
+fn record_accelerators(recorder: &dyn Recorder, used: &AcceleratorUse) {
+    let ms = u64::try_from(REPORT_EVERY.as_millis()).unwrap_or(u64::MAX);
+    let idle = used.loaded - used.busy;
+    recorder.count("accelerator.loaded_ms", &used.service, u64::from(used.loaded) * ms);
+    recorder.count("accelerator.busy_ms", &used.service, u64::from(used.busy) * ms);
+    recorder.count("accelerator.idle_ms", &used.service, u64::from(idle) * ms);
+}
+
 fn report_use(control: &Arc<Control>, stop: &Arc<StopFlag>) -> JoinHandle<()> {
     let control = Arc::clone(control);
-    loops::every("report", REPORT_EVERY, stop, move || control.reconciler.report_use())
+    loops::every("report", REPORT_EVERY, stop, move || {
+        control.reconciler.report_use();
+        for used in control.reconciler.accelerators() {
+            record_accelerators(control.recorder.as_ref(), &used);
+        }
+    })
 }
--- a/crates/tansyknotd/src/daemon.rs
+++ b/crates/tansyknotd/src/daemon.rs
@@ -221,6 +221,7 @@
             reconciler: Arc::clone(reconciler),
             node: Arc::clone(&self.node),
             watch: Arc::clone(&self.watch),
+            recorder: Arc::clone(&self.recorder),
             clock: Arc::clone(&self.clock),
         }
     }
