Set a target's read timeout once in half a second instead of at each read

Cause: the transport set the socket's timeout before each read, a system call for each token. Ruled out: the callers' watch (5 looks a second each). Change: timeouts above 500 ms are rounded up to a multiple of it and set when they change; a read may end up to 500 ms past the deadline.

--- a/crates/tansyknot-edge/src/upstream.rs
+++ b/crates/tansyknot-edge/src/upstream.rs
@@ -173,6 +173,7 @@
 
 struct WireTransport {
     line: Arc<Line>,
+    read_timeout: Option<Duration>,
     buffers: LazyBuffers,
 }
 
@@ -186,7 +187,8 @@
     fn new(stream: TcpStream) -> Self {
         let buffers = LazyBuffers::new(INPUT_BYTES, OUTPUT_BYTES);
         let owner = Mutex::new(0);
-        Self { line: Arc::new(Line { stream, owner }), buffers }
+        let line = Arc::new(Line { stream, owner });
+        Self { line, read_timeout: None, buffers }
     }
 }
 
@@ -207,8 +209,12 @@
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        let left = span(timeout)?;
-        self.line.stream.set_read_timeout(left)?;
+        let left = span(timeout)?.map(coarse);
+        // Setting the timeout costs a system call, which would be one for each token.
+        if left != self.read_timeout {
+            self.line.stream.set_read_timeout(left)?;
+            self.read_timeout = left;
+        }
         let input = self.buffers.input_append_buf();
         let n = (&self.line.stream).read(input).map_err(|e| timed_out(e, timeout.reason))?;
         self.buffers.input_appended(n);
@@ -226,6 +232,20 @@
     }
 }
 
+/// Timeouts above this are rounded up to a multiple of it.
+const COARSE: Duration = Duration::from_millis(500);
+
+/// Rounds a long timeout up, so that it stays the same over many reads.
+///
+/// A read may then end up to this much past the deadline.
+fn coarse(left: Duration) -> Duration {
+    if left <= COARSE {
+        return left;
+    }
+    let steps = left.as_millis().div_ceil(COARSE.as_millis());
+    COARSE * u32::try_from(steps).unwrap_or(u32::MAX)
+}
+
 fn span(timeout: NextTimeout) -> Result<Option<Duration>, Error> {
     if timeout.after.is_not_happening() {
         return Ok(None);
--- a/crates/tansyknot-standins/examples/load.rs
+++ b/crates/tansyknot-standins/examples/load.rs
@@ -85,7 +85,8 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new_with_bounds(1, LONGEST_US, 3).expect("three digits are within the library's bounds")
+    Histogram::new_with_bounds(1, LONGEST_US, 3)
+        .expect("three digits are within the library's bounds")
 }
 
 impl Shared {
