--- /dev/null
+++ b/crates/tansyknot-standins/examples/capacity/replicas.rs
@@ -0,0 +1,237 @@
+//! The control loop: table calls of a wake and an idle event, time of a look at all services.
+
+use std::{sync::Arc, time::Duration};
+
+use tansyknot_config::{document, store::Op};
+use tansyknot_control::{
+    config::{self, Author, ConfigView},
+    directory::Directory,
+    hosts::HostView,
+    pools::{Ask, Pools},
+    publish::Publisher,
+    reconcile::{Parts, Reconciler},
+    replicas,
+};
+use tansyknot_core::{
+    clock::{Clock, ManualClock},
+    engine::Engine,
+    host::{Fencing, HostState, Target, TargetKind},
+    name::{Incarnation, ServiceName, TargetName, ZoneName},
+    peer::Alone,
+    replica::{ReplicaRow, Slot, SlotState},
+    table::{Table, Transaction},
+};
+use tansyknot_policy::{
+    placement::NearestCheckpoint, pool::PoolOptions, queue::Waiter, retention::LeastCost,
+    routing::ZoneTwoChoices,
+};
+use tansyknot_standins::fake::{FakeEngines, FakeHosts, FakeTable};
+
+use crate::slope;
+
+struct World {
+    table: FakeTable,
+    engines: Arc<FakeEngines>,
+    clock: ManualClock,
+    pools: Arc<Pools>,
+    reconciler: Reconciler,
+}
+
+/// Makes a daemon alone with `services` services and `targets` engines.
+fn world(services: usize, targets: usize) -> World {
+    let table = FakeTable::default();
+    apply(&table, services);
+    let engines: Arc<FakeEngines> = Arc::default();
+    let hosts = FakeHosts::default();
+    let list: Vec<Target> = (0..targets).map(target).collect();
+    for target in &list {
+        engines.add(&target.name, target.memory_bytes, Fencing::Checked);
+    }
+    hosts.state.set(list);
+    let manual = ManualClock::new();
+    let clock: Arc<dyn Clock> = Arc::new(manual.clone());
+    let view = Arc::new(HostView::default());
+    view.refresh(&hosts, clock.now()).expect("the list is up");
+    let config = Arc::new(ConfigView::default());
+    config.follow(&table).expect("the table is up");
+    let pools = Arc::new(Pools::new(Box::new(ZoneTwoChoices::default()), Arc::clone(&clock)));
+    let directory = Arc::new(Directory::default());
+    let publisher = Arc::new(Publisher {
+        config: Arc::clone(&config),
+        hosts: Arc::clone(&view),
+        directory: Arc::clone(&directory),
+        pools: Arc::clone(&pools),
+    });
+    let reconciler = Reconciler::new(Parts {
+        table: Arc::new(table.clone()) as Arc<dyn Table>,
+        engine: Arc::clone(&engines) as Arc<dyn Engine>,
+        hosts: view,
+        config,
+        pools: Arc::clone(&pools),
+        directory,
+        publisher,
+        peers: Arc::new(Alone),
+        placement: Box::new(NearestCheckpoint),
+        retention: Box::new(LeastCost),
+        clock,
+        incarnation: Incarnation::from("bench#1"),
+    });
+    World { table, engines, clock: manual, pools, reconciler }
+}
+
+fn apply(table: &FakeTable, services: usize) {
+    let mut text = "kind: rule\nname: all\nservices: ''\ntargets: ''\nreplicas: {max: 2}\n\
+        retention: {at_least: 10s, at_most: 20s}\n"
+        .to_owned();
+    for i in 0..services {
+        text.push_str(&format!(
+            "---\nkind: service\nname: service-{i:04}\nlabels: {{desk: d{}}}\nbackend: {{model: \
+             {{checkpoint: c{i}, memory: 16GB}}}}\n",
+            i % 20
+        ));
+    }
+    let objects = document::read(&text, "bench").expect("the objects are right");
+    let ops: Vec<Op> = objects.into_iter().map(Op::Put).collect();
+    let author = Author { name: "bench".to_owned(), at_ms: 0 };
+    for (version, part) in ops.chunks(config::MAX_OPS).enumerate() {
+        config::apply(table, version as u64, part, &author).expect("nobody races");
+    }
+}
+
+fn target(i: usize) -> Target {
+    Target {
+        name: TargetName::new(format!("runner-{i:04}")),
+        address: ([10, 1, (i / 250) as u8, (i % 250) as u8], 8000).into(),
+        availability_zone: ZoneName::new(format!("zone-{}", i % 14)),
+        state: HostState::Live,
+        kind: TargetKind::Engine,
+        memory_bytes: 320_000_000_000,
+        fencing: Fencing::Checked,
+        labels: [].into(),
+    }
+}
+
+impl World {
+    fn service(i: usize) -> ServiceName {
+        ServiceName::new(format!("service-{i:04}"))
+    }
+
+    fn ask(&self, service: &ServiceName) {
+        let deadline = self.clock.now() + Duration::from_secs(600);
+        let ask = Ask { service, waiter: Waiter { rank: 0, deadline }, prefix: None, avoid: &[] };
+        let zone = ZoneName::from("zone-0");
+        let options = PoolOptions { availability_zone: zone, per_upstream: 64, waiting_max: 100 };
+        drop(self.pools.acquire(&ask, options));
+    }
+
+    /// Wakes a service and lets it fall idle until it is removed.
+    fn wake_and_idle(&self, i: usize) {
+        let service = Self::service(i);
+        self.ask(&service);
+        self.step(&service);
+        self.engines.finish_loads();
+        self.step(&service);
+        for t in 0..40 {
+            let target = TargetName::new(format!("runner-{t:04}"));
+            self.pools.release(&service, &target, Some(Duration::from_millis(300)));
+        }
+        for _ in 0..40 {
+            self.clock.advance(Duration::from_secs(1));
+            self.step(&service);
+            let row = replicas::read_replicas(&self.table, &service).expect("the table is up");
+            if row.row.slots.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn step(&self, service: &ServiceName) {
+        self.reconciler.step(service).expect("the table is up");
+    }
+}
+
+pub(crate) fn measure() {
+    const EVENTS: &[usize] = &[10, 20, 40, 80];
+    slope::measure("table commits of wake and idle events", "events", "commits", EVENTS, |n| {
+        let world = world(100, 8);
+        let before = world.table.state.counts().commits;
+        (0..n).for_each(|i| world.wake_and_idle(i));
+        (world.table.state.counts().commits - before) as f64
+    });
+    const SERVICES: &[usize] = &[100, 400, 1900, 8000];
+    slope::measure("a look at all services", "services with a row", "us", SERVICES, |n| {
+        let world = world(100, 8);
+        for i in 0..n {
+            let row = serde_json::to_string(&ready_row(i)).expect("it serializes");
+            let key = format!("replica/service-{i:04}");
+            let txn = Transaction::default().set(key, Some(row));
+            world.table.commit(&txn).expect("the table is up");
+        }
+        world.reconciler.scan().expect("the table is up");
+        world.reconciler.due();
+        slope::micros_each(20, || {
+            world.clock.advance(Duration::from_secs(1));
+            drop(world.reconciler.due());
+        })
+    });
+    slope::measure("table reads of a quiet step", "services", "reads", &[10, 20, 40, 80], |n| {
+        let world = world(100, 8);
+        let before = world.table.state.counts().reads;
+        (0..n).for_each(|i| world.step(&World::service(i)));
+        (world.table.state.counts().reads - before) as f64
+    });
+    slope::measure("replica row", "slots", "bytes", &[1, 2, 4, 8], |n| {
+        let mut row = ready_row(1);
+        row.slots = vec![row.slots[0].clone(); n];
+        serde_json::to_string(&row).expect("it serializes").len() as f64
+    });
+}
+
+fn ready_row(i: usize) -> ReplicaRow {
+    let slot = Slot {
+        target: TargetName::new(format!("runner-{i:04}")),
+        state: SlotState::Ready,
+        fence: 12,
+        holder: replicas::new_incarnation("region-1-daemon-001"),
+        token: tansyknot_core::name::random_id(),
+        memory_bytes: 16_000_000_000,
+        ordering: Vec::new(),
+        since_ms: 1_700_000_000_000,
+    };
+    ReplicaRow { last_fence: 12, slots: vec![slot] }
+}
+
+/// Measures memory; runs before anything else, since memory given back hides later growth.
+pub(crate) fn measure_memory() {
+    const LARGEST_FIRST: &[usize] = &[16_000, 8000, 1900, 400];
+    slope::measure("pools in memory", "services", "bytes", LARGEST_FIRST, |n| {
+        let world = world(1, 1);
+        let (bytes, ()) = slope::grown_bytes(|| {
+            (0..n).for_each(|i| world.ask(&ServiceName::new(format!("s-{i:05}"))));
+        });
+        std::mem::forget(world);
+        bytes
+    });
+    slope::measure(
+        "directory of replica rows in memory",
+        "services",
+        "bytes",
+        LARGEST_FIRST,
+        |n| {
+            let directory = Directory::default();
+            let (bytes, ()) = slope::grown_bytes(|| {
+                for i in 0..n {
+                    let service = World::service(i);
+                    directory.keep(
+                        &service,
+                        1,
+                        &ready_row(i),
+                        tansyknot_core::clock::Time::default(),
+                    );
+                }
+            });
+            std::mem::forget(directory);
+            bytes
+        },
+    );
+}
