Look at quiet services once a second, from memory; remember coordinators

Cause: every 50 ms each daemon looked at every service it knew, hashed all daemons for each, and read the row of each service it coordinates once a second; engines of ready replicas were asked every 2 s; every row was read every 10 s. Ruled out: fewer rounds for all, which would slow first requests. Change: services that wait for something are looked at each round, others once a second; coordinators are remembered until the membership changes; a quiet step uses the row as known for up to 30 s; ready replicas are checked every 10 s (a request notices sooner: the engine says 'not loaded'); all rows are read at most once a minute after a change of the membership and at least every 5 minutes.

--- a/crates/tansyknot-control/src/directory.rs
+++ b/crates/tansyknot-control/src/directory.rs
@@ -4,6 +4,8 @@
 
 use tansyknot_core::{clock::Time, name::ServiceName, replica::ReplicaRow, table::RowVersion};
 
+use crate::replicas::Versioned;
+
 /// A row in use is read again after this long even if nothing said that it changed.
 pub const REFRESH_AFTER: Duration = Duration::from_secs(30);
 
@@ -46,6 +48,12 @@
         entries.get(service).map(|e| e.row.clone())
     }
 
+    /// Returns the row as last read with its version.
+    pub fn versioned(&self, service: &ServiceName) -> Option<Versioned<ReplicaRow>> {
+        let entries = self.entries.lock().expect("no holder of the lock panics");
+        entries.get(service).map(|e| Versioned { version: e.version, row: e.row.clone() })
+    }
+
     /// Says that the row has changed, for instance since an engine refused as not loaded.
     pub fn mark_stale(&self, service: &ServiceName) {
         let mut entries = self.entries.lock().expect("no holder of the lock panics");
--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -8,7 +8,7 @@
 mod slot;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -136,6 +136,8 @@
     usage: Usage,
     states: Mutex<HashMap<ServiceName, Arc<Mutex<ServiceState>>>>,
     remote: Mutex<HashMap<ServiceName, RemoteDemand>>,
+    busy: Mutex<HashSet<ServiceName>>,
+    next_full_look: Mutex<Time>,
 }
 
 /// What the operators decided for a service with a model.
@@ -168,7 +170,14 @@
 impl Reconciler {
     /// Makes a control loop that has read nothing yet.
     pub fn new(parts: Parts) -> Self {
-        Self { parts, usage: Usage::default(), states: Mutex::default(), remote: Mutex::default() }
+        Self {
+            parts,
+            usage: Usage::default(),
+            states: Mutex::default(),
+            remote: Mutex::default(),
+            busy: Mutex::default(),
+            next_full_look: Mutex::default(),
+        }
     }
 
     /// Returns the accelerators that hold the services this daemon coordinates.
@@ -237,18 +246,48 @@
     }
 
     /// Returns the services that want a step now.
+    ///
+    /// Services that wait for something are looked at each time, all others once a second.
     pub fn due(&self) -> Vec<ServiceName> {
         let now = self.parts.clock.now();
+        let mut services = if self.full_look_due(now) { self.all_services() } else { self.busy() };
+        services.retain(|service| self.wants_step(service, now));
+        services
+    }
+
+    fn full_look_due(&self, now: Time) -> bool {
+        let mut next = self.next_full_look.lock().expect("no holder of the lock panics");
+        let due = now >= *next;
+        if due {
+            *next = now + QUIET_STEP;
+        }
+        due
+    }
+
+    fn busy(&self) -> Vec<ServiceName> {
+        self.busy.lock().expect("no holder of the lock panics").iter().cloned().collect()
+    }
+
+    fn all_services(&self) -> Vec<ServiceName> {
         let mut services = self.parts.directory.services();
         services.extend(self.parts.pools.services());
         services.extend(self.remote_services());
         services.extend(self.kept_services());
         services.sort();
         services.dedup();
-        services.retain(|service| self.wants_step(service, now));
         services
     }
 
+    /// Marks a service to be looked at each time, or only once a second.
+    fn set_busy(&self, service: &ServiceName, is_busy: bool) {
+        let mut busy = self.busy.lock().expect("no holder of the lock panics");
+        if is_busy {
+            busy.insert(service.clone());
+        } else {
+            busy.remove(service);
+        }
+    }
+
     fn remote_services(&self) -> Vec<ServiceName> {
         self.remote.lock().expect("no holder of the lock panics").keys().cloned().collect()
     }
@@ -294,7 +333,12 @@
         let now = self.parts.clock.now();
         match &result {
             Ok(()) | Err(Error::Conflict { .. }) => {
+                if result.is_err() {
+                    self.parts.directory.mark_stale(service);
+                }
                 state.next_step = now + self.pause(service, &mut state);
+                let quiet = state.work.is_empty() && state.waiting_since.is_none();
+                self.set_busy(service, !quiet);
             }
             Err(e) => {
                 state.next_step = now + FAILED_STEP;
@@ -336,8 +380,7 @@
         let now = self.parts.clock.now();
         let local = self.note_local(service, state, now);
         let decided = self.decided(service);
-        let mut replicas = replicas::read_replicas(self.parts.table.as_ref(), service)?;
-        self.publish(service, &replicas, now);
+        let mut replicas = self.observe(service, state, &local, now)?;
         let acts = self.acts(service, state, &replicas.row, now);
         for target in targets(&replicas.row) {
             self.advance_slot(service, state, &mut replicas, &target, acts)?;
@@ -353,6 +396,28 @@
         Ok(())
     }
 
+    /// Returns the row: as it is known while nothing is going on, otherwise read anew.
+    ///
+    /// A change on a row that is known too old conflicts, and the next step reads it.
+    fn observe(
+        &self,
+        service: &ServiceName,
+        state: &ServiceState,
+        local: &LocalDemand,
+        now: Time,
+    ) -> Result<Versioned<ReplicaRow>> {
+        let quiet = state.work.is_empty() && state.watches.is_empty() && local.waiting.waiting == 0;
+        if quiet
+            && !self.parts.directory.needs_read(service, now)
+            && let Some(known) = self.parts.directory.versioned(service)
+        {
+            return Ok(known);
+        }
+        let replicas = replicas::read_replicas(self.parts.table.as_ref(), service)?;
+        self.publish(service, &replicas, now);
+        Ok(replicas)
+    }
+
     /// Takes in this daemon's own demand and tells the coordinator.
     fn note_local(
         &self,
@@ -453,6 +518,7 @@
     }
 
     fn make_due(&self, service: &ServiceName) {
+        self.set_busy(service, true);
         let state = self.state(service);
         if let Ok(mut state) = state.try_lock() {
             state.next_step = Time::default();
--- a/crates/tansyknot-control/src/reconcile/slot.rs
+++ b/crates/tansyknot-control/src/reconcile/slot.rs
@@ -23,7 +23,7 @@
 /// A draining replica is left alone this long, for daemons that have not heard of it.
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// The coordinator asks the engine of a ready replica this often.
-const CHECK_EVERY: Duration = Duration::from_secs(2);
+const CHECK_EVERY: Duration = Duration::from_secs(10);
 /// An order that an engine has not read by then has been dropped with its connection. Engines
 /// that ignore fencing tokens give no better word; docs/PROMISES.md says what this leaves open.
 const ORDER_LIFETIME: Duration = Duration::from_secs(60);
--- a/crates/tansyknot-gossip/src/members.rs
+++ b/crates/tansyknot-gossip/src/members.rs
@@ -110,6 +110,7 @@
     errands: HashMap<u64, Errand>,
     next_seq: u64,
     next_round: Time,
+    epoch: u64,
 }
 
 impl Members {
@@ -124,6 +125,7 @@
             errands: HashMap::new(),
             next_seq: 1,
             next_round: Time::default(),
+            epoch: 0,
         }
     }
 
@@ -132,6 +134,11 @@
         &self.me.daemon
     }
 
+    /// Returns a number that rises whenever the set of daemons that answer may have changed.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// Returns the daemons that answer, this one included.
     pub fn alive(&self) -> impl Iterator<Item = &DaemonName> {
         let others = self.members.iter().filter(|(_, m)| m.liveness == Liveness::Alive);
@@ -234,6 +241,7 @@
         if member.liveness == Liveness::Alive {
             event::PEER_SUSPECT.emit(&[("daemon", &probe.daemon)]);
             member.liveness = Liveness::Suspect;
+            self.epoch += 1;
             member.since = now;
             member.to_send = sends(count);
         }
@@ -319,6 +327,7 @@
             to_send: sends(self.members.len() + 1),
         };
         self.members.insert(update.daemon, member);
+        self.epoch += 1;
     }
 
     /// Raises the own number above a rumour that this daemon is not alive.
--- a/crates/tansyknot-gossip/src/node.rs
+++ b/crates/tansyknot-gossip/src/node.rs
@@ -26,6 +26,8 @@
 
 /// How long a read of the socket waits; rounds are at most this late.
 const READ_TIMEOUT: Duration = Duration::from_millis(50);
+/// Coordinators remembered; beyond this all are found anew.
+const COORDINATORS: usize = 16 << 10;
 /// Uses in one datagram: names have up to 120 bytes.
 const USES: usize = 9;
 
@@ -42,12 +44,32 @@
     pub dropped: u64,
 }
 
+/// A coordinator and its address; `None` stands for this daemon.
+type Coordinator = Option<(DaemonName, SocketAddr)>;
+
+/// The coordinators found since the membership last changed.
+#[derive(Debug, Default)]
+struct Coordinators {
+    epoch: u64,
+    services: HashMap<ServiceName, Coordinator>,
+}
+
+impl Coordinators {
+    fn keep_up_with(&mut self, epoch: u64) {
+        if self.epoch != epoch || self.services.len() >= COORDINATORS {
+            self.services.clear();
+            self.epoch = epoch;
+        }
+    }
+}
+
 /// A daemon's node.
 pub struct Node {
     socket: UdpSocket,
     clock: Arc<dyn Clock>,
     members: Mutex<Members>,
     interest: Mutex<Interest>,
+    coordinators: Mutex<Coordinators>,
     listener: OnceLock<Arc<dyn PeerListener>>,
     sent: AtomicU64,
     sent_bytes: AtomicU64,
@@ -74,6 +96,7 @@
             clock,
             members: Mutex::new(Members::new(me, options)),
             interest: Mutex::default(),
+            coordinators: Mutex::default(),
             listener: OnceLock::new(),
             sent: AtomicU64::new(0),
             sent_bytes: AtomicU64::new(0),
@@ -108,6 +131,11 @@
         self.members.lock().expect("no holder of the lock panics").alive().cloned().collect()
     }
 
+    /// Returns a number that rises whenever the set of daemons that answer may have changed.
+    pub fn epoch(&self) -> u64 {
+        self.members.lock().expect("no holder of the lock panics").epoch()
+    }
+
     /// Returns what has been sent, received and dropped.
     pub fn counts(&self) -> Counts {
         Counts {
@@ -202,11 +230,17 @@
     }
 
     /// Returns the coordinator of a service and its address, `None` if it is this daemon.
-    fn coordinator(&self, service: &ServiceName) -> Option<(DaemonName, SocketAddr)> {
+    fn coordinator(&self, service: &ServiceName) -> Coordinator {
         let members = self.members.lock().expect("no holder of the lock panics");
-        let daemon = peer::coordinator(service, members.alive())?;
-        let address = members.address(daemon)?;
-        Some((daemon.clone(), address))
+        let mut known = self.coordinators.lock().expect("no holder of the lock panics");
+        known.keep_up_with(members.epoch());
+        if let Some(found) = known.services.get(service) {
+            return found.clone();
+        }
+        let daemon = peer::coordinator(service, members.alive());
+        let found = daemon.and_then(|d| Some((d.clone(), members.address(d)?)));
+        known.services.insert(service.clone(), found.clone());
+        found
     }
 }
 
--- a/crates/tansyknot-standins/examples/capacity/replicas.rs
+++ b/crates/tansyknot-standins/examples/capacity/replicas.rs
@@ -176,6 +176,8 @@
     });
     slope::measure("table reads of a quiet step", "services", "reads", &[10, 20, 40, 80], |n| {
         let world = world(100, 8);
+        (0..n).for_each(|i| world.step(&World::service(i)));
+        world.clock.advance(Duration::from_secs(1));
         let before = world.table.state.counts().reads;
         (0..n).for_each(|i| world.step(&World::service(i)));
         (world.table.state.counts().reads - before) as f64
--- a/crates/tansyknotd/src/control.rs
+++ b/crates/tansyknotd/src/control.rs
@@ -41,8 +41,11 @@
 const STEPPERS: usize = 8;
 /// How often a thread without a step to take looks whether to stop.
 const STOP_LOOK: Duration = Duration::from_millis(100);
-/// How often every replica row is read, for services without requests.
-const SCAN_EVERY: Duration = Duration::from_secs(10);
+/// Every replica row is read at most this often, after the membership has changed: a daemon may
+/// coordinate services that it has never heard of.
+const SCAN_EVERY: Duration = Duration::from_secs(60);
+/// And at least this often.
+const SCAN_AT_LEAST: Duration = Duration::from_secs(300);
 /// How often callers with an attempt under way are looked at.
 const WATCH_EVERY: Duration = Duration::from_millis(200);
 /// How often old rows of idempotency keys are looked for.
@@ -219,9 +222,15 @@
 
 fn scan(control: &Arc<Control>, stop: &Arc<StopFlag>) -> JoinHandle<()> {
     let control = Arc::clone(control);
+    let mut seen = None;
     loops::every("scan", SCAN_EVERY, stop, move || {
+        let epoch = control.node.epoch();
+        let now = control.clock.now();
+        let is_due = seen.is_none_or(|(old, at)| old != epoch || now.since(at) >= SCAN_AT_LEAST);
         // The next round reads what this one could not.
-        let _ = control.reconciler.scan();
+        if is_due && control.reconciler.scan().is_ok() {
+            seen = Some((epoch, now));
+        }
     })
 }
 
