--- /dev/null
+++ b/crates/tansyknot-policy/examples/replay/world.rs
@@ -0,0 +1,606 @@
+//! Hosts, loads and requests in virtual time, decided by the daemon's own functions.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+    time::Duration,
+};
+
+use rand::{SeedableRng, rngs::StdRng};
+use tansyknot_core::{
+    clock::Time,
+    engine::Tier,
+    name::{TargetName, ZoneName},
+};
+use tansyknot_policy::{
+    gaps::Gaps,
+    placement::{NearestCheckpoint, Need, Place, Placement},
+    pool::{Arrival, Grant, Pool, PoolOptions, Upstream},
+    queue::{Ticket, Waiter},
+    retention::{Plan, RetentionOptions},
+    routing::ZoneTwoChoices,
+    scaling::{self, Demand, ReplicaBounds},
+};
+
+use crate::{
+    Weight,
+    policy::Policy,
+    report::{self, Report},
+    trace::{Class, Request},
+};
+
+const ZONES: usize = 3;
+/// Requests that one replica serves at once.
+const PER_REPLICA: u32 = 8;
+const FIRST_TOKEN_BASE_US: u64 = 50_000;
+const PROMPT_TOKEN_US: u64 = 200;
+const OUTPUT_TOKEN_US: u64 = 30_000;
+const ADAPTER_US: u64 = 200_000;
+const ADAPTERS: usize = 8;
+const MEMORY_LOAD_US: u64 = 1_500_000;
+const DISK_LOAD_US: u64 = 4_000_000;
+const REMOTE_LOAD_US: u64 = 10_000_000;
+/// Remote loads at once that run at full speed.
+const FULL_SPEED_LOADS: u32 = 4;
+/// Checkpoints that stay in a host's main memory after their model has been removed.
+const MEMORY_CACHED: usize = 2;
+/// A gap shorter than this is not idle time, as in the daemon.
+const SHORTEST_GAP_US: u64 = 1_000_000;
+/// A request is a first one if its service had none for this long.
+const FIRST_REQUEST_US: u64 = 60_000_000;
+
+/// Options of a run.
+#[derive(Clone, Copy)]
+pub(crate) struct WorldOptions {
+    pub(crate) hosts: usize,
+    pub(crate) memory_bytes: u64,
+    pub(crate) model_bytes: u64,
+    pub(crate) loads_per_s: f64,
+    pub(crate) seed: u64,
+    pub(crate) weight: Weight,
+    pub(crate) replicas: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Finish {
+        request: usize,
+        host: usize,
+    },
+    Loaded {
+        service: usize,
+        host: usize,
+    },
+    Arrive {
+        request: usize,
+    },
+    /// Time to look whether a service is to be loaded, removed, or its waiters given up.
+    Look {
+        service: usize,
+    },
+}
+
+#[derive(Default)]
+struct Host {
+    used_bytes: u64,
+    loading: u32,
+    disk: Vec<usize>,
+    memory: Vec<usize>,
+}
+
+struct Replica {
+    host: usize,
+    ready: bool,
+    began_us: u64,
+    busy: u32,
+    busy_since_us: u64,
+    busy_us: u64,
+    adapters: Vec<String>,
+    /// When the replica last stopped being busy.
+    idle_since_us: u64,
+}
+
+struct Service {
+    pool: Pool,
+    replicas: Vec<Replica>,
+    gaps: Gaps,
+    last_use_us: Option<u64>,
+    waiting: HashMap<Ticket, usize>,
+    load_us: u64,
+    /// Requests that came while no replica was ready.
+    next_look_us: Option<u64>,
+}
+
+pub(crate) struct World<'a> {
+    requests: &'a [Request],
+    options: WorldOptions,
+    policy: Policy,
+    names: Vec<&'a str>,
+    ids: BTreeMap<&'a str, usize>,
+    services: Vec<Service>,
+    hosts: Vec<Host>,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    now_us: u64,
+    next_load_us: u64,
+    remote_loads: u32,
+    rng: StdRng,
+    evicts: bool,
+    tally: Report,
+    first_ms: Vec<f64>,
+    cold_ms: Vec<f64>,
+    first_request_ms: Vec<f64>,
+    is_cold: Vec<bool>,
+    is_first: Vec<bool>,
+    /// Loads that a waiting request caused may be in flight for these.
+    room_wanted: Vec<usize>,
+}
+
+fn zone(host: usize) -> ZoneName {
+    ZoneName::new(format!("z{}", host % ZONES))
+}
+
+fn target(host: usize) -> TargetName {
+    TargetName::new(format!("h{host}"))
+}
+
+fn host_of(target: &TargetName) -> usize {
+    target.as_str()[1..].parse().expect("targets are made by `target`")
+}
+
+impl<'a> World<'a> {
+    pub(crate) fn new(requests: &'a [Request], policy: Policy, options: WorldOptions) -> Self {
+        let mut ids = BTreeMap::new();
+        let mut names = Vec::new();
+        for request in requests {
+            ids.entry(request.service.as_str()).or_insert_with(|| {
+                names.push(request.service.as_str());
+                names.len() - 1
+            });
+        }
+        let pool_options =
+            PoolOptions { availability_zone: zone(0), per_upstream: PER_REPLICA, waiting_max: 512 };
+        let services = names
+            .iter()
+            .map(|_| Service {
+                pool: Pool::new(pool_options.clone()),
+                replicas: Vec::new(),
+                gaps: Gaps::default(),
+                last_use_us: None,
+                waiting: HashMap::new(),
+                load_us: REMOTE_LOAD_US,
+                next_look_us: None,
+            })
+            .collect();
+        let events = requests
+            .iter()
+            .enumerate()
+            .map(|(request, r)| Reverse((r.at_ms * 1000, Event::Arrive { request })))
+            .collect();
+        Self {
+            requests,
+            options,
+            policy,
+            names,
+            ids,
+            services,
+            hosts: (0..options.hosts).map(|_| Host::default()).collect(),
+            events,
+            now_us: 0,
+            next_load_us: 0,
+            remote_loads: 0,
+            rng: StdRng::seed_from_u64(options.seed),
+            evicts: true,
+            tally: Report::default(),
+            first_ms: Vec::new(),
+            cold_ms: Vec::new(),
+            first_request_ms: Vec::new(),
+            is_cold: vec![false; requests.len()],
+            is_first: vec![false; requests.len()],
+            room_wanted: Vec::new(),
+        }
+    }
+
+    /// Runs the whole trace and returns the figures.
+    pub(crate) fn run(mut self, name: &str) -> Report {
+        self.evicts = Policy::evicts(name);
+        let end_us = self.requests.last().map_or(0, |r| r.at_ms * 1000);
+        while let Some(Reverse((at, event))) = self.events.pop() {
+            // After the last arrival only what still runs or waits is of interest.
+            let open =
+                self.services.iter().any(|s| !s.waiting.is_empty() || s.pool.in_flight() > 0);
+            if at > end_us && !open {
+                break;
+            }
+            self.now_us = at;
+            self.handle(event);
+        }
+        self.now_us = self.now_us.max(end_us);
+        for service in 0..self.services.len() {
+            while !self.services[service].replicas.is_empty() {
+                self.remove_replica(service, 0);
+            }
+        }
+        self.report(name)
+    }
+
+    fn report(mut self, name: &str) -> Report {
+        let mut r = self.tally;
+        r.policy = name.to_owned();
+        r.requests = self.requests.len() as u64;
+        r.unaccounted = r.requests - r.served - r.refused;
+        r.first_token_p50_ms = report::quantile(&mut self.first_ms, 0.5);
+        r.first_token_p99_ms = report::quantile(&mut self.first_ms, 0.99);
+        r.cold_first_token_p99_ms = report::quantile(&mut self.cold_ms, 0.99);
+        r.first_request_p99_ms = report::quantile(&mut self.first_request_ms, 0.99);
+        r
+    }
+
+    fn now(&self) -> Time {
+        Time::from_micros(self.now_us)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { request } => self.arrive(request),
+            Event::Finish { request, host } => self.finish(request, host),
+            Event::Loaded { service, host } => self.loaded(service, host),
+            Event::Look { service } => {
+                if self.services[service].next_look_us == Some(self.now_us) {
+                    self.services[service].next_look_us = None;
+                    self.look(service);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let r = &self.requests[request];
+        let id = self.ids[r.service.as_str()];
+        let now = self.now();
+        let deadline = now + Duration::from_millis(r.deadline_ms);
+        let rank = u8::from(r.class == Class::Batch);
+        let s = &mut self.services[id];
+        let gap = s.last_use_us.map(|last| self.now_us.saturating_sub(last));
+        self.is_first[request] = gap.is_none_or(|gap| gap >= FIRST_REQUEST_US);
+        let quiet = s.waiting.is_empty() && s.pool.in_flight() == 0;
+        if let Some(gap) = gap
+            && quiet
+            && gap >= SHORTEST_GAP_US
+        {
+            s.gaps.record(Duration::from_micros(gap));
+        }
+        s.last_use_us = Some(self.now_us);
+        self.is_cold[request] = !s.pool.has_upstream();
+        let routing = ZoneTwoChoices::default();
+        let waiter = Waiter { rank, deadline };
+        match s.pool.arrive(now, waiter, None, &[], &routing, &mut self.rng) {
+            Arrival::Granted(target) => self.begin(id, request, host_of(&target)),
+            Arrival::Queued(ticket) => {
+                s.waiting.insert(ticket, request);
+                self.look(id);
+            }
+            Arrival::Refused(_) => self.tally.refused += 1,
+        }
+    }
+
+    /// Begins to serve a request at a host.
+    fn begin(&mut self, id: usize, request: usize, host: usize) {
+        let r = &self.requests[request];
+        let now_us = self.now_us;
+        let Some(replica) = self.services[id].replicas.iter_mut().find(|x| x.host == host) else {
+            return;
+        };
+        if replica.busy == 0 {
+            replica.busy_since_us = now_us;
+        }
+        replica.busy += 1;
+        let adapter_us = adapter_time(replica, &r.adapter);
+        let first_us =
+            FIRST_TOKEN_BASE_US + adapter_us + u64::from(r.prompt_tokens) * PROMPT_TOKEN_US;
+        let end_us = now_us + first_us + u64::from(r.output_tokens) * OUTPUT_TOKEN_US;
+        let waited_ms = (now_us + first_us - r.at_ms * 1000) as f64 / 1000.0;
+        self.first_ms.push(waited_ms);
+        if self.is_cold[request] {
+            self.cold_ms.push(waited_ms);
+        }
+        if self.is_first[request] {
+            self.first_request_ms.push(waited_ms);
+        }
+        self.tally.served += 1;
+        if end_us > (r.at_ms + r.deadline_ms) * 1000 {
+            self.tally.late += 1;
+        }
+        self.events.push(Reverse((end_us, Event::Finish { request, host })));
+    }
+
+    fn finish(&mut self, request: usize, host: usize) {
+        let r = &self.requests[request];
+        let id = self.ids[r.service.as_str()];
+        let now_us = self.now_us;
+        let s = &mut self.services[id];
+        s.last_use_us = Some(now_us);
+        if let Some(replica) = s.replicas.iter_mut().find(|x| x.host == host) {
+            replica.busy -= 1;
+            if replica.busy == 0 {
+                replica.busy_us += now_us - replica.busy_since_us;
+                replica.idle_since_us = now_us;
+            }
+        }
+        let took = Duration::from_micros(
+            FIRST_TOKEN_BASE_US
+                + u64::from(r.prompt_tokens) * PROMPT_TOKEN_US
+                + u64::from(r.output_tokens) * OUTPUT_TOKEN_US,
+        );
+        let routing = ZoneTwoChoices::default();
+        let grants = s.pool.finish(&target(host), Some(took), &routing, &mut self.rng);
+        self.grant(id, grants);
+        self.look(id);
+        // Room may have come up for services that wait for it.
+        for other in std::mem::take(&mut self.room_wanted) {
+            self.look(other);
+        }
+    }
+
+    fn grant(&mut self, id: usize, grants: Vec<Grant>) {
+        for grant in grants {
+            if let Some(request) = self.services[id].waiting.remove(&grant.ticket) {
+                self.begin(id, request, host_of(&grant.target));
+            }
+        }
+    }
+
+    fn loaded(&mut self, id: usize, host: usize) {
+        let now_us = self.now_us;
+        self.hosts[host].loading -= 1;
+        if !self.hosts[host].disk.contains(&id) {
+            self.hosts[host].disk.push(id);
+            self.remote_loads = self.remote_loads.saturating_sub(1);
+        }
+        let s = &mut self.services[id];
+        if let Some(replica) = s.replicas.iter_mut().find(|x| x.host == host) {
+            replica.ready = true;
+            replica.idle_since_us = now_us;
+            s.load_us = now_us - replica.began_us;
+            s.pool.record_load(Duration::from_micros(s.load_us));
+        }
+        self.publish(id);
+        self.look(id);
+    }
+
+    fn publish(&mut self, id: usize) {
+        let s = &mut self.services[id];
+        let ready = s.replicas.iter().filter(|x| x.ready);
+        let upstreams: Vec<Upstream> = ready
+            .map(|x| Upstream {
+                target: target(x.host),
+                availability_zone: zone(x.host),
+                reported_in_flight: 0,
+            })
+            .collect();
+        let routing = ZoneTwoChoices::default();
+        let grants = s.pool.set_upstreams(&upstreams, &routing, &mut self.rng);
+        self.grant(id, grants);
+    }
+
+    /// Decides for one service, as a coordinator's step does.
+    fn look(&mut self, id: usize) {
+        self.give_up(id);
+        let s = &self.services[id];
+        let demand = Demand {
+            waiting: s.pool.waiting() as u32,
+            in_flight: s.pool.in_flight(),
+            per_replica: PER_REPLICA,
+            service_time: s.pool.service_time(),
+            load_time: Duration::from_micros(s.load_us),
+        };
+        let bounds = ReplicaBounds { min: 0, max: self.options.replicas };
+        let present = s.replicas.len() as u32;
+        let plan = self.plan(id);
+        let prewarm = self.is_prewarm_time(id, &plan);
+        let mut wanted = scaling::wanted(&demand, present, bounds);
+        if prewarm {
+            wanted = wanted.max(1);
+        }
+        if wanted > present && !self.load(id, demand.waiting == 0) && demand.waiting > 0 {
+            self.room_wanted.push(id);
+        }
+        if demand.waiting == 0 && demand.in_flight == 0 && !prewarm {
+            self.remove_idle(id, &plan);
+        }
+        self.schedule(id, &plan);
+    }
+
+    /// Gives up the waiters that can't be served in time.
+    fn give_up(&mut self, id: usize) {
+        let now = self.now();
+        let s = &mut self.services[id];
+        for ticket in s.pool.expire(now) {
+            if s.waiting.remove(&ticket).is_some() {
+                self.tally.refused += 1;
+            }
+        }
+    }
+
+    fn plan(&self, id: usize) -> Plan {
+        let s = &self.services[id];
+        let (cold_start_worth, at_most) = match self.options.weight {
+            Weight::Cold => (Duration::from_secs(900), Duration::from_secs(3600)),
+            Weight::Idle => (Duration::from_secs(120), Duration::from_secs(600)),
+        };
+        let options = RetentionOptions {
+            cold_start_worth,
+            at_least: Duration::from_secs(10),
+            at_most,
+            load_time: Duration::from_micros(s.load_us),
+        };
+        let plan = self.policy.retention.plan(&s.gaps, &options);
+        debug_assert!(!self.policy.bounded || plan.keep <= at_most);
+        plan
+    }
+
+    fn is_prewarm_time(&self, id: usize, plan: &Plan) -> bool {
+        let Some(last_us) = self.services[id].last_use_us else { return false };
+        let idle = Duration::from_micros(self.now_us - last_us);
+        plan.prewarm.is_some_and(|(from, span)| idle >= from && idle < from + span)
+    }
+
+    fn remove_idle(&mut self, id: usize, plan: &Plan) {
+        let Some(last_us) = self.services[id].last_use_us else { return };
+        if Duration::from_micros(self.now_us - last_us) < plan.keep {
+            return;
+        }
+        while let Some(at) = self.services[id].replicas.iter().position(|x| x.ready && x.busy == 0)
+        {
+            self.remove_replica(id, at);
+        }
+        self.publish(id);
+    }
+
+    fn remove_replica(&mut self, id: usize, at: usize) {
+        let replica = self.services[id].replicas.remove(at);
+        let loaded_us = self.now_us - replica.began_us;
+        let hours = |us: u64| us as f64 / 3.6e9;
+        self.tally.busy_accelerator_hours += hours(replica.busy_us);
+        self.tally.idle_accelerator_hours += hours(loaded_us - replica.busy_us);
+        let host = &mut self.hosts[replica.host];
+        host.used_bytes -= self.options.model_bytes;
+        host.memory.retain(|m| *m != id);
+        host.memory.push(id);
+        if host.memory.len() > MEMORY_CACHED {
+            host.memory.remove(0);
+        }
+    }
+
+    /// Loads one more replica if there is room or room can be made; tells whether it did.
+    fn load(&mut self, id: usize, ahead: bool) -> bool {
+        let Some(host) = self.choose_host(id).or_else(|| self.make_room(id, ahead)) else {
+            return false;
+        };
+        let ready_us = self.load_end(id, host);
+        let h = &mut self.hosts[host];
+        h.used_bytes += self.options.model_bytes;
+        h.loading += 1;
+        if h.used_bytes > self.options.memory_bytes {
+            self.tally.memory_violations += 1;
+        }
+        let now_us = self.now_us;
+        let s = &mut self.services[id];
+        s.replicas.push(Replica {
+            host,
+            ready: false,
+            began_us: now_us,
+            busy: 0,
+            busy_since_us: 0,
+            busy_us: 0,
+            adapters: Vec::new(),
+            idle_since_us: now_us,
+        });
+        if s.replicas.len() > self.options.replicas as usize {
+            self.tally.replica_limit_violations += 1;
+        }
+        s.pool.expect_ready(Some(Time::from_micros(ready_us)));
+        let count = if ahead { &mut self.tally.prewarms } else { &mut self.tally.cold_starts };
+        *count += 1;
+        self.events.push(Reverse((ready_us, Event::Loaded { service: id, host })));
+        true
+    }
+
+    fn tier(&self, id: usize, host: usize) -> Tier {
+        let h = &self.hosts[host];
+        match (h.memory.contains(&id), h.disk.contains(&id)) {
+            (true, _) => Tier::Memory,
+            (false, true) => Tier::Disk,
+            (false, false) => Tier::Remote,
+        }
+    }
+
+    fn load_end(&mut self, id: usize, host: usize) -> u64 {
+        match self.tier(id, host) {
+            Tier::Memory => self.now_us + MEMORY_LOAD_US,
+            Tier::Disk => self.now_us + DISK_LOAD_US,
+            Tier::Remote => {
+                let start = self.next_load_us.max(self.now_us);
+                self.next_load_us = start + (1e6 / self.options.loads_per_s) as u64;
+                self.remote_loads += 1;
+                let share = u64::from(self.remote_loads.div_ceil(FULL_SPEED_LOADS));
+                start + REMOTE_LOAD_US * share
+            }
+        }
+    }
+
+    fn choose_host(&self, id: usize) -> Option<usize> {
+        let taken = &self.services[id].replicas;
+        let need = Need {
+            memory_bytes: self.options.model_bytes,
+            zones_taken: taken.iter().map(|x| zone(x.host)).collect(),
+            targets_taken: taken.iter().map(|x| target(x.host)).collect(),
+        };
+        let places: Vec<Place> = (0..self.hosts.len())
+            .map(|host| Place {
+                target: target(host),
+                availability_zone: zone(host),
+                free_bytes: self.options.memory_bytes - self.hosts[host].used_bytes,
+                tier: self.tier(id, host),
+                loading: self.hosts[host].loading,
+                in_flight: 0,
+            })
+            .collect();
+        NearestCheckpoint.order(&need, &places).first().copied()
+    }
+
+    /// Removes the replica that has been idle longest; returns its host.
+    fn make_room(&mut self, id: usize, ahead: bool) -> Option<usize> {
+        if ahead || !self.evicts {
+            return None;
+        }
+        let mut best: Option<(u64, usize, usize)> = None;
+        for (other, s) in self.services.iter().enumerate().filter(|(other, _)| *other != id) {
+            for (at, x) in s.replicas.iter().enumerate() {
+                let idle = x.ready && x.busy == 0;
+                if idle && best.is_none_or(|(since, ..)| x.idle_since_us < since) {
+                    best = Some((x.idle_since_us, other, at));
+                }
+            }
+        }
+        let (_, other, at) = best?;
+        let host = self.services[other].replicas[at].host;
+        self.remove_replica(other, at);
+        self.publish(other);
+        Some(host)
+    }
+
+    /// Plans the next look: the end of the retention, the prewarm, or a waiter's deadline.
+    fn schedule(&mut self, id: usize, plan: &Plan) {
+        let s = &self.services[id];
+        let Some(last_us) = s.last_use_us else { return };
+        let after = |span: Duration| last_us.saturating_add(span.as_micros() as u64);
+        let mut times = Vec::new();
+        if !s.replicas.is_empty() {
+            times.push(after(plan.keep));
+        }
+        if let Some((from, span)) = plan.prewarm {
+            times.extend([after(from), after(from + span)]);
+        }
+        if !s.waiting.is_empty() {
+            times.push(self.now_us + 500_000);
+        }
+        let next = times.into_iter().filter(|t| *t > self.now_us).min();
+        self.services[id].next_look_us = next;
+        if let Some(at) = next {
+            self.events.push(Reverse((at, Event::Look { service: id })));
+        }
+        debug_assert!(id < self.names.len());
+    }
+}
+
+/// Returns the time to have the adapter beside the replica's model.
+fn adapter_time(replica: &mut Replica, adapter: &str) -> u64 {
+    if adapter.is_empty() || replica.adapters.iter().any(|a| a == adapter) {
+        return 0;
+    }
+    if replica.adapters.len() == ADAPTERS {
+        replica.adapters.remove(0);
+    }
+    replica.adapters.push(adapter.to_owned());
+    ADAPTER_US
+}
