Stage checkpoints, add a second replica for a burst's queue; remember unanswered orders

Cause of the cold tail: the first load of each model from the weight store, and queues of 20 to 40 requests behind one replica after a burst. Change, for rules where cold starts weigh more: a model whose checkpoint is far is loaded once while nobody asks, four loads at once, and removed again; a queue of over a second pays for another replica, which goes after the least retention. Staging made the property tests reach a fault that they had not reached before: an unanswered load order of a former holder was forgotten with its claim, and its word that the model is ready took its name off the slot while that order was still on its way to an engine that ignores fencing tokens. Orders are remembered for their lifetime now, and a former holder takes its name off only after that; the shrunk case is a row of its own.

--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -27,7 +27,7 @@
 use tansyknot_policy::{
     placement::Placement,
     retention::{Retention, RetentionOptions},
-    scaling::{Demand, ReplicaBounds},
+    scaling::{self, ColdWeight, Demand, ReplicaBounds},
 };
 
 use crate::{
@@ -100,8 +100,20 @@
     began: Time,
     /// Load orders sent for it.
     orders: u32,
-    /// When the last load order without an answer was sent.
-    unanswered: Option<Time>,
+}
+
+/// How far the checkpoint of a service has been brought near the engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Staged {
+    /// Not looked at yet.
+    #[default]
+    Unknown,
+    /// To be looked at again from this time on.
+    Later(Time),
+    /// A load runs, or its replica waits to be removed.
+    Loading,
+    /// It is near.
+    Near,
 }
 
 /// What this process knows of one service.
@@ -111,8 +123,11 @@
     watches: HashMap<TargetName, Watch>,
     draining_since: HashMap<TargetName, Time>,
     checked_at: HashMap<TargetName, Time>,
+    /// When the last load order that was not answered was sent. This outlives the claim.
+    unanswered: HashMap<TargetName, Time>,
     waiting_since: Option<Time>,
     follow_pause: Duration,
+    staging: Staged,
     next_step: Time,
 }
 
@@ -148,8 +163,16 @@
 }
 
 impl Decided {
-    fn bounds(&self) -> ReplicaBounds {
-        ReplicaBounds { min: self.rule.replicas.min, max: self.rule.replicas.max }
+    fn bounds(&self, load_time: Duration) -> ReplicaBounds {
+        let weight = match self.rule.retention.weight {
+            Weight::Cold => ColdWeight::More,
+            Weight::Idle => ColdWeight::Less,
+        };
+        ReplicaBounds {
+            min: self.rule.replicas.min,
+            max: self.rule.replicas.max,
+            extra_after: scaling::extra_after(weight, load_time),
+        }
     }
 
     fn retention(&self, load_time: Duration) -> RetentionOptions {
@@ -292,11 +315,15 @@
         self.remote.lock().expect("no holder of the lock panics").keys().cloned().collect()
     }
 
-    /// Returns the services that the operators want loaded without a request.
+    /// Returns the services that are loaded without a request: those that the operators want
+    /// kept, and those whose checkpoints are to be brought near.
     fn kept_services(&self) -> Vec<ServiceName> {
         self.parts.config.with(|store| {
             let kept = store.services().filter(|service| {
-                store.rule_for(service).is_some_and(|rule| rule.replicas.min > 0)
+                let model = matches!(service.backend, Backend::Model(_));
+                let wanted =
+                    |rule: &Rule| rule.replicas.min > 0 || rule.retention.weight == Weight::Cold;
+                model && store.rule_for(service).is_some_and(wanted)
             });
             kept.map(|service| service.name.clone()).collect()
         })
--- a/crates/tansyknot-control/src/reconcile/place.rs
+++ b/crates/tansyknot-control/src/reconcile/place.rs
@@ -3,13 +3,16 @@
 use rand::seq::IndexedRandom;
 use tansyknot_core::{
     Error, Result,
-    engine::{EngineStatus, ModelState},
+    engine::{EngineStatus, ModelState, Tier},
     event,
     host::{Target, TargetKind},
     name::{ServiceName, TargetName, ZoneName},
     replica::{MemoryRow, ReplicaRow},
 };
-use tansyknot_policy::placement::{Need, Place};
+use tansyknot_policy::{
+    placement::{Need, Place},
+    staging::Staging,
+};
 
 use super::{Decided, Reconciler, ServiceState, SlotWork};
 use crate::{
@@ -85,6 +88,22 @@
         self.reserve_at(service, state, replicas, decided, &asked[best])
     }
 
+    /// Asks how near the checkpoint of a service lies, and whether a load would be in the way.
+    pub(super) fn look_at_stage(
+        &self,
+        service: &ServiceName,
+        decided: &Decided,
+    ) -> Result<Staging> {
+        let asked = self.ask_targets(decided)?;
+        let places: Vec<Place> = asked.iter().map(|a| a.place(service)).collect();
+        let need = need(&ReplicaRow::default(), decided, &asked);
+        Ok(Staging {
+            nearest: places.iter().map(|p| p.tier).min().unwrap_or(Tier::Remote),
+            loading: places.iter().map(|p| p.loading).sum(),
+            has_room: !self.parts.placement.order(&need, &places).is_empty(),
+        })
+    }
+
     fn reserve_at(
         &self,
         service: &ServiceName,
@@ -116,7 +135,7 @@
             Err(e) => return Err(e),
         };
         let claim = Claim::new(row.last_fence, before);
-        let work = SlotWork { claim, ordered: false, began: before, orders: 0, unanswered: None };
+        let work = SlotWork { claim, ordered: false, began: before, orders: 0 };
         state.work.insert(asked.target.name.clone(), work);
         event::REPLICA_RESERVED.emit(&[
             ("service", service),
--- a/crates/tansyknot-control/src/reconcile/retire.rs
+++ b/crates/tansyknot-control/src/reconcile/retire.rs
@@ -2,19 +2,26 @@
 
 use std::time::Duration;
 
+use tansyknot_config::object::Weight;
 use tansyknot_core::{
     Result,
     clock::Time,
+    engine::Tier,
     event,
     name::ServiceName,
     refusal::{Reason, Refusal},
     replica::{ReplicaRow, Slot, SlotState},
 };
-use tansyknot_policy::scaling::{self, Demand};
+use tansyknot_policy::{
+    scaling::{self, Demand},
+    staging,
+};
 
-use super::{Decided, Reconciler, ServiceState, place::Placed};
+use super::{Decided, Reconciler, ServiceState, Staged, place::Placed};
 use crate::replicas::Versioned;
 
+/// A model whose checkpoint is far, and could not be staged, is looked at again after this long.
+const STAGE_LOOK: Duration = Duration::from_secs(5);
 /// When a caller should come back if no replica can be loaded.
 const CAPACITY_RETRY: Duration = Duration::from_secs(10);
 
@@ -38,7 +45,7 @@
         }
         let present = count(&replicas.row, |s| s.state != SlotState::Draining);
         let prewarm = self.wants_prewarm(service, decided, demand);
-        let mut wanted = scaling::wanted(demand, present, decided.bounds());
+        let mut wanted = scaling::wanted(demand, present, decided.bounds(demand.load_time));
         if prewarm {
             wanted = wanted.max(1).min(max);
         }
@@ -51,6 +58,9 @@
         if !prewarm && present > decided.rule.replicas.min {
             return self.drain_idle(service, state, replicas, decided, demand);
         }
+        if total == 0 && max > 0 {
+            return self.stage(service, state, replicas, decided, demand);
+        }
         Ok(())
     }
 
@@ -117,16 +127,65 @@
         demand: &Demand,
     ) -> Result<()> {
         let now = self.parts.clock.now();
-        if demand.waiting > 0 || demand.in_flight > 0 || !self.is_past_plan(service, decided, now) {
+        if demand.waiting > 0 || demand.in_flight > 0 {
+            return Ok(());
+        }
+        let staged = state.staging == Staged::Loading;
+        let is_extra = replicas.row.slots.len() > 1;
+        let unused = self.is_unused_for(service, decided.rule.retention.at_least.duration(), now);
+        let goes = staged || (is_extra && unused) || self.is_past_plan(service, decided, now);
+        if !goes {
             return Ok(());
         }
         let ready = replicas.row.slots.iter().find(|s| s.state == SlotState::Ready).cloned();
         match ready {
-            Some(slot) => self.begin_drain(service, state, replicas, &slot),
+            Some(slot) => {
+                if staged {
+                    state.staging = Staged::Near;
+                }
+                self.begin_drain(service, state, replicas, &slot)
+            }
             None => Ok(()),
         }
     }
 
+    /// Loads a model once that nobody asks for, so that its checkpoint is near when someone does.
+    fn stage(
+        &self,
+        service: &ServiceName,
+        state: &mut ServiceState,
+        replicas: &mut Versioned<ReplicaRow>,
+        decided: &Decided,
+        demand: &Demand,
+    ) -> Result<()> {
+        let now = self.parts.clock.now();
+        let is_due = match state.staging {
+            Staged::Unknown => true,
+            Staged::Later(at) => now >= at,
+            Staged::Loading | Staged::Near => false,
+        };
+        let quiet = demand.waiting == 0 && demand.in_flight == 0;
+        if !is_due || !quiet || decided.rule.retention.weight != Weight::Cold {
+            return Ok(());
+        }
+        let staging = self.look_at_stage(service, decided)?;
+        if staging.nearest != Tier::Remote {
+            state.staging = Staged::Near;
+            return Ok(());
+        }
+        state.staging = Staged::Later(now + STAGE_LOOK);
+        if staging::wants_staging(&staging)
+            && self.reserve(service, state, replicas, decided)? == Placed::Reserved
+        {
+            state.staging = Staged::Loading;
+        }
+        Ok(())
+    }
+
+    fn is_unused_for(&self, service: &ServiceName, span: Duration, now: Time) -> bool {
+        now.since(self.usage.get_or_begin(service, now).last) >= span
+    }
+
     fn is_past_plan(&self, service: &ServiceName, decided: &Decided, now: Time) -> bool {
         let used = self.usage.get_or_begin(service, now);
         let load_time = self.parts.pools.demand(service).load_time;
--- a/crates/tansyknot-control/src/reconcile/slot.rs
+++ b/crates/tansyknot-control/src/reconcile/slot.rs
@@ -15,7 +15,7 @@
 use super::{Reconciler, ServiceState, SlotWork};
 use crate::{
     claim::{Claim, Watch},
-    replicas::{self, SlotChange, Versioned},
+    replicas::{self, OwnOrders, SlotChange, Versioned},
 };
 
 /// A target that is missing from the list for this long is gone.
@@ -47,6 +47,11 @@
         } else {
             state.work.remove(target);
         }
+        let former = !mine && slot.ordering.contains(&self.parts.incarnation);
+        if former && self.own_orders(state, target) == OwnOrders::Settled {
+            self.change(service, replicas, target, &SlotChange::Settle)?;
+            return Ok(());
+        }
         match slot.state {
             SlotState::Reserved if mine => self.advance_load(service, state, replicas, &slot),
             SlotState::Draining if mine => self.advance_drain(service, state, replicas, &slot),
@@ -97,7 +102,6 @@
             ordered: false,
             began: old.map_or(before, |w| w.began),
             orders: old.map_or(0, |w| w.orders),
-            unanswered: old.and_then(|w| w.unanswered),
         };
         state.work.insert(target.clone(), work);
         Ok(())
@@ -143,7 +147,8 @@
         let Ok(status) = self.parts.engine.status(&target) else { return Ok(()) };
         match status.model(service).map(|m| m.state) {
             Some(ModelState::Ready) => {
-                self.change(service, replicas, &slot.target, &SlotChange::Ready)?;
+                let own = self.own_orders(state, &slot.target);
+                self.change(service, replicas, &slot.target, &SlotChange::Ready(own))?;
                 let took = self.parts.clock.now().since(work.began);
                 state.work.remove(&slot.target);
                 state.checked_at.insert(slot.target.clone(), now);
@@ -197,9 +202,7 @@
             }
             Error::OutOfMemory => self.begin_drain(service, state, replicas, slot),
             e if e.may_have_taken_effect() => {
-                if let Some(work) = state.work.get_mut(&slot.target) {
-                    work.unanswered = Some(self.parts.clock.now());
-                }
+                state.unanswered.insert(slot.target.clone(), self.parts.clock.now());
                 Ok(())
             }
             // The order is idempotent on this target: it is sent again under this claim or the
@@ -250,12 +253,12 @@
         slot: &Slot,
     ) -> Result<()> {
         let before = self.parts.clock.now();
-        let row = self.change(service, replicas, &slot.target, &SlotChange::Drain)?;
+        let own = self.own_orders(state, &slot.target);
+        let row = self.change(service, replicas, &slot.target, &SlotChange::Drain(own))?;
         event::REPLICA_DRAINING.emit(&[("service", service), ("target", &slot.target)]);
         let fence = row.slot(&slot.target).map_or(slot.fence, |s| s.fence);
         let claim = Claim::new(fence, before);
-        let unanswered = state.work.get(&slot.target).and_then(|w| w.unanswered);
-        let work = SlotWork { claim, ordered: false, began: before, orders: 0, unanswered };
+        let work = SlotWork { claim, ordered: false, began: before, orders: 0 };
         state.work.insert(slot.target.clone(), work);
         state.draining_since.insert(slot.target.clone(), before);
         Ok(())
@@ -329,7 +332,10 @@
         target: Option<&Target>,
     ) -> Result<()> {
         let checked = target.is_some_and(|t| t.fencing == Fencing::Checked);
-        if !checked && (self.has_order_under_way(slot)? || self.is_order_fresh(state, slot)) {
+        if !checked
+            && (self.has_order_under_way(slot)?
+                || self.own_orders(state, &slot.target) == OwnOrders::Unsettled)
+        {
             event::REPLICA_HELD.emit(&[("service", service), ("target", &slot.target)]);
             return Ok(());
         }
@@ -344,9 +350,10 @@
     }
 
     /// Tells whether a load order of this process that was never answered may still arrive.
-    fn is_order_fresh(&self, state: &ServiceState, slot: &Slot) -> bool {
-        let unanswered = state.work.get(&slot.target).and_then(|w| w.unanswered);
-        unanswered.is_some_and(|at| self.parts.clock.now().since(at) < ORDER_LIFETIME)
+    fn own_orders(&self, state: &ServiceState, target: &TargetName) -> OwnOrders {
+        let now = self.parts.clock.now();
+        let fresh = state.unanswered.get(target).is_some_and(|at| now.since(*at) < ORDER_LIFETIME);
+        if fresh { OwnOrders::Unsettled } else { OwnOrders::Settled }
     }
 
     /// Tells whether an incarnation other than this one may still have a load order on its way.
--- a/crates/tansyknot-control/src/replicas.rs
+++ b/crates/tansyknot-control/src/replicas.rs
@@ -170,10 +170,21 @@
 pub enum SlotChange {
     /// The writer takes the slot over, under a new fencing token.
     Claim,
-    /// The engine said that the model is ready; the writer has no order under way.
-    Ready,
+    /// The engine said that the model is ready.
+    Ready(OwnOrders),
     /// No new request is sent there; under a new fencing token.
-    Drain,
+    Drain(OwnOrders),
+    /// A former holder says that none of its load orders is on its way any more.
+    Settle,
+}
+
+/// Whether a load order of the writer may still be on its way to the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnOrders {
+    /// Every one was answered, or has been dropped with its connection.
+    Settled,
+    /// One was not answered and may still arrive.
+    Unsettled,
 }
 
 /// Changes the slot on `target` and returns the row as written.
@@ -212,21 +223,30 @@
                 slot.ordering.push(writer.incarnation.clone());
             }
         }
-        SlotChange::Ready => {
+        SlotChange::Ready(own) => {
             slot.state = SlotState::Ready;
-            slot.ordering.retain(|i| *i != writer.incarnation);
+            settle(slot, *own, writer);
         }
-        SlotChange::Drain => {
+        SlotChange::Drain(own) => {
             slot.fence = fence;
             slot.state = SlotState::Draining;
-            // The writer's own load order, if any, has ended before it decided to drain.
-            slot.ordering.retain(|i| *i != writer.incarnation);
+            settle(slot, *own, writer);
+        }
+        SlotChange::Settle => {
+            settle(slot, OwnOrders::Settled, writer);
+            return;
         }
     }
     slot.holder = writer.incarnation.clone();
     slot.since_ms = writer.at_ms;
 }
 
+fn settle(slot: &mut Slot, own: OwnOrders, writer: &Writer) {
+    if own == OwnOrders::Settled {
+        slot.ordering.retain(|i| *i != writer.incarnation);
+    }
+}
+
 /// Removes the slot on `target` and frees its memory, in one transaction.
 ///
 /// The caller must know that the engine does not have the model and can't get it by an order
--- a/crates/tansyknot-control/tests/races.rs
+++ b/crates/tansyknot-control/tests/races.rs
@@ -183,3 +183,30 @@
         never_over(&ops, limit, Fencing::Ignored)?;
     }
 }
+
+/// Found by the properties: the order of a former holder was forgotten with its claim, and its
+/// word that the model is ready took its name off the slot although an order was on its way.
+#[test]
+fn unanswered_order_is_remembered_after_the_slot_went_to_another() {
+    let ops = [
+        Op::Step(0),
+        Op::Restart(0),
+        Op::StepAround(2, 0),
+        Op::Advance(45_792),
+        Op::LoseReplies(true),
+        Op::Step(2),
+        Op::Hold(true),
+        Op::Step(0),
+        Op::LoseReplies(false),
+        Op::FinishLoads,
+        Op::StepAround(2, 0),
+        Op::Hold(false),
+        Op::Step(2),
+        Op::Advance(14_208),
+        Op::StepAround(0, 2),
+        Op::Advance(1000),
+        Op::Step(2),
+        Op::Deliver,
+    ];
+    never_over(&ops, 1, Fencing::Ignored).expect("the limit holds");
+}
--- a/crates/tansyknot-policy/examples/replay/policy.rs
+++ b/crates/tansyknot-policy/examples/replay/policy.rs
@@ -14,6 +14,8 @@
     pub(crate) retention: Box<dyn Retention>,
     /// Whether the span is bounded as the daemon's rules bound it.
     pub(crate) bounded: bool,
+    /// Whether checkpoints are brought near before they are asked for.
+    pub(crate) stages: bool,
 }
 
 impl Policy {
@@ -23,13 +25,14 @@
 
     /// Returns a policy.
     pub(crate) fn by_name(name: &str) -> miette::Result<Self> {
-        let fixed = |span| Self { retention: Box::new(FixedSpan(span)), bounded: false };
+        let fixed =
+            |span| Self { retention: Box::new(FixedSpan(span)), bounded: false, stages: false };
         match name {
             // Both keep models until memory is needed; with enough of it they are the same.
             "never_unload" | "lru_on_demand" => Ok(fixed(FOREVER)),
             "fixed_ttl_60s" => Ok(fixed(Duration::from_secs(60))),
             "fixed_ttl_600s" => Ok(fixed(Duration::from_secs(600))),
-            "tansyknot" => Ok(Self { retention: Box::new(LeastCost), bounded: true }),
+            "tansyknot" => Ok(Self { retention: Box::new(LeastCost), bounded: true, stages: true }),
             _ => Err(miette!(help = "--list names them", "there is no policy {name:?}")),
         }
     }
--- a/crates/tansyknot-policy/examples/replay/world.rs
+++ b/crates/tansyknot-policy/examples/replay/world.rs
@@ -19,7 +19,8 @@
     queue::{Ticket, Waiter},
     retention::{Plan, RetentionOptions},
     routing::ZoneTwoChoices,
-    scaling::{self, Demand, ReplicaBounds},
+    scaling::{self, ColdWeight, Demand, ReplicaBounds},
+    staging::{self, Staging},
 };
 
 use crate::{
@@ -44,6 +45,8 @@
 const FULL_SPEED_LOADS: u32 = 4;
 /// Checkpoints that stay in a host's main memory after their model has been removed.
 const MEMORY_CACHED: usize = 2;
+/// An unused replica stays at least this long.
+const AT_LEAST: Duration = Duration::from_secs(10);
 /// A gap shorter than this is not idle time, as in the daemon.
 const SHORTEST_GAP_US: u64 = 1_000_000;
 /// A request is a first one if its service had none for this long.
@@ -63,6 +66,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
+    /// Time to bring checkpoints near, from this service on.
+    Stage {
+        service: usize,
+    },
     Finish {
         request: usize,
         host: usize,
@@ -203,6 +210,9 @@
     /// Runs the whole trace and returns the figures.
     pub(crate) fn run(mut self, name: &str) -> Report {
         self.evicts = Policy::evicts(name);
+        if self.policy.stages && self.options.weight == Weight::Cold {
+            self.events.push(Reverse((0, Event::Stage { service: 0 })));
+        }
         let end_us = self.requests.last().map_or(0, |r| r.at_ms * 1000);
         while let Some(Reverse((at, event))) = self.events.pop() {
             // After the last arrival only what still runs or waits is of interest.
@@ -242,6 +252,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive { request } => self.arrive(request),
+            Event::Stage { service } => self.stage(service),
             Event::Finish { request, host } => self.finish(request, host),
             Event::Loaded { service, host } => self.loaded(service, host),
             Event::Look { service } => {
@@ -363,6 +374,11 @@
             s.load_us = now_us - replica.began_us;
             s.pool.record_load(Duration::from_micros(s.load_us));
         }
+        if self.services[id].last_use_us.is_none() {
+            // It was loaded only to bring its checkpoint near.
+            self.remove_replica(id, 0);
+            return;
+        }
         self.publish(id);
         self.look(id);
     }
@@ -393,7 +409,12 @@
             service_time: s.pool.service_time(),
             load_time: Duration::from_micros(s.load_us),
         };
-        let bounds = ReplicaBounds { min: 0, max: self.options.replicas };
+        let weight = match self.options.weight {
+            Weight::Cold if self.policy.bounded => ColdWeight::More,
+            _ => ColdWeight::Less,
+        };
+        let extra_after = scaling::extra_after(weight, demand.load_time);
+        let bounds = ReplicaBounds { min: 0, max: self.options.replicas, extra_after };
         let present = s.replicas.len() as u32;
         let plan = self.plan(id);
         let prewarm = self.is_prewarm_time(id, &plan);
@@ -429,7 +450,7 @@
         };
         let options = RetentionOptions {
             cold_start_worth,
-            at_least: Duration::from_secs(10),
+            at_least: AT_LEAST,
             at_most,
             load_time: Duration::from_micros(s.load_us),
         };
@@ -446,7 +467,11 @@
 
     fn remove_idle(&mut self, id: usize, plan: &Plan) {
         let Some(last_us) = self.services[id].last_use_us else { return };
-        if Duration::from_micros(self.now_us - last_us) < plan.keep {
+        let idle = Duration::from_micros(self.now_us - last_us);
+        if self.policy.bounded && idle >= AT_LEAST && self.services[id].replicas.len() > 1 {
+            self.remove_extra(id);
+        }
+        if idle < plan.keep {
             return;
         }
         while let Some(at) = self.services[id].replicas.iter().position(|x| x.ready && x.busy == 0)
@@ -456,6 +481,16 @@
         self.publish(id);
     }
 
+    /// Leaves one replica: the others were for a queue that has gone.
+    fn remove_extra(&mut self, id: usize) {
+        while self.services[id].replicas.len() > 1 {
+            let idle = |x: &Replica| x.ready && x.busy == 0;
+            let Some(at) = self.services[id].replicas.iter().rposition(idle) else { break };
+            self.remove_replica(id, at);
+        }
+        self.publish(id);
+    }
+
     fn remove_replica(&mut self, id: usize, at: usize) {
         let replica = self.services[id].replicas.remove(at);
         let loaded_us = self.now_us - replica.began_us;
@@ -505,6 +540,26 @@
         true
     }
 
+    /// Loads services once that nobody asks for, as the operators know them from the start.
+    fn stage(&mut self, id: usize) {
+        let Some(service) = self.services.get(id) else { return };
+        let hosts = 0..self.hosts.len();
+        let staging = Staging {
+            nearest: hosts.map(|host| self.tier(id, host)).min().unwrap_or(Tier::Remote),
+            loading: self.hosts.iter().map(|h| h.loading).sum(),
+            has_room: self.choose_host(id).is_some(),
+        };
+        let untouched = service.replicas.is_empty();
+        if untouched && staging::wants_staging(&staging) {
+            self.load(id, true);
+        } else if untouched && staging.nearest == Tier::Remote {
+            // Loads are running: a later look finds room among them.
+            self.events.push(Reverse((self.now_us + 1_000_000, Event::Stage { service: id })));
+            return;
+        }
+        self.events.push(Reverse((self.now_us, Event::Stage { service: id + 1 })));
+    }
+
     fn tier(&self, id: usize, host: usize) -> Tier {
         let h = &self.hosts[host];
         match (h.memory.contains(&id), h.disk.contains(&id)) {
@@ -577,6 +632,7 @@
         let mut times = Vec::new();
         if !s.replicas.is_empty() {
             times.push(after(plan.keep));
+            times.push(after(AT_LEAST));
         }
         if let Some((from, span)) = plan.prewarm {
             times.extend([after(from), after(from + span)]);
--- a/crates/tansyknot-policy/src/lib.rs
+++ b/crates/tansyknot-policy/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod retention;
 pub mod routing;
 pub mod scaling;
+pub mod staging;
--- a/crates/tansyknot-policy/src/scaling.rs
+++ b/crates/tansyknot-policy/src/scaling.rs
@@ -24,12 +24,37 @@
     pub min: u32,
     /// Never more than this.
     pub max: u32,
+    /// Another replica pays if the queue would need longer than this.
+    pub extra_after: Duration,
+}
+
+/// A queue this long costs callers more than a second load, where cold starts weigh more.
+const SHORT_QUEUE: Duration = Duration::from_secs(1);
+
+/// Returns the queue that pays for another replica, in the time that it would need.
+///
+/// A load that begins with the first one ends with it, so that it halves the queue of a burst;
+/// where idle hours weigh more, the queue has to be longer than the load.
+pub fn extra_after(cold_weighs_more: ColdWeight, load_time: Duration) -> Duration {
+    match cold_weighs_more {
+        ColdWeight::More => SHORT_QUEUE.min(load_time),
+        ColdWeight::Less => load_time,
+    }
+}
+
+/// Whether cold starts weigh more than idle hours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdWeight {
+    /// They do.
+    More,
+    /// They do not.
+    Less,
 }
 
 /// Returns how many replicas the service should have when it has `present` (ready or coming).
 ///
 /// The first request wants one. Another one is wanted only if the present replicas would need
-/// longer for the queue than a load takes.
+/// longer for the queue than the bounds say.
 pub fn wanted(demand: &Demand, present: u32, bounds: ReplicaBounds) -> u32 {
     let floor = bounds.min.min(bounds.max);
     if demand.waiting == 0 && demand.in_flight == 0 {
@@ -39,7 +64,7 @@
         return 1.max(floor).min(bounds.max);
     }
     let queue_time = drain_time(demand, present);
-    let pays = queue_time > demand.load_time && demand.waiting > 0;
+    let pays = queue_time > bounds.extra_after && demand.waiting > 0;
     let wanted = if pays { present + 1 } else { present };
     wanted.max(floor).min(bounds.max)
 }
--- a/crates/tansyknot-policy/tests/decisions.rs
+++ b/crates/tansyknot-policy/tests/decisions.rs
@@ -16,7 +16,8 @@
     queue::{WaitQueue, Waiter},
     retention::{LeastCost, Plan, Retention, RetentionOptions},
     routing::{Candidate, Routing, ZoneTwoChoices},
-    scaling::{self, Demand, ReplicaBounds},
+    scaling::{self, ColdWeight, Demand, ReplicaBounds},
+    staging::{self, Staging},
 };
 use yare::parameterized;
 
@@ -113,7 +114,7 @@
     idle_ones_stay_for_the_retention = { 0, 0, 3, 0, 4, 3 },
 )]
 fn replicas_wanted(waiting: u32, in_flight: u32, present: u32, min: u32, max: u32, expected: u32) {
-    let bounds = ReplicaBounds { min, max };
+    let bounds = ReplicaBounds { min, max, extra_after: s(10) };
     assert_eq!(scaling::wanted(&demand(waiting, in_flight), present, bounds), expected);
 }
 
@@ -187,3 +188,23 @@
     // A clock that steps back gives nothing.
     assert!(meter.take(1.0, Time::from_millis(50)).is_err());
 }
+
+#[test]
+fn short_queue_pays_for_another_replica_where_cold_starts_weigh_more() {
+    let wanted = |weight| {
+        let extra_after = scaling::extra_after(weight, s(10));
+        scaling::wanted(&demand(12, 0), 1, ReplicaBounds { min: 0, max: 2, extra_after })
+    };
+    assert_eq!(wanted(ColdWeight::More), 2);
+    assert_eq!(wanted(ColdWeight::Less), 1);
+}
+
+#[parameterized(
+    far_and_room = { Tier::Remote, 0, true, true },
+    near_already = { Tier::Disk, 0, true, false },
+    loads_running = { Tier::Remote, 4, true, false },
+    no_room = { Tier::Remote, 0, false, false },
+)]
+fn checkpoint_is_staged(nearest: Tier, loading: u32, has_room: bool, expected: bool) {
+    assert_eq!(staging::wants_staging(&Staging { nearest, loading, has_room }), expected);
+}
