Bound what reading all rows and all daemons costs; list only a part of the hosts

Cause: worked out for docs/CAPACITY.md, a daemon at the target size read every replica row once a minute (11 KB/s), every daemon's row each 10 s (8.5 KB/s) and, at 0.043 changes a second, a list of hosts of 1.41 MB (61 KB/s), against 19 KB/s in all. Change: rows are read no more often than once in 140 ms for each row and four times less often without a change of the membership; the daemons' rows are read each 10 s in the first minute and then each 5 minutes; a query may restrict the list of hosts, to a region for instance.

--- a/crates/tansyknot-config/src/settings.rs
+++ b/crates/tansyknot-config/src/settings.rs
@@ -58,6 +58,9 @@
     pub table: SocketAddr,
     /// The list of hosts.
     pub hosts: SocketAddr,
+    /// A query for the list of hosts, such as `region=dakar`; a daemon then knows only those.
+    #[serde(default)]
+    pub hosts_query: String,
     /// How long a call to either may take.
     #[serde(default = "Platform::default_timeout")]
     pub timeout: Span,
--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -268,6 +268,11 @@
         })
     }
 
+    /// Returns the number of replica rows that this daemon has read.
+    pub fn known_rows(&self) -> usize {
+        self.parts.directory.services().len()
+    }
+
     /// Returns the services that want a step now.
     ///
     /// Services that wait for something are looked at each time, all others once a second.
--- a/crates/tansyknot-platform/src/host.rs
+++ b/crates/tansyknot-platform/src/host.rs
@@ -16,16 +16,18 @@
 #[derive(Debug)]
 pub struct HttpHostList {
     http: JsonClient,
-    base: String,
+    url: String,
     etag: Mutex<Option<String>>,
 }
 
 impl HttpHostList {
     /// Makes a client of the list at `address`.
-    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+    /// A `query` such as `region=dakar` has the platform list only a part of the hosts.
+    pub fn new(address: SocketAddr, query: &str, timeout: Duration) -> Self {
+        let query = if query.is_empty() { String::new() } else { format!("?{query}") };
         Self {
             http: JsonClient::new("list of hosts", timeout),
-            base: format!("http://{address}"),
+            url: format!("http://{address}/hosts{query}"),
             etag: Mutex::default(),
         }
     }
@@ -34,7 +36,7 @@
 impl HostList for HttpHostList {
     fn list(&self) -> Result<Option<Vec<Target>>> {
         let mut etag = self.etag.lock().expect("no holder of the lock panics");
-        let answer = self.http.get_if_changed(&format!("{}/hosts", self.base), etag.as_deref())?;
+        let answer = self.http.get_if_changed(&self.url, etag.as_deref())?;
         match answer.status {
             200 => {
                 let targets = self.http.parse(&answer.text)?;
--- a/crates/tansyknot-platform/tests/clients.rs
+++ b/crates/tansyknot-platform/tests/clients.rs
@@ -74,7 +74,7 @@
 #[test]
 fn list_of_hosts_is_sent_again_only_when_it_has_changed() {
     let (running, state) = hosts::start(loopback()).expect("a port is free");
-    let client = HttpHostList::new(running.address, TIMEOUT);
+    let client = HttpHostList::new(running.address, "region=north", TIMEOUT);
     state.set(vec![target(unused())]);
     assert_eq!(client.list().expect("up").expect("it is new").len(), 1);
     assert_eq!(client.list(), Ok(None));
--- a/crates/tansyknotd/src/control.rs
+++ b/crates/tansyknotd/src/control.rs
@@ -41,17 +41,26 @@
 const STEPPERS: usize = 8;
 /// How often a thread without a step to take looks whether to stop.
 const STOP_LOOK: Duration = Duration::from_millis(100);
-/// Every replica row is read at most this often, after the membership has changed: a daemon may
-/// coordinate services that it has never heard of.
-const SCAN_EVERY: Duration = Duration::from_secs(60);
-/// And at least this often.
-const SCAN_AT_LEAST: Duration = Duration::from_secs(300);
+/// How often it is looked whether every replica row is to be read.
+const SCAN_LOOK: Duration = Duration::from_secs(10);
+/// Every replica row is read at most this often.
+const SCAN_EVERY: Duration = Duration::from_secs(30);
+/// And no more often than once in this long for each row: a row has about 350 bytes on its way,
+/// so that reading them all takes 2.5 KB/s of a daemon's 19.
+const SCAN_EACH_ROW: Duration = Duration::from_millis(140);
+/// Without a change of the membership the rows are read this many times less often.
+const SCAN_QUIET: u32 = 4;
 /// How often callers with an attempt under way are looked at.
 const WATCH_EVERY: Duration = Duration::from_millis(200);
 /// How often old rows of idempotency keys are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(60);
-/// How often the table is asked for daemons that this one does not know.
+/// How often the table is asked for daemons that this one does not know, at first.
 const JOIN_EVERY: Duration = Duration::from_secs(10);
+/// And after this many rounds, one round in as many: news of members spreads by itself then, and
+/// the table only joins parts that have lost each other.
+const JOIN_FIRST: u32 = 6;
+/// One later round in this many asks the table.
+const JOIN_LATER: u32 = 30;
 /// How often the use of services is reported to their coordinators.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Old rows deleted at once.
@@ -229,10 +238,15 @@
 fn scan(control: &Arc<Control>, stop: &Arc<StopFlag>) -> JoinHandle<()> {
     let control = Arc::clone(control);
     let mut seen = None;
-    loops::every("scan", SCAN_EVERY, stop, move || {
-        let epoch = control.node.epoch();
-        let now = control.clock.now();
-        let is_due = seen.is_none_or(|(old, at)| old != epoch || now.since(at) >= SCAN_AT_LEAST);
+    loops::every("scan", SCAN_LOOK, stop, move || {
+        let (epoch, now) = (control.node.epoch(), control.clock.now());
+        let rows = u32::try_from(control.reconciler.known_rows()).unwrap_or(u32::MAX);
+        let pause = SCAN_EVERY.max(SCAN_EACH_ROW.saturating_mul(rows));
+        // After a change a daemon may coordinate services that it has never heard of.
+        let is_due = seen.is_none_or(|(old, at)| {
+            let factor = if old == epoch { SCAN_QUIET } else { 1 };
+            now.since(at) >= pause * factor
+        });
         // The next round reads what this one could not.
         if is_due && control.reconciler.scan().is_ok() {
             seen = Some((epoch, now));
@@ -269,7 +283,12 @@
 /// Takes in the daemons that the table lists.
 fn join(control: &Arc<Control>, stop: &Arc<StopFlag>) -> JoinHandle<()> {
     let control = Arc::clone(control);
+    let mut round = 0;
     loops::every("join", JOIN_EVERY, stop, move || {
+        round += 1;
+        if round > JOIN_FIRST && !round.is_multiple_of(JOIN_LATER) {
+            return;
+        }
         // Without the table the members that are known stay.
         let Ok(daemons) = replicas::read_daemons(control.table.as_ref()) else { return };
         let updates = daemons.into_iter().map(|(daemon, row)| Update {
--- a/crates/tansyknotd/src/daemon.rs
+++ b/crates/tansyknotd/src/daemon.rs
@@ -213,7 +213,11 @@
         let timeout = settings.platform.timeout.duration();
         Control {
             table: Arc::clone(&self.table),
-            host_list: Arc::new(HttpHostList::new(settings.platform.hosts, timeout)),
+            host_list: Arc::new(HttpHostList::new(
+                settings.platform.hosts,
+                &settings.platform.hosts_query,
+                timeout,
+            )),
             hosts: Arc::clone(&self.hosts),
             config: Arc::clone(&self.config),
             pools: Arc::clone(&self.pools),
