--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use tansyknot_config::object::{Backend, Model, Rule, Weight};
+use tansyknot_config::{
+    object::{Backend, Model, Rule, Weight},
+    store::{ConfigVersion, Store},
+};
 use tansyknot_core::{
     Error, Result,
     clock::{Clock, Time},
@@ -153,6 +156,7 @@
     remote: Mutex<HashMap<ServiceName, RemoteDemand>>,
     busy: Mutex<HashSet<ServiceName>>,
     next_full_look: Mutex<Time>,
+    kept: Mutex<(ConfigVersion, Vec<ServiceName>)>,
 }
 
 /// What the operators decided for a service with a model.
@@ -200,6 +204,7 @@
             remote: Mutex::default(),
             busy: Mutex::default(),
             next_full_look: Mutex::default(),
+            kept: Mutex::default(),
         }
     }
 
@@ -322,16 +327,15 @@
 
     /// Returns the services that are loaded without a request: those that the operators want
     /// kept, and those whose checkpoints are to be brought near.
+    ///
+    /// They are found once for each version: it takes each service past each rule's selector.
     fn kept_services(&self) -> Vec<ServiceName> {
-        self.parts.config.with(|store| {
-            let kept = store.services().filter(|service| {
-                let model = matches!(service.backend, Backend::Model(_));
-                let wanted =
-                    |rule: &Rule| rule.replicas.min > 0 || rule.retention.weight == Weight::Cold;
-                model && store.rule_for(service).is_some_and(wanted)
-            });
-            kept.map(|service| service.name.clone()).collect()
-        })
+        let version = self.parts.config.version();
+        let mut kept = self.kept.lock().expect("no holder of the lock panics");
+        if kept.0 != version {
+            *kept = (version, self.parts.config.with(find_kept));
+        }
+        kept.1.clone()
     }
 
     fn wants_step(&self, service: &ServiceName, now: Time) -> bool {
@@ -585,6 +589,15 @@
     }
 }
 
+fn find_kept(store: &Store) -> Vec<ServiceName> {
+    let wanted = |rule: &Rule| rule.replicas.min > 0 || rule.retention.weight == Weight::Cold;
+    let kept = store.services().filter(|service| {
+        let is_model = matches!(service.backend, Backend::Model(_));
+        is_model && store.rule_for(service).is_some_and(wanted)
+    });
+    kept.map(|service| service.name.clone()).collect()
+}
+
 fn unordered(state: &ServiceState) -> Vec<TargetName> {
     let fresh = state.work.iter().filter(|(_, work)| !work.ordered && work.orders == 0);
     fresh.map(|(target, _)| target.clone()).collect()
--- /dev/null
+++ b/crates/tansyknot-core/tests/promises.rs
@@ -0,0 +1,37 @@
+//! The page of promises names tests that are there.
+
+use std::{fs, path::Path};
+
+const PAGE: &str = include_str!("../../../docs/PROMISES.md");
+
+/// Returns the text of every test file of the workspace.
+fn test_files() -> String {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut text = String::new();
+    for package in fs::read_dir(crates).expect("the workspace is there").flatten() {
+        let Ok(tests) = fs::read_dir(package.path().join("tests")) else { continue };
+        for file in tests.flatten().filter(|f| f.path().extension().is_some_and(|e| e == "rs")) {
+            text.push_str(&fs::read_to_string(file.path()).expect("a test file is text"));
+        }
+    }
+    text
+}
+
+fn is_test_name(word: &str) -> bool {
+    word.contains('_')
+        && word.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_')
+}
+
+#[test]
+fn every_test_that_the_page_names_is_there() {
+    let files = test_files();
+    let quoted = PAGE.split('`').skip(1).step_by(2);
+    let names: Vec<&str> = quoted
+        .map(|word| word.strip_suffix("::*").unwrap_or(word))
+        .filter(|word| is_test_name(word))
+        .collect();
+    assert!(names.len() > 40, "the page names only {} tests", names.len());
+    let missing: Vec<&&str> =
+        names.iter().filter(|name| !files.contains(&format!("fn {name}("))).collect();
+    assert!(missing.is_empty(), "not there: {missing:?}");
+}
