--- a/crates/tansyknot-edge/src/gateway.rs
+++ b/crates/tansyknot-edge/src/gateway.rs
@@ -61,6 +61,9 @@
     /// Takes in that an engine did not have a model that a row said was ready.
     fn not_loaded(&self, service: &ServiceName);
 
+    /// Has the engine on `target` cancel an attempt whose caller has left.
+    fn cancel(&self, target: &Target, attempt: &AttemptId);
+
     /// Has an adapter loaded beside its model on `target`.
     ///
     /// # Errors
@@ -356,11 +359,16 @@
             wire: &wire,
         };
         let _watch = self.parts.watch.watch(run.stream, &wire);
-        match attempt::send(self.agent(req), &attempt) {
+        let tried = match attempt::send(self.agent(req), &attempt) {
             Ok(answer) => self.relay(run, &attempt, answer),
             Err(_) if wire.is_cut() => Err(caller_left()),
             Err(failure) => Ok(Tried::Failed(failure)),
+        };
+        if wire.is_cut() && req.kind == Kind::Model {
+            // The connection is closed already; an engine that resumes streams would go on.
+            self.parts.replicas.cancel(&target, &attempt_id);
         }
+        tried
     }
 
     fn agent(&self, req: &Identified) -> &ureq::Agent {
--- a/crates/tansyknot-edge/tests/answers.rs
+++ b/crates/tansyknot-edge/tests/answers.rs
@@ -215,6 +215,8 @@
         front.watch.look();
         std::thread::yield_now();
     }
+    let cancelled = front.orders.cancelled.lock().expect("no panic");
+    assert_eq!(cancelled.len(), 1, "the engine was not told");
 }
 
 #[test]
--- a/crates/tansyknot-edge/tests/support/mod.rs
+++ b/crates/tansyknot-edge/tests/support/mod.rs
@@ -24,7 +24,7 @@
     clock::{Clock, SystemClock},
     engine::LoadOrder,
     host::{Fencing, HostState, Target, TargetKind},
-    name::{AdapterName, DaemonName, Incarnation, ServiceName, TargetName, ZoneName},
+    name::{AdapterName, AttemptId, DaemonName, Incarnation, ServiceName, TargetName, ZoneName},
     replica::{ReplicaRow, Slot, SlotState},
     telemetry::NoRecorder,
 };
@@ -122,11 +122,14 @@
     pub(crate) pools: Arc<Pools>,
     pub(crate) watch: Arc<CallerWatch>,
     pub(crate) explainer: Arc<Explainer>,
+    pub(crate) orders: Arc<NoOrders>,
 }
 
+/// Notes the orders that the pipeline gives.
 #[derive(Default)]
-struct NoOrders {
+pub(crate) struct NoOrders {
     not_loaded: Mutex<Vec<ServiceName>>,
+    pub(crate) cancelled: Mutex<Vec<AttemptId>>,
 }
 
 impl Replicas for NoOrders {
@@ -134,6 +137,10 @@
         self.not_loaded.lock().expect("no panic").push(service.clone());
     }
 
+    fn cancel(&self, _: &Target, attempt: &AttemptId) {
+        self.cancelled.lock().expect("no panic").push(attempt.clone());
+    }
+
     fn load_adapter(
         &self,
         _: &Target,
@@ -218,13 +225,14 @@
         let lifecycle: Arc<Lifecycle> = Arc::default();
         let watch: Arc<CallerWatch> = Arc::default();
         let explainer: Arc<Explainer> = Arc::default();
+        let orders: Arc<NoOrders> = Arc::default();
         let parts = Parts {
             config,
             hosts,
             pools: Arc::clone(&pools),
             publisher,
             table: Arc::new(table.clone()),
-            replicas: Arc::new(NoOrders::default()),
+            replicas: Arc::clone(&orders) as Arc<dyn Replicas>,
             recorder: Arc::new(NoRecorder),
             clock,
             lifecycle: Arc::clone(&lifecycle),
@@ -243,7 +251,7 @@
         let address = listener.local_addr().expect("it is bound");
         let (options, served) = (options.clone(), Arc::clone(&lifecycle));
         thread::spawn(move || server::serve(&listener, &options, &handler, &served));
-        Front { address, table, lifecycle, pools, watch, explainer }
+        Front { address, table, lifecycle, pools, watch, explainer, orders }
     }
 
     /// Returns how many requests the engines have started.
--- a/crates/tansyknotd/src/replicas.rs
+++ b/crates/tansyknotd/src/replicas.rs
@@ -12,7 +12,7 @@
     clock::{Clock, Time},
     engine::Engine,
     host::Target,
-    name::{AdapterName, ServiceName, TargetName},
+    name::{AdapterName, AttemptId, ServiceName, TargetName},
     peer::PeerListener,
 };
 use tansyknot_edge::gateway::Replicas;
@@ -61,6 +61,11 @@
         self.reconciler.hear_change(service);
     }
 
+    fn cancel(&self, target: &Target, attempt: &AttemptId) {
+        // An engine that does not hear this ends the attempt when its answer is not read.
+        let _ = self.engine.cancel(target, attempt);
+    }
+
     fn load_adapter(
         &self,
         target: &Target,
