--- a/crates/tansyknot-cli/src/command/apply.rs
+++ b/crates/tansyknot-cli/src/command/apply.rs
@@ -46,7 +46,10 @@
     let current = config::read_objects(&table).into_diagnostic()?;
     let ops = config::difference(&current, &objects);
     let base = args.base.unwrap_or(head.version);
-    if ops.is_empty() && base == head.version {
+    if base != head.version {
+        return Err(Failure::Lost { won: head.version }.into());
+    }
+    if ops.is_empty() {
         println!("version {base}: nothing to change");
         return Ok(ExitCode::SUCCESS);
     }
