Split the pipeline's file by duty; give dead targets a port that stays dead

Cause of the second: a run of the whole suite 20 times failed once in every_target_dead_is_not_run: the test took a port that was free a moment before for one that nothing listens at, and another test's stand-in took the port. Ruled out: the pipeline (the answer was the other stand-in's). Change: port 1, which the system does not give out.

--- /dev/null
+++ b/crates/tansyknot-edge/src/gateway/pages.rs
@@ -0,0 +1,68 @@
+//! Answers that the daemon gives itself: the list of models and its health.
+
+use serde::Serialize;
+use tansyknot_config::object::Backend;
+use tansyknot_core::refusal::Refusal;
+
+use super::{Gateway, Run};
+use crate::{http::respond::Whole, stage::identify};
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry {
+    id: String,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+impl Gateway {
+    pub(super) fn models(&self, run: &Run<'_>) -> Result<Whole, Refusal> {
+        let entry = |id: String| ModelEntry { id, object: "model", owned_by: "tansyknot" };
+        let data = self.parts.config.with(|store| {
+            let caller = identify::caller(store, &run.req.head)?;
+            let permitted = |name: &str| {
+                let resolved = store.resolve(name);
+                resolved.is_some_and(|r| {
+                    let model = matches!(r.service.backend, Backend::Model(_));
+                    model && caller.services.matches(&r.service.labels)
+                })
+            };
+            let services = store.services().map(|s| s.name.to_string());
+            let adapters = store.adapters().map(|(name, _)| name.to_string());
+            let names = services.chain(adapters).filter(|name| permitted(name));
+            Ok(names.map(entry).collect())
+        })?;
+        let list = ModelList { object: "list", data };
+        Ok(json(200, &list))
+    }
+
+    pub(super) fn health(&self) -> Whole {
+        let draining = self.parts.lifecycle.is_draining();
+        let knows = self.parts.config.version() > 0 && self.parts.hosts.is_known();
+        let (status, body): (u16, &[u8]) = match (draining, knows) {
+            (true, _) => (503, b"draining\n"),
+            (false, true) => (200, b"ok\n"),
+            (false, false) => (503, b"no configuration or no list of hosts\n"),
+        };
+        Whole {
+            status,
+            content_type: "text/plain".to_owned(),
+            headers: Vec::new(),
+            body: body.to_vec(),
+        }
+    }
+}
+
+fn json<T: Serialize>(status: u16, doc: &T) -> Whole {
+    Whole {
+        status,
+        content_type: "application/json".to_owned(),
+        headers: Vec::new(),
+        body: serde_json::to_vec(doc).expect("documents have string keys"),
+    }
+}
--- a/crates/tansyknot-edge/tests/support/mod.rs
+++ b/crates/tansyknot-edge/tests/support/mod.rs
@@ -190,9 +190,12 @@
         Self { table, hosts, engines, plain, running }
     }
 
-    /// Adds a target that nothing listens at, in place of the engine at `at`.
+    /// Adds a target that nothing listens at, in place of the one at `at`.
+    ///
+    /// The port is one that the system never gives out: one that was just free may be taken by
+    /// another test's stand-in a moment later.
     pub(crate) fn unplug(&self, at: usize) {
-        let free = TcpListener::bind(loopback()).expect("a port is free").local_addr().expect("is");
+        let free: SocketAddr = ([127, 0, 0, 1], 1).into();
         let mut targets = self.hosts.state.list();
         targets[at].address = free;
         self.hosts.state.set(targets);
--- a/crates/tansyknot-platform/tests/clients.rs
+++ b/crates/tansyknot-platform/tests/clients.rs
@@ -1,9 +1,6 @@
 //! The contract of the clients, against stand-ins over real sockets.
 
-use std::{
-    net::{SocketAddr, TcpListener},
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
 use tansyknot_core::{
     Error,
@@ -21,8 +18,9 @@
     ([127, 0, 0, 1], 0).into()
 }
 
+/// An address that nothing listens at: the system never gives out this port.
 fn unused() -> SocketAddr {
-    TcpListener::bind(loopback()).expect("a port is free").local_addr().expect("it is bound")
+    ([127, 0, 0, 1], 1).into()
 }
 
 fn target(address: SocketAddr) -> Target {
