Keep a staged replica that is used

Cause: a replica that was loaded for its checkpoint alone was removed as soon as no request was in flight, also when requests had used it meanwhile; a burst during staging then loaded the model twice. Ruled out: a second reservation (never more than one engine had the model). Change: such a replica goes only if it has not been used since its load was begun, after the least retention; two cases in virtual time. The process tests count loads and switch staging off for it.

--- a/crates/tansyknot-control/src/reconcile.rs
+++ b/crates/tansyknot-control/src/reconcile.rs
@@ -113,8 +113,8 @@
     Unknown,
     /// To be looked at again from this time on.
     Later(Time),
-    /// A load runs, or its replica waits to be removed.
-    Loading,
+    /// A load was begun at this time and nobody has used its replica that is known of.
+    Loading(Time),
     /// It is near.
     Near,
 }
--- a/crates/tansyknot-control/src/reconcile/retire.rs
+++ b/crates/tansyknot-control/src/reconcile/retire.rs
@@ -130,10 +130,11 @@
         if demand.waiting > 0 || demand.in_flight > 0 {
             return Ok(());
         }
-        let staged = state.staging == Staged::Loading;
+        let staged = self.is_only_staged(service, state, now);
         let is_extra = replicas.row.slots.len() > 1;
         let unused = self.is_unused_for(service, decided.rule.retention.at_least.duration(), now);
-        let goes = staged || (is_extra && unused) || self.is_past_plan(service, decided, now);
+        let short = unused && (staged || is_extra);
+        let goes = short || self.is_past_plan(service, decided, now);
         if !goes {
             return Ok(());
         }
@@ -162,7 +163,7 @@
         let is_due = match state.staging {
             Staged::Unknown => true,
             Staged::Later(at) => now >= at,
-            Staged::Loading | Staged::Near => false,
+            Staged::Loading(_) | Staged::Near => false,
         };
         let quiet = demand.waiting == 0 && demand.in_flight == 0;
         if !is_due || !quiet || decided.rule.retention.weight != Weight::Cold {
@@ -177,11 +178,19 @@
         if staging::wants_staging(&staging)
             && self.reserve(service, state, replicas, decided)? == Placed::Reserved
         {
-            state.staging = Staged::Loading;
+            // From here on any use is later, and makes the replica one like others.
+            self.usage.get_or_begin(service, now);
+            state.staging = Staged::Loading(now);
         }
         Ok(())
     }
 
+    /// Tells whether the replica is there for its checkpoint alone: nobody has used it.
+    fn is_only_staged(&self, service: &ServiceName, state: &ServiceState, now: Time) -> bool {
+        let Staged::Loading(since) = state.staging else { return false };
+        self.usage.get_or_begin(service, now).last <= since
+    }
+
     fn is_unused_for(&self, service: &ServiceName, span: Duration, now: Time) -> bool {
         now.since(self.usage.get_or_begin(service, now).last) >= span
     }
--- a/crates/tansyknot-control/tests/replicas.rs
+++ b/crates/tansyknot-control/tests/replicas.rs
@@ -396,3 +396,33 @@
     run(&world, &[daemon], "permit", 8);
     assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
 }
+
+#[test]
+fn checkpoint_is_staged_once_and_its_unused_replica_removed() {
+    let world = World::new(&[80, 80], Fencing::Checked);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    run(&world, &daemons, "permit", 4);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+    run(&world, &daemons, "permit", 40);
+    assert_eq!(world.slot_states("permit"), []);
+    run(&world, &daemons, "permit", 40);
+    let loads = |t: &str| world.engines.models(&TargetName::from(t)).peaks().loads;
+    assert_eq!(loads("e0") + loads("e1"), 1);
+}
+
+/// Found by bursts while a checkpoint was being staged: the replica went right after its first
+/// answers, as it was still taken for one that nobody uses.
+#[test]
+fn staged_replica_that_is_used_stays_like_any_other() {
+    let world = World::new(&[80], Fencing::Checked);
+    world.apply(1);
+    let daemons = [world.daemon("d0")];
+    run(&world, &daemons, "permit", 1);
+    let _ = daemons[0].request(&world, "permit");
+    run(&world, &daemons, "permit", 5);
+    release_all(&daemons[0], "permit");
+    // Past the least retention, well before the break-even span of an unknown service.
+    run(&world, &daemons, "permit", 40);
+    assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
+}
--- a/crates/tansyknotd/tests/support/mod.rs
+++ b/crates/tansyknotd/tests/support/mod.rs
@@ -49,6 +49,8 @@
 services: desk=permits
 targets: pool=models
 replicas: {max: 1}
+# Without staging, so that loads can be counted.
+retention: {weight: idle}
 requests: {deadline: 30s}
 ---
 kind: rule
