--- a/crates/tansyknot-config/src/object.rs
+++ b/crates/tansyknot-config/src/object.rs
@@ -131,7 +131,7 @@
 
 impl Default for Retention {
     fn default() -> Self {
-        Self { weight: Weight::Cold, at_least: Span::from_secs(10), at_most: Span::from_secs(600) }
+        Self { weight: Weight::Cold, at_least: Span::from_secs(10), at_most: Span::from_secs(3600) }
     }
 }
 
--- a/crates/tansyknot-policy/src/retention.rs
+++ b/crates/tansyknot-policy/src/retention.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::gaps::Gaps;
+use crate::{gaps::Gaps, scaling::ColdWeight};
 
 /// What a cold start costs, measured in idle time that is worth as much.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +17,19 @@
     pub load_time: Duration,
 }
 
+/// Idle time worth one cold start where cold starts weigh more.
+const COLD_WORTH: Duration = Duration::from_secs(900);
+/// Idle time worth one cold start where idle hours weigh more.
+const IDLE_WORTH: Duration = Duration::from_secs(120);
+
+/// Returns the idle time that is worth one cold start.
+pub fn cold_start_worth(weight: ColdWeight) -> Duration {
+    match weight {
+        ColdWeight::More => COLD_WORTH,
+        ColdWeight::Less => IDLE_WORTH,
+    }
+}
+
 /// What to do after a use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Plan {
