--- a/crates/tansyknot-control/src/config.rs
+++ b/crates/tansyknot-control/src/config.rs
@@ -13,6 +13,8 @@
 };
 use thiserror::Error as ThisError;
 
+use crate::row;
+
 /// The key of the [`Head`].
 pub const HEAD_KEY: &str = "config/head";
 /// The key prefix of [`Change`]s.
@@ -82,15 +84,6 @@
     format!("{OBJECT_PREFIX}{key}")
 }
 
-fn decode<T: for<'a> Deserialize<'a>>(row: &Row) -> Result<T> {
-    serde_json::from_str(&row.value)
-        .map_err(|e| Error::malformed("table", format!("{}: {e}", row.key)))
-}
-
-fn encode<T: Serialize>(doc: &T) -> String {
-    serde_json::to_string(doc).expect("rows have string keys and serialize without failure")
-}
-
 /// Reads the head and the version of its row.
 ///
 /// # Errors
@@ -98,7 +91,7 @@
 /// Fails if the table does.
 pub fn read_head(table: &dyn Table) -> Result<(Head, RowVersion)> {
     match table.read(HEAD_KEY)? {
-        Some(row) => Ok((decode(&row)?, row.version)),
+        Some(row) => Ok((row::decode(&row)?, row.version)),
         None => Ok((Head::default(), ABSENT)),
     }
 }
@@ -111,7 +104,7 @@
 pub fn read_objects(table: &dyn Table) -> Result<Vec<Stored>> {
     let mut objects = Vec::new();
     scan_all(table, OBJECT_PREFIX, |row| {
-        objects.push(decode(&row)?);
+        objects.push(row::decode(&row)?);
         Ok(())
     })?;
     Ok(objects)
@@ -123,7 +116,7 @@
 ///
 /// Fails if the table does.
 pub fn read_changes(table: &dyn Table, after: ConfigVersion, limit: usize) -> Result<Vec<Change>> {
-    table.scan(CHANGE_PREFIX, &change_key(after), limit)?.iter().map(decode).collect()
+    table.scan(CHANGE_PREFIX, &change_key(after), limit)?.iter().map(row::decode).collect()
 }
 
 /// Who changes the configuration, and when.
@@ -159,7 +152,7 @@
     let token = name::random_id();
     let txn = change_transaction(table, &head, head_row, ops, author, &token)?;
     let version = head.version + 1;
-    let is_mine = |row: &Row| decode::<Head>(row).is_ok_and(|head| head.token == token);
+    let is_mine = |row: &Row| row::decode::<Head>(row).is_ok_and(|head| head.token == token);
     match table::commit_settled(table, &txn, HEAD_KEY, is_mine) {
         Ok(()) => Ok(version),
         Err(Error::Conflict { .. }) => {
@@ -186,14 +179,18 @@
         let row_key = object_row_key(&key);
         let old = table.read(&row_key)?;
         if let Some(row) = &old {
-            let stored: Stored = decode(row)?;
+            let stored: Stored = row::decode(row)?;
             digest ^= store::object_digest(&key, stored.version);
         }
         let row_version = old.map_or(ABSENT, |row| row.version);
         txn = match op {
             Op::Put(object) => {
                 digest ^= store::object_digest(&key, version);
-                txn.put(row_key, row_version, encode(&Stored { version, object: object.clone() }))
+                txn.put(
+                    row_key,
+                    row_version,
+                    row::encode(&Stored { version, object: object.clone() }),
+                )
             }
             // Deleting what is not there changes nothing but is still a condition.
             Op::Delete(_) if row_version == ABSENT => txn.check(row_key, ABSENT),
@@ -202,12 +199,12 @@
     }
     let change =
         Change { version, author: author.name.clone(), at_ms: author.at_ms, ops: ops.to_vec() };
-    txn = txn.set(change_key(version), Some(encode(&change)));
+    txn = txn.set(change_key(version), Some(row::encode(&change)));
     if let Some(old) = version.checked_sub(KEPT_CHANGES) {
         txn = txn.set(change_key(old), None);
     }
     let head = Head { version, digest, token: token.to_owned() };
-    Ok(txn.put(HEAD_KEY, head_row, encode(&head)))
+    Ok(txn.put(HEAD_KEY, head_row, row::encode(&head)))
 }
 
 /// Returns the changes that turn `current` into `wanted`; objects not in `wanted` stay.
--- a/crates/tansyknot-control/src/idempotency.rs
+++ b/crates/tansyknot-control/src/idempotency.rs
@@ -7,6 +7,8 @@
     table::{self, ABSENT, Row, Table, Transaction},
 };
 
+use crate::row;
+
 /// The key prefix of [`KeyRow`]s; a day's number follows.
 pub const KEY_PREFIX: &str = "key/";
 /// Answers up to this size are kept and given again.
@@ -113,10 +115,10 @@
     };
     let mine = row_key(today, key);
     let txn = Transaction::default()
-        .put(mine.clone(), ABSENT, encode(&row))
+        .put(mine.clone(), ABSENT, row::encode(&row))
         .check(row_key(today.saturating_sub(1), key), ABSENT)
         .check(row_key(today + 1, key), ABSENT);
-    let is_mine = |r: &Row| decode(r).is_ok_and(|r| r.token == row.token);
+    let is_mine = |r: &Row| row::decode::<KeyRow>(r).is_ok_and(|r| r.token == row.token);
     match table::commit_settled(table, &txn, &mine, is_mine) {
         Ok(()) => Ok(Begin::Fresh(KeyHandle { row_key: mine, row })),
         Err(Error::Conflict { .. }) => find(table, key, today),
@@ -127,7 +129,7 @@
 fn find(table: &dyn Table, key: &KeyUse<'_>, today: u64) -> Result<Begin> {
     for day in [today, today.saturating_sub(1), today + 1] {
         let Some(row) = table.read(&row_key(day, key))? else { continue };
-        let row = decode(&row)?;
+        let row: KeyRow = row::decode(&row)?;
         if row.request_hash != key.request_hash {
             return Ok(Begin::Reused);
         }
@@ -147,7 +149,7 @@
 /// Fails if the table does; the key then stays started, which is safe.
 pub fn release(table: &dyn Table, handle: &KeyHandle) -> Result<()> {
     let Some(row) = table.read(&handle.row_key)? else { return Ok(()) };
-    if decode(&row)?.token != handle.row.token {
+    if row::decode::<KeyRow>(&row)?.token != handle.row.token {
         return Ok(());
     }
     table.commit(&Transaction::default().delete(handle.row_key.clone(), row.version))
@@ -163,7 +165,7 @@
     let kept = answer.filter(|a| a.body.len() <= MAX_KEPT_ANSWER_BYTES);
     let row = KeyRow { state: KeyState::Done(kept), ..handle.row.clone() };
     // Nobody else writes a started row, so the write needs no condition and can be repeated.
-    let txn = Transaction::default().set(handle.row_key.clone(), Some(encode(&row)));
+    let txn = Transaction::default().set(handle.row_key.clone(), Some(row::encode(&row)));
     table.commit(&txn).or_else(|_| table.commit(&txn))
 }
 
@@ -186,11 +188,3 @@
     }
     Ok(count)
 }
-
-fn decode(row: &Row) -> Result<KeyRow> {
-    serde_json::from_str(&row.value).map_err(|e| Error::malformed("table", e))
-}
-
-fn encode(row: &KeyRow) -> String {
-    serde_json::to_string(row).expect("rows have string keys and serialize without failure")
-}
--- a/crates/tansyknot-control/src/lib.rs
+++ b/crates/tansyknot-control/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod publish;
 pub mod reconcile;
 pub mod replicas;
+pub mod row;
 pub mod usage;
--- a/crates/tansyknot-control/src/replicas.rs
+++ b/crates/tansyknot-control/src/replicas.rs
@@ -1,6 +1,6 @@
 //! Changes of replica and memory rows, each one transaction with a writer token.
 
-use serde::{Serialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 use tansyknot_core::{
     Error, Result,
     engine::Fence,
@@ -9,7 +9,7 @@
     table::{self, ABSENT, Row, RowVersion, Table, Transaction},
 };
 
-use crate::config::HEAD_KEY;
+use crate::{config::HEAD_KEY, row};
 
 /// A row with the version that it was read at.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -59,18 +59,9 @@
     NoRoom,
 }
 
-fn decode<T: DeserializeOwned>(row: &Row) -> Result<T> {
-    serde_json::from_str(&row.value)
-        .map_err(|e| Error::malformed("table", format!("{}: {e}", row.key)))
-}
-
-fn encode<T: Serialize>(doc: &T) -> String {
-    serde_json::to_string(doc).expect("rows have string keys and serialize without failure")
-}
-
 fn read<T: DeserializeOwned + Default>(table: &dyn Table, key: &str) -> Result<Versioned<T>> {
     match table.read(key)? {
-        Some(row) => Ok(Versioned { version: row.version, row: decode(&row)? }),
+        Some(row) => Ok(Versioned { version: row.version, row: row::decode(&row)? }),
         None => Ok(Versioned { version: ABSENT, row: T::default() }),
     }
 }
@@ -100,7 +91,7 @@
 /// Fails if the row is malformed.
 pub fn decode_replicas(row: &Row) -> Result<(ServiceName, Versioned<ReplicaRow>)> {
     let service = row.key.strip_prefix(replica::REPLICA_PREFIX).unwrap_or(&row.key);
-    let decoded = Versioned { version: row.version, row: decode(row)? };
+    let decoded = Versioned { version: row.version, row: row::decode(row)? };
     Ok((ServiceName::from(service), decoded))
 }
 
@@ -159,8 +150,8 @@
     let key = replica::replica_key(reserve.service);
     let txn = Transaction::default()
         .check(HEAD_KEY, reserve.head_row)
-        .put(key.clone(), replicas.version, encode(&row))
-        .put(replica::memory_key(reserve.target), memory.version, encode(&memory_row));
+        .put(key.clone(), replicas.version, row::encode(&row))
+        .put(replica::memory_key(reserve.target), memory.version, row::encode(&memory_row));
     commit(table, &txn, &key, &token)?;
     Ok(row)
 }
@@ -210,7 +201,7 @@
     change_in_place(slot, change, fence, writer);
     slot.token.clone_from(&token);
     row.last_fence = row.slots.iter().map(|s| s.fence).max().unwrap_or(0).max(row.last_fence);
-    let txn = Transaction::default().put(key.clone(), replicas.version, encode(&row));
+    let txn = Transaction::default().put(key.clone(), replicas.version, row::encode(&row));
     commit(table, &txn, &key, &token)?;
     Ok(row)
 }
@@ -267,18 +258,18 @@
     let mut memory_row = memory.row.clone();
     memory_row.reservations.retain(|r| r.service != *service);
     let key = replica::replica_key(service);
-    let txn = Transaction::default().put(key.clone(), replicas.version, encode(&row)).put(
+    let txn = Transaction::default().put(key.clone(), replicas.version, row::encode(&row)).put(
         replica::memory_key(target),
         memory.version,
-        encode(&memory_row),
+        row::encode(&memory_row),
     );
-    let gone = |written: &Row| decode::<ReplicaRow>(written).is_ok_and(|w| w == row);
+    let gone = |written: &Row| row::decode::<ReplicaRow>(written).is_ok_and(|w| w == row);
     table::commit_settled(table, &txn, &key, gone)?;
     Ok(row)
 }
 
 fn commit(table: &dyn Table, txn: &Transaction, key: &str, token: &str) -> Result<()> {
-    let mine = |row: &Row| decode::<ReplicaRow>(row).is_ok_and(|r| r.has_token(token));
+    let mine = |row: &Row| row::decode::<ReplicaRow>(row).is_ok_and(|r| r.has_token(token));
     table::commit_settled(table, txn, key, mine)
 }
 
@@ -289,7 +280,7 @@
 /// Fails if the table does.
 pub fn register_daemon(table: &dyn Table, daemon: &str, row: &DaemonRow) -> Result<()> {
     let key = format!("{}{daemon}", replica::DAEMON_PREFIX);
-    table.commit(&Transaction::default().set(key, Some(encode(row))))
+    table.commit(&Transaction::default().set(key, Some(row::encode(row))))
 }
 
 /// Removes the row of a daemon that stops, unless a later run has replaced it.
@@ -300,7 +291,7 @@
 pub fn deregister_daemon(table: &dyn Table, daemon: &str, incarnation: &Incarnation) -> Result<()> {
     let key = format!("{}{daemon}", replica::DAEMON_PREFIX);
     let Some(row) = table.read(&key)? else { return Ok(()) };
-    let current: DaemonRow = decode(&row)?;
+    let current: DaemonRow = row::decode(&row)?;
     if current.incarnation != *incarnation {
         return Ok(());
     }
@@ -316,7 +307,7 @@
     let mut daemons = Vec::new();
     crate::config::scan_all(table, replica::DAEMON_PREFIX, |row| {
         let name = row.key.strip_prefix(replica::DAEMON_PREFIX).unwrap_or(&row.key).to_owned();
-        daemons.push((name, decode(&row)?));
+        daemons.push((name, row::decode(&row)?));
         Ok(())
     })?;
     Ok(daemons)
@@ -332,7 +323,7 @@
     let daemon = incarnation.as_str().split('#').next().unwrap_or_default();
     let key = format!("{}{daemon}", replica::DAEMON_PREFIX);
     let Some(row) = table.read(&key)? else { return Ok(true) };
-    let current: DaemonRow = decode(&row)?;
+    let current: DaemonRow = row::decode(&row)?;
     Ok(current.incarnation != *incarnation)
 }
 
--- a/crates/tansyknot-policy/examples/replay/world.rs
+++ b/crates/tansyknot-policy/examples/replay/world.rs
@@ -1,5 +1,7 @@
 //! Hosts, loads and requests in virtual time, decided by the daemon's own functions.
 
+mod loads;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap},
@@ -9,20 +11,18 @@
 use rand::{SeedableRng, rngs::StdRng};
 use tansyknot_core::{
     clock::Time,
-    engine::Tier,
     name::{TargetName, ZoneName},
 };
 use tansyknot_policy::{
     gaps::Gaps,
-    placement::{NearestCheckpoint, Need, Place, Placement},
     pool::{Arrival, Grant, Pool, PoolOptions, Upstream},
     queue::{Ticket, Waiter},
     retention::{self, Plan, RetentionOptions},
     routing::ZoneTwoChoices,
     scaling::{self, ColdWeight, Demand, ReplicaBounds},
-    staging::{self, Staging},
 };
 
+use self::loads::REMOTE_LOAD_US;
 use crate::{
     Weight,
     policy::Policy,
@@ -38,13 +38,6 @@
 const OUTPUT_TOKEN_US: u64 = 30_000;
 const ADAPTER_US: u64 = 200_000;
 const ADAPTERS: usize = 8;
-const MEMORY_LOAD_US: u64 = 1_500_000;
-const DISK_LOAD_US: u64 = 4_000_000;
-const REMOTE_LOAD_US: u64 = 10_000_000;
-/// Remote loads at once that run at full speed.
-const FULL_SPEED_LOADS: u32 = 4;
-/// Checkpoints that stay in a host's main memory after their model has been removed.
-const MEMORY_CACHED: usize = 2;
 /// An unused replica stays at most this long, as by default in a rule.
 const AT_MOST: Duration = Duration::from_secs(3600);
 /// An unused replica stays at least this long.
@@ -480,149 +473,6 @@
         self.publish(id);
     }
 
-    /// Leaves one replica: the others were for a queue that has gone.
-    fn remove_extra(&mut self, id: usize) {
-        while self.services[id].replicas.len() > 1 {
-            let idle = |x: &Replica| x.ready && x.busy == 0;
-            let Some(at) = self.services[id].replicas.iter().rposition(idle) else { break };
-            self.remove_replica(id, at);
-        }
-        self.publish(id);
-    }
-
-    fn remove_replica(&mut self, id: usize, at: usize) {
-        let replica = self.services[id].replicas.remove(at);
-        let loaded_us = self.now_us - replica.began_us;
-        let hours = |us: u64| us as f64 / 3.6e9;
-        self.tally.busy_accelerator_hours += hours(replica.busy_us);
-        self.tally.idle_accelerator_hours += hours(loaded_us - replica.busy_us);
-        let host = &mut self.hosts[replica.host];
-        host.used_bytes -= self.options.model_bytes;
-        host.memory.retain(|m| *m != id);
-        host.memory.push(id);
-        if host.memory.len() > MEMORY_CACHED {
-            host.memory.remove(0);
-        }
-    }
-
-    /// Loads one more replica if there is room or room can be made; tells whether it did.
-    fn load(&mut self, id: usize, ahead: bool) -> bool {
-        let Some(host) = self.choose_host(id).or_else(|| self.make_room(id, ahead)) else {
-            return false;
-        };
-        let ready_us = self.load_end(id, host);
-        let h = &mut self.hosts[host];
-        h.used_bytes += self.options.model_bytes;
-        h.loading += 1;
-        if h.used_bytes > self.options.memory_bytes {
-            self.tally.memory_violations += 1;
-        }
-        let now_us = self.now_us;
-        let s = &mut self.services[id];
-        s.replicas.push(Replica {
-            host,
-            ready: false,
-            began_us: now_us,
-            busy: 0,
-            busy_since_us: 0,
-            busy_us: 0,
-            adapters: Vec::new(),
-            idle_since_us: now_us,
-        });
-        if s.replicas.len() > self.options.replicas as usize {
-            self.tally.replica_limit_violations += 1;
-        }
-        s.pool.expect_ready(Some(Time::from_micros(ready_us)));
-        let count = if ahead { &mut self.tally.prewarms } else { &mut self.tally.cold_starts };
-        *count += 1;
-        self.events.push(Reverse((ready_us, Event::Loaded { service: id, host })));
-        true
-    }
-
-    /// Loads services once that nobody asks for, as the operators know them from the start.
-    fn stage(&mut self, id: usize) {
-        let Some(service) = self.services.get(id) else { return };
-        let hosts = 0..self.hosts.len();
-        let staging = Staging {
-            nearest: hosts.map(|host| self.tier(id, host)).min().unwrap_or(Tier::Remote),
-            loading: self.hosts.iter().map(|h| h.loading).sum(),
-            has_room: self.choose_host(id).is_some(),
-        };
-        let untouched = service.replicas.is_empty();
-        if untouched && staging::wants_staging(&staging) {
-            self.load(id, true);
-        } else if untouched && staging.nearest == Tier::Remote {
-            // Loads are running: a later look finds room among them.
-            self.events.push(Reverse((self.now_us + 1_000_000, Event::Stage { service: id })));
-            return;
-        }
-        self.events.push(Reverse((self.now_us, Event::Stage { service: id + 1 })));
-    }
-
-    fn tier(&self, id: usize, host: usize) -> Tier {
-        let h = &self.hosts[host];
-        match (h.memory.contains(&id), h.disk.contains(&id)) {
-            (true, _) => Tier::Memory,
-            (false, true) => Tier::Disk,
-            (false, false) => Tier::Remote,
-        }
-    }
-
-    fn load_end(&mut self, id: usize, host: usize) -> u64 {
-        match self.tier(id, host) {
-            Tier::Memory => self.now_us + MEMORY_LOAD_US,
-            Tier::Disk => self.now_us + DISK_LOAD_US,
-            Tier::Remote => {
-                let start = self.next_load_us.max(self.now_us);
-                self.next_load_us = start + (1e6 / self.options.loads_per_s) as u64;
-                self.remote_loads += 1;
-                let share = u64::from(self.remote_loads.div_ceil(FULL_SPEED_LOADS));
-                start + REMOTE_LOAD_US * share
-            }
-        }
-    }
-
-    fn choose_host(&self, id: usize) -> Option<usize> {
-        let taken = &self.services[id].replicas;
-        let need = Need {
-            memory_bytes: self.options.model_bytes,
-            zones_taken: taken.iter().map(|x| zone(x.host)).collect(),
-            targets_taken: taken.iter().map(|x| target(x.host)).collect(),
-        };
-        let places: Vec<Place> = (0..self.hosts.len())
-            .map(|host| Place {
-                target: target(host),
-                availability_zone: zone(host),
-                free_bytes: self.options.memory_bytes - self.hosts[host].used_bytes,
-                tier: self.tier(id, host),
-                loading: self.hosts[host].loading,
-                in_flight: 0,
-            })
-            .collect();
-        NearestCheckpoint.order(&need, &places).first().copied()
-    }
-
-    /// Removes the replica that has been idle longest; returns its host.
-    fn make_room(&mut self, id: usize, ahead: bool) -> Option<usize> {
-        if ahead || !self.evicts {
-            return None;
-        }
-        let mut best: Option<(u64, usize, usize)> = None;
-        for (other, s) in self.services.iter().enumerate().filter(|(other, _)| *other != id) {
-            for (at, x) in s.replicas.iter().enumerate() {
-                let idle = x.ready && x.busy == 0;
-                if idle && best.is_none_or(|(since, ..)| x.idle_since_us < since) {
-                    best = Some((x.idle_since_us, other, at));
-                }
-            }
-        }
-        let (_, other, at) = best?;
-        let host = self.services[other].replicas[at].host;
-        self.remove_replica(other, at);
-        self.publish(other);
-        Some(host)
-    }
-
     /// Plans the next look: the end of the retention, the prewarm, or a waiter's deadline.
     fn schedule(&mut self, id: usize, plan: &Plan) {
         let s = &self.services[id];
