Serve requests on connections opened while the daemon drains

Cause: a connection that a caller opened during the linger of a planned stop was closed before its request was read, and health checks with it; found by reading. Change: a fresh connection may bring its request until the listener is closed, a used one is closed between requests. Test: a request and a health check during the drain.

--- a/crates/tansyknot-edge/src/http/server.rs
+++ b/crates/tansyknot-edge/src/http/server.rs
@@ -89,6 +89,11 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Tells whether no new connection is taken.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of connections.
     pub fn connections(&self) -> u32 {
         self.connections.load(Ordering::SeqCst)
@@ -111,14 +116,14 @@
     handler: &Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
 ) -> io::Result<()> {
-    while !lifecycle.closed.load(Ordering::SeqCst) {
+    while !lifecycle.is_closed() {
         let (stream, _) = match listener.accept() {
             Ok(accepted) => accepted,
             // One caller that vanished while it was accepted must not end the others' service.
             Err(e) if is_transient(&e) => continue,
             Err(e) => return Err(e),
         };
-        if lifecycle.closed.load(Ordering::SeqCst) {
+        if lifecycle.is_closed() {
             return Ok(());
         }
         take(stream, options, handler, lifecycle);
@@ -213,7 +218,9 @@
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(options.write_timeout))?;
     let mut rx = Receiver::new(stream.try_clone()?);
-    while await_request(&mut rx, options, lifecycle)? {
+    let mut age = Age::Fresh;
+    while await_request(&mut rx, options, lifecycle, age)? {
+        age = Age::Used;
         let _busy = Guard::request(lifecycle);
         let req = match receive(&mut rx, &mut stream, options) {
             Ok(req) => req,
@@ -228,15 +235,30 @@
     Ok(())
 }
 
+/// Whether a connection has served a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Age {
+    Fresh,
+    Used,
+}
+
 /// Waits for the first byte of a request; `false` if the connection is to be closed.
+///
+/// While the daemon drains, a used connection is closed between requests; a fresh one was opened
+/// by a caller that does not know yet, and its request is on the way.
 fn await_request(
     rx: &mut Receiver,
     options: &ServerOptions,
     lifecycle: &Lifecycle,
+    age: Age,
 ) -> io::Result<bool> {
     let until = Instant::now() + options.idle_timeout;
     while rx.buffered().is_empty() {
-        if lifecycle.is_draining() || Instant::now() >= until {
+        let is_over = match age {
+            Age::Fresh => lifecycle.is_closed(),
+            Age::Used => lifecycle.is_draining(),
+        };
+        if is_over || Instant::now() >= until {
             return Ok(false);
         }
         rx.allow(IDLE_SLICE);
--- a/crates/tansyknot-edge/tests/answers.rs
+++ b/crates/tansyknot-edge/tests/answers.rs
@@ -276,3 +276,24 @@
     assert_eq!(left, 1, "the place came back otherwise than by the watch");
     set_plain(&outside, PlainFaults::default());
 }
+
+/// Found by reading: a connection opened while the daemon drains was closed before its request.
+#[test]
+fn request_that_comes_while_the_daemon_drains_is_served_and_health_says_so() {
+    let outside = Outside::new();
+    let front = outside.front();
+    let mut idle = TcpStream::connect(front.address).expect("it listens");
+    idle.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").expect("it listens");
+    let mut lines = BufReader::new(idle).lines().map_while(Result::ok);
+    assert!(lines.next().expect("it answers").contains("200"));
+    front.lifecycle.drain();
+    let answer = exchange(front.address, b"POST /v1/completions HTTP/1.1\r\n\r\n");
+    assert!(answer.contains("connection: close"), "{answer}");
+    let body = r#"{"model":"permit","max_tokens":1}"#;
+    let served = exchange(front.address, &request("POST /v1/completions", &[], body));
+    assert_eq!(status(&served), 200, "{served}");
+    let health = exchange(front.address, b"GET /healthz HTTP/1.1\r\n\r\n");
+    assert!(health.contains("503") && health.contains("draining"), "{health}");
+    // The idle connection is closed between requests.
+    assert_eq!(lines.by_ref().skip_while(|l| l != "ok").nth(1), None);
+}
