Complete the engine stand-in: priorities, cache events, roles and versions

Cause: the stand-in took a priority header without honouring it and told no cache events. Change: turns by priority and arrival when it is full, cache events that lag and have gaps, a role and a version that orders set. The daemon does not read cache events yet: its prefix hint comes from its own requests.

--- a/crates/tansyknot-standins/src/engine.rs
+++ b/crates/tansyknot-standins/src/engine.rs
@@ -1,7 +1,9 @@
 //! A stand-in of a model engine.
 
+pub mod cache;
 pub mod models;
 pub mod streams;
+pub mod turns;
 
 use std::{
     io,
@@ -23,8 +25,10 @@
 };
 
 use self::{
+    cache::Cache,
     models::{Models, OrderError},
     streams::{Stream, Streams},
+    turns::Turns,
 };
 use crate::server::{self, Running};
 
@@ -43,8 +47,10 @@
     pub first_token: Duration,
     /// Time between tokens.
     pub token_gap: Duration,
-    /// How far the load report lags.
+    /// How far the load report and the cache events lag.
     pub report_lag: Duration,
+    /// Requests that run at once; further ones take turns by priority.
+    pub at_once: usize,
 }
 
 impl Default for EngineOptions {
@@ -57,6 +63,7 @@
             first_token: Duration::from_millis(20),
             token_gap: Duration::from_millis(20),
             report_lag: Duration::from_millis(500),
+            at_once: 4096,
         }
     }
 }
@@ -92,6 +99,10 @@
     options: EngineOptions,
     /// Its models.
     pub models: Models,
+    /// The turns of requests.
+    pub turns: Turns,
+    cache: Cache,
+    role: Mutex<RoleOrder>,
     streams: Streams,
     ran: Mutex<Ran>,
     report: Mutex<Option<(Instant, EngineStatus)>>,
@@ -105,6 +116,17 @@
     adapter: AdapterName,
 }
 
+/// What an engine is used for, and with which version of its software's model format.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoleOrder {
+    /// The role: `serve`, `prefill` or `decode`.
+    #[serde(default)]
+    pub role: String,
+    /// The version.
+    #[serde(default)]
+    pub version: String,
+}
+
 #[derive(Deserialize)]
 struct CancelOrder {
     attempt: String,
@@ -159,9 +181,13 @@
     /// Makes an engine without models.
     pub fn new(options: EngineOptions) -> Self {
         let models = Models::new(options.memory_bytes, options.fencing);
+        let turns = Turns::new(options.at_once);
         Self {
             options,
             models,
+            turns,
+            cache: Cache::default(),
+            role: Mutex::default(),
             streams: Streams::default(),
             ran: Mutex::default(),
             report: Mutex::default(),
@@ -230,6 +256,18 @@
             "/control/status" => return server::json(stream, after, 200, &self.status()),
             "/control/ran" => return server::json(stream, after, 200, &self.ran()),
             "/control/peaks" => return server::json(stream, after, 200, &self.models.peaks()),
+            "/control/cache-events" => {
+                let after_seq = server::query(req, "after").parse().unwrap_or(0);
+                let events = self.cache.events(after_seq, self.options.report_lag);
+                return server::json(stream, after, 200, &events);
+            }
+            "/control/role" => {
+                let mut role = self.role.lock().expect("no holder of the lock panics");
+                if req.head.method == "POST" {
+                    *role = server::parse(req)?;
+                }
+                return server::json(stream, after, 200, &role.clone());
+            }
             "/control/cancel" => {
                 let order: CancelOrder = server::parse(req)?;
                 self.streams.cancel(&order.attempt);
@@ -268,6 +306,9 @@
         let Some(_running) = self.models.begin_request(&body.model) else {
             return server::json(stream, after, 404, &"model not loaded");
         };
+        let priority = req.head.header("x-priority").and_then(|p| p.parse().ok()).unwrap_or(0);
+        let _turn = self.turns.take(priority);
+        self.cache.store(prefix_hash(&req.body));
         let attempt = req.head.header("x-attempt-id").unwrap_or("none").to_owned();
         let request = req.head.header("x-request-id").unwrap_or("none").to_owned();
         self.ran.lock().expect("no holder of the lock panics").requests.push(request);
@@ -364,6 +405,13 @@
     }
 }
 
+/// Bytes of a body that count as its prefix.
+const PREFIX_BYTES: usize = 512;
+
+fn prefix_hash(body: &[u8]) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&body[..body.len().min(PREFIX_BYTES)])
+}
+
 struct EngineHandler(Arc<Engine>);
 
 impl Handler for EngineHandler {
