Refuse at once what no replica may serve

Cause: with a rule of no replicas the refusal stood behind a condition that could not hold, so requests waited to near their deadline; found by reading. Ruled out: the cases of no memory and no target, which were refused already and are rows of the new table. Change: the condition; a table of the cases, and one for a table service that goes away under waiting requests. Figures: the first row fails without the change.

--- a/crates/tansyknot-control/src/reconcile/retire.rs
+++ b/crates/tansyknot-control/src/reconcile/retire.rs
@@ -39,6 +39,9 @@
             return self.drain_surplus(service, state, replicas, 0);
         };
         let max = decided.rule.replicas.max;
+        if max == 0 {
+            self.refuse(service, Reason::NoCapacity, "the rule allows no replica");
+        }
         let total = count(&replicas.row, |_| true);
         if total > max {
             return self.drain_surplus(service, state, replicas, max);
@@ -52,9 +55,6 @@
         if wanted > present && total < max {
             return self.grow(service, state, replicas, decided, demand);
         }
-        if wanted > present && demand.waiting > 0 && present == 0 && max == 0 {
-            self.refuse(service, Reason::NoCapacity, "the rule allows no replica");
-        }
         if !prewarm && present > decided.rule.replicas.min {
             return self.drain_idle(service, state, replicas, decided, demand);
         }
--- a/crates/tansyknot-control/tests/replicas.rs
+++ b/crates/tansyknot-control/tests/replicas.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use support::{Daemon, GB, World};
+use tansyknot_control::pools::{Acquired, Signal};
 use tansyknot_core::{
     host::{Fencing, HostState},
     name::{ServiceName, TargetName},
+    refusal::Reason,
     replica::SlotState,
 };
 use tansyknot_standins::fake::CommitFault;
@@ -426,3 +428,42 @@
     run(&world, &daemons, "permit", 40);
     assert_eq!(world.slot_states("permit"), [SlotState::Ready]);
 }
+
+/// Found by reading: requests waited to near their deadline for a replica that may not be.
+#[parameterized(
+    no_replica_allowed = { &[80], 0, Reason::NoCapacity },
+    no_memory_anywhere = { &[8, 8], 1, Reason::NoCapacity },
+    no_target = { &[], 1, Reason::NoTarget },
+)]
+fn request_that_no_replica_can_serve_is_refused_at_once(
+    memory_gb: &[u64],
+    max: u32,
+    reason: Reason,
+) {
+    let world = World::new(memory_gb, Fencing::Checked);
+    world.apply(max);
+    let daemon = world.daemon("d0");
+    let Acquired::Queued(_, rx) = daemon.request(&world, "permit") else {
+        panic!("the pool does not know yet");
+    };
+    daemon.step("permit").expect("the table is up");
+    let signal = daemon.pools.wait(&rx, std::time::Duration::ZERO);
+    let Some(Signal::Refused(refusal)) = signal else { panic!("still waiting: {signal:?}") };
+    assert_eq!(refusal.reason, reason);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn table_that_goes_away_ends_the_wait_of_cold_requests_at_once() {
+    let world = World::new(&[80], Fencing::Checked);
+    world.apply(1);
+    let daemon = world.daemon("d0");
+    let Acquired::Queued(_, rx) = daemon.request(&world, "permit") else {
+        panic!("nothing is loaded");
+    };
+    daemon.table.set_down(true);
+    assert!(daemon.step("permit").is_err());
+    let signal = daemon.pools.wait(&rx, std::time::Duration::ZERO);
+    let Some(Signal::Refused(refusal)) = signal else { panic!("still waiting: {signal:?}") };
+    assert_eq!(refusal.reason, Reason::StoreUnavailable);
+}
