Listen below the ephemeral ports in the demonstration and the benchmarks

Cause: while the tests ran beside it, a benchmark's list of hosts could not take its port: 48002 lies among the ports that the system gives to whoever asks for any, and a test had it. Ruled out: the stand-in.

--- a/bench/control.sh
+++ b/bench/control.sh
@@ -4,9 +4,9 @@
 
 start $standins/table --listen $table
 start $standins/hosts --listen $hosts
-start $standins/engine --listen 127.0.0.1:48201
+start $standins/engine --listen 127.0.0.1:18201
 wait_for http://$hosts/hosts
-curl -sf -o /dev/null http://$hosts/hosts -d "[$(target e0 127.0.0.1:48201 engine models)]"
+curl -sf -o /dev/null http://$hosts/hosts -d "[$(target e0 127.0.0.1:18201 engine models)]"
 $bin/tansyknot --table $table apply -f examples/settings/objects.yaml --wait 0 >/dev/null
 counts() { curl -sf http://$table/counts | grep -o "\"$1\":[0-9]*" | cut -d: -f2; }
 
--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -8,8 +8,8 @@
 standins=$bin/examples
 work=$(mktemp -d)
 pids=()
-table=127.0.0.1:48001
-hosts=127.0.0.1:48002
+table=127.0.0.1:18001
+hosts=127.0.0.1:18002
 
 stop_all() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
@@ -32,12 +32,12 @@
   exit 1
 }
 
-# daemon NUMBER: listens on 481N0 (callers), 481N1 (operators), 481N2 (peers).
+# daemon NUMBER: listens on 181N0 (callers), 181N1 (operators), 181N2 (peers).
 daemon() {
   cat >"$work/daemon-$1.yaml" <<Y
 name: d$1
 availability_zone: z0
-listen: {callers: "127.0.0.1:481${1}0", operators: "127.0.0.1:481${1}1", peers: "127.0.0.1:481${1}2"}
+listen: {callers: "127.0.0.1:181${1}0", operators: "127.0.0.1:181${1}1", peers: "127.0.0.1:181${1}2"}
 platform: {table: "$table", hosts: "$hosts"}
 telemetry: {log_level: warn}
 Y
--- a/crates/tansyknot-config/tests/documents.rs
+++ b/crates/tansyknot-config/tests/documents.rs
@@ -27,9 +27,9 @@
     unknown_key = { "drain:\n  timeout: 5m", "drain:\n  timeuot: 5m", "timeuot" },
     bad_unit = { "timeout: 2s", "timeout: 2 parsecs", "parsecs" },
     no_unit = { "timeout: 2s", "timeout: '2'", "unit" },
-    bad_address = { "127.0.0.1:47001", "table-host:1", "platform" },
+    bad_address = { "127.0.0.1:17001", "table-host:1", "platform" },
     zero_bound = { "connections: 4096", "connections: 0", "zero" },
-    same_listener = { "operators: 127.0.0.1:47101", "operators: 127.0.0.1:47100", "same address" },
+    same_listener = { "operators: 127.0.0.1:17101", "operators: 127.0.0.1:17100", "same address" },
     missing_name = { "name: dakar-a-1", "", "name" },
     slow_refresh = { "limits:", "refresh: {config: 10s}\nlimits:", "refresh.config" },
 )]
--- a/demo.sh
+++ b/demo.sh
@@ -41,32 +41,32 @@
   fail "$1 does not answer"
 }
 
-table=127.0.0.1:47001 hosts=127.0.0.1:47002 weights=127.0.0.1:47003
+table=127.0.0.1:17001 hosts=127.0.0.1:17002 weights=127.0.0.1:17003
 start $standins/table --listen $table
 start $standins/hosts --listen $hosts
 start $standins/weight_store --listen $weights --load-ms 1500
-start $standins/engine --listen 127.0.0.1:47201 --weights $weights
-start $standins/engine --listen 127.0.0.1:47202 --weights $weights
-start $standins/plain --listen 127.0.0.1:47301
+start $standins/engine --listen 127.0.0.1:17201 --weights $weights
+start $standins/engine --listen 127.0.0.1:17202 --weights $weights
+start $standins/plain --listen 127.0.0.1:17301
 wait_for http://$hosts/hosts
 curl -sf -o /dev/null http://$hosts/hosts -d '[
- {"name":"engine-1","address":"127.0.0.1:47201","availability_zone":"dakar-a","state":"live",
+ {"name":"engine-1","address":"127.0.0.1:17201","availability_zone":"dakar-a","state":"live",
   "kind":"engine","memory_bytes":80000000000,"fencing":"checked","labels":{"pool":"models"}},
- {"name":"engine-2","address":"127.0.0.1:47202","availability_zone":"dakar-b","state":"live",
+ {"name":"engine-2","address":"127.0.0.1:17202","availability_zone":"dakar-b","state":"live",
   "kind":"engine","memory_bytes":80000000000,"fencing":"checked","labels":{"pool":"models"}},
- {"name":"registry-1","address":"127.0.0.1:47301","availability_zone":"dakar-a","state":"live",
+ {"name":"registry-1","address":"127.0.0.1:17301","availability_zone":"dakar-a","state":"live",
   "kind":"plain","labels":{"pool":"registry"}}]'
 
 for i in 0 1 2; do
   zone=$(echo abc | cut -c $((i + 1)))
   sed -e "s/dakar-a-1/dakar-$zone-1/; s/dakar-a$/dakar-$zone/" \
-      -e "s/471\(0[0-9]\)/471$i\1/; s/471${i}0\([0-9]\)/471$i\1/" \
+      -e "s/171\(0[0-9]\)/171$i\1/; s/171${i}0\([0-9]\)/171$i\1/" \
       examples/settings/daemon.yaml >"$work/daemon-$i.yaml"
   start $bin/tansyknotd --settings "$work/daemon-$i.yaml"
 done
 for i in 0 1 2; do
   for _ in $(seq 100); do
-    curl -s -o /dev/null http://127.0.0.1:471${i}0/healthz && break
+    curl -s -o /dev/null http://127.0.0.1:171${i}0/healthz && break
     sleep 0.05
   done
 done
@@ -95,18 +95,18 @@
 }
 
 echo "== a cold request, streamed"
-stream cold 47100
+stream cold 17100
 request=$(tr -d '\r' <"$work/head" | sed -n 's/^x-request-id: //p')
 echo "== a warm request through another daemon, streamed"
-stream warm 47110
+stream warm 17110
 
 echo "== a plain call that runs at most once, made twice with one key"
-for port in 47100 47120; do
+for port in 17100 17120; do
   ask -H 'Idempotency-Key: k1' "http://127.0.0.1:$port/services/registry/permits/12" \
     -d '{"load":7}' || fail "the plain call failed"
   echo
 done
-runs=$(curl -sf http://127.0.0.1:47301/runs)
+runs=$(curl -sf http://127.0.0.1:17301/runs)
 [ "$runs" = '{"{\"load\":7}":1}' ] || fail "the plain call ran otherwise than once: $runs"
 
 echo "== explain"
