Test that a caller's trace reaches the target

Cause: no test showed the trace context on the way. A suspicion that it is lost where no reporter of spans is set was wrong: the test passes without a change, so a fallback that was written for it is not kept. Conclusion: test kept, fallback dropped.

--- a/crates/tansyknot-edge/tests/answers.rs
+++ b/crates/tansyknot-edge/tests/answers.rs
@@ -297,3 +297,15 @@
     // The idle connection is closed between requests.
     assert_eq!(lines.by_ref().skip_while(|l| l != "ok").nth(1), None);
 }
+
+/// Also where no reporter of spans is set.
+#[test]
+fn trace_of_the_caller_reaches_the_target() {
+    let outside = Outside::new();
+    let front = outside.front();
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let header = format!("traceparent: 00-{trace}-b7ad6b7169203331-01");
+    let bytes = request("POST /services/letters/x", &[&header], "x");
+    let answer = exchange(front.address, &bytes);
+    assert!(answer.contains(&format!("\"traceparent\":\"00-{trace}-")), "{answer}");
+}
--- a/crates/tansyknot-standins/src/plain.rs
+++ b/crates/tansyknot-standins/src/plain.rs
@@ -41,6 +41,8 @@
 struct Ran<'a> {
     path: &'a str,
     caller: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    traceparent: Option<&'a str>,
     runs: u64,
 }
 
@@ -77,7 +79,9 @@
             return Ok(After::Close);
         }
         let caller = req.head.header("x-caller");
-        server::json(stream, after, 200, &Ran { path: &req.head.path, caller, runs })
+        let traceparent = req.head.header("traceparent");
+        let ran = Ran { path: &req.head.path, caller, traceparent, runs };
+        server::json(stream, after, 200, &ran)
     }
 }
 
