--- a/crates/tansyknot-policy/examples/trace.rs
+++ b/crates/tansyknot-policy/examples/trace.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo run --release --example trace -- --seed 1 > trace.csv`
 
+use std::io::{self, BufWriter, Write};
+
 use clap::Parser;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -126,7 +128,16 @@
         arrivals(service, args.hours * HOUR_MS, &mut rng, &mut rows);
     }
     rows.sort_by_key(|r| (r.at_ms, r.service));
-    println!("at_ms,caller,service,adapter,prompt_tokens,output_tokens,class,deadline_ms");
+    if let Err(e) = write(&rows, &mut rng)
+        && e.kind() != io::ErrorKind::BrokenPipe
+    {
+        eprintln!("the trace can't be written: {e}");
+    }
+}
+
+fn write(rows: &[Row], rng: &mut StdRng) -> io::Result<()> {
+    let mut out = BufWriter::new(io::stdout().lock());
+    writeln!(out, "at_ms,caller,service,adapter,prompt_tokens,output_tokens,class,deadline_ms")?;
     for row in rows {
         let adapter = match rng.random_range(0..3) {
             0 => format!("m{:02}-a{}", row.service, rng.random_range(0..2)),
@@ -134,12 +145,14 @@
         };
         let (class, deadline_ms) = if row.batch { ("batch", 600_000) } else { ("desk", 60_000) };
         let output = if row.burst { 60 } else { rng.random_range(20..250) };
-        println!(
+        writeln!(
+            out,
             "{},c{},m{:02},{adapter},{},{output},{class},{deadline_ms}",
             row.at_ms,
             rng.random_range(0..20),
             row.service,
             rng.random_range(50..1500),
-        );
+        )?;
     }
+    out.flush()
 }
