Stop every daemon that the control benchmark started

Cause: its loop stood before a pipe, so that the daemons' identifiers stayed in a subshell and eight daemons outlived the benchmark. Change: a file instead of the pipe.

--- a/bench/control.sh
+++ b/bench/control.sh
@@ -10,6 +10,7 @@
 $bin/tansyknot --table $table apply -f examples/settings/objects.yaml --wait 0 >/dev/null
 counts() { curl -sf http://$table/counts | grep -o "\"$1\":[0-9]*" | cut -d: -f2; }
 
+# No pipe behind the loop: a subshell's processes would not be stopped at the end.
 daemons=()
 for n in 0 1 2 3 4 5 6 7; do
   daemon $n
@@ -29,4 +30,5 @@
     -v c=$(($(counts commits) - commits)) 'BEGIN {
       printf "{\"daemons\":%d,\"cpu_ms_per_s_each\":%.2f,\"rss_kb_each\":%d,", n, cpu / n / 10, rss / n
       printf "\"table_reads_per_s\":%.1f,\"table_commits_per_s\":%.1f}\n", r / 10, c / 10 }'
-done | tee bench/results/control.jsonl
+done >bench/results/control.jsonl
+cat bench/results/control.jsonl
