Plan an idle service once a step; take out what nothing uses

Change: one plan for both decisions; the rest taken out. Behaviour is the same: a staged or extra replica goes after the lesser of its least retention and its plan.

--- a/crates/tansyknot-control/src/reconcile/retire.rs
+++ b/crates/tansyknot-control/src/reconcile/retire.rs
@@ -13,6 +13,7 @@
     replica::{ReplicaRow, Slot, SlotState},
 };
 use tansyknot_policy::{
+    retention::Plan,
     scaling::{self, Demand},
     staging,
 };
@@ -47,7 +48,8 @@
             return self.drain_surplus(service, state, replicas, max);
         }
         let present = count(&replicas.row, |s| s.state != SlotState::Draining);
-        let prewarm = self.wants_prewarm(service, decided, demand);
+        let (idle, plan) = self.idle_plan(service, decided, demand.load_time);
+        let prewarm = plan.prewarm.is_some_and(|(from, span)| idle >= from && idle < from + span);
         let mut wanted = scaling::wanted(demand, present, decided.bounds(demand.load_time));
         if prewarm {
             wanted = wanted.max(1).min(max);
@@ -55,8 +57,9 @@
         if wanted > present && total < max {
             return self.grow(service, state, replicas, decided, demand);
         }
-        if !prewarm && present > decided.rule.replicas.min {
-            return self.drain_idle(service, state, replicas, decided, demand);
+        let quiet = demand.waiting == 0 && demand.in_flight == 0;
+        if quiet && !prewarm && present > decided.rule.replicas.min {
+            return self.drain_idle(service, state, replicas, decided, idle, plan.keep);
         }
         if total == 0 && max > 0 {
             return self.stage(service, state, replicas, decided, demand);
@@ -124,18 +127,15 @@
         state: &mut ServiceState,
         replicas: &mut Versioned<ReplicaRow>,
         decided: &Decided,
-        demand: &Demand,
+        idle: Duration,
+        keep: Duration,
     ) -> Result<()> {
-        let now = self.parts.clock.now();
-        if demand.waiting > 0 || demand.in_flight > 0 {
-            return Ok(());
-        }
-        let staged = self.is_only_staged(service, state, now);
+        let staged = self.is_only_staged(service, state, self.parts.clock.now());
         let is_extra = replicas.row.slots.len() > 1;
-        let unused = self.is_unused_for(service, decided.rule.retention.at_least.duration(), now);
-        let short = unused && (staged || is_extra);
-        let goes = short || self.is_past_plan(service, decided, now);
-        if !goes {
+        let short = staged || is_extra;
+        let least = decided.rule.retention.at_least.duration();
+        let span = if short { keep.min(least) } else { keep };
+        if idle < span {
             return Ok(());
         }
         let ready = replicas.row.slots.iter().find(|s| s.state == SlotState::Ready).cloned();
@@ -191,24 +191,17 @@
         self.usage.get_or_begin(service, now).last <= since
     }
 
-    fn is_unused_for(&self, service: &ServiceName, span: Duration, now: Time) -> bool {
-        now.since(self.usage.get_or_begin(service, now).last) >= span
-    }
-
-    fn is_past_plan(&self, service: &ServiceName, decided: &Decided, now: Time) -> bool {
-        let used = self.usage.get_or_begin(service, now);
-        let load_time = self.parts.pools.demand(service).load_time;
-        let plan = self.parts.retention.plan(&used.gaps, &decided.retention(load_time));
-        now.since(used.last) >= plan.keep
-    }
-
-    fn wants_prewarm(&self, service: &ServiceName, decided: &Decided, demand: &Demand) -> bool {
+    /// Returns how long the service has been unused, and what its gaps say to do about it.
+    fn idle_plan(
+        &self,
+        service: &ServiceName,
+        decided: &Decided,
+        load_time: Duration,
+    ) -> (Duration, Plan) {
         let now = self.parts.clock.now();
         let used = self.usage.get_or_begin(service, now);
-        let options = decided.retention(demand.load_time);
-        let plan = self.parts.retention.plan(&used.gaps, &options);
-        let idle = now.since(used.last);
-        plan.prewarm.is_some_and(|(from, span)| idle >= from && idle < from + span)
+        let plan = self.parts.retention.plan(&used.gaps, &decided.retention(load_time));
+        (now.since(used.last), plan)
     }
 
     /// Drains the replica of another service that has been idle longest, if one is past its
--- a/crates/tansyknot-gossip/src/members.rs
+++ b/crates/tansyknot-gossip/src/members.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use rand::{Rng, RngCore, seq::SliceRandom};
+use rand::{RngCore, seq::SliceRandom};
 use tansyknot_core::{
     clock::Time,
     event,
@@ -396,8 +396,3 @@
     };
     (update.number, rank(update.liveness)) > (known.number, rank(known.liveness))
 }
-
-/// Returns a span chosen at random from half to one and a half times `span`.
-pub fn jittered(span: Duration, rng: &mut dyn RngCore) -> Duration {
-    span.mul_f64(rng.random_range(0.5..1.5))
-}
--- a/crates/tansyknot-policy/src/queue.rs
+++ b/crates/tansyknot-policy/src/queue.rs
@@ -66,11 +66,6 @@
         self.waiters.is_empty()
     }
 
-    /// Returns the earliest deadline among the waiters.
-    pub fn earliest_deadline(&self) -> Option<Time> {
-        self.waiters.values().map(|w| w.deadline).min()
-    }
-
     /// Returns the tickets of the waiters that can't be served any more: those for which
     /// `deadline < now + needed`.
     pub fn hopeless(&self, now: Time, needed: std::time::Duration) -> Vec<Ticket> {
--- a/crates/tansyknotd/src/control.rs
+++ b/crates/tansyknotd/src/control.rs
@@ -95,7 +95,7 @@
 /// Logs when something outside stops answering and when it answers again.
 #[derive(Debug)]
 pub struct Availability {
-    down: Option<Event>,
+    down: Event,
     up: Option<Event>,
     is_up: bool,
 }
@@ -103,7 +103,7 @@
 impl Availability {
     /// Makes a watch over something that is taken to answer.
     pub fn new(down: Event, up: Option<Event>) -> Self {
-        Self { down: Some(down), up, is_up: true }
+        Self { down, up, is_up: true }
     }
 
     /// Takes in the result of a call.
@@ -117,9 +117,7 @@
             }
             Err(e) if self.is_up => {
                 self.is_up = false;
-                if let Some(down) = self.down {
-                    down.emit(&[("error", e)]);
-                }
+                self.down.emit(&[("error", e)]);
             }
             _ => {}
         }
