Keep a ledger of accepted orders; refuse what a stop can't finish

Change: a task begins from what the target has accepted from this planner, or from its report; an unanswered order counts as carried out only if the target then holds what it should. 2.8 s after the signal idle connections are closed and further requests are refused as not run, to come back at once.

--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -17,7 +17,7 @@
     head::Head,
     presence,
     respond::{self, After, Whole},
-    server::{Handler, Request},
+    server::{Handler, Lifecycle, Request},
 };
 
 use crate::{
@@ -58,6 +58,8 @@
 pub enum Reason {
     /// The daemon has no configuration yet.
     NoConfiguration,
+    /// The daemon stops and could not finish it in time.
+    Stopping,
     /// No route has this host and path.
     NoRoute,
     /// Its time passed before a target could take it.
@@ -79,6 +81,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Reason::NoConfiguration => "no_configuration",
+            Reason::Stopping => "stopping",
             Reason::NoRoute => "no_route",
             Reason::NoTargetInTime => "no_target_in_time",
             Reason::RefusedByTargets => "refused_by_targets",
@@ -92,7 +95,10 @@
     fn status(self) -> u16 {
         match self {
             Reason::NoRoute => 404,
-            Reason::NoConfiguration | Reason::NoTargetInTime | Reason::RefusedByTargets => 503,
+            Reason::NoConfiguration
+            | Reason::Stopping
+            | Reason::NoTargetInTime
+            | Reason::RefusedByTargets => 503,
             Reason::NoAnswerInTime => 504,
             Reason::TargetFailed | Reason::StreamBroken | Reason::CallerLeft => 502,
         }
@@ -101,6 +107,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Reason::NoConfiguration => Some(RETRY_START),
+            Reason::Stopping => Some(Duration::ZERO),
             Reason::NoTargetInTime | Reason::RefusedByTargets => Some(RETRY_LATER),
             _ => None,
         }
@@ -191,15 +198,24 @@
     state: Arc<State>,
     dialect: Arc<dyn Dialect>,
     recorder: Arc<dyn Recorder>,
+    lifecycle: Arc<Lifecycle>,
 }
 
 impl Server {
     /// Makes a server on the shared state.
-    pub fn new(state: Arc<State>, dialect: Arc<dyn Dialect>, recorder: Arc<dyn Recorder>) -> Self {
-        Self { state, dialect, recorder }
+    pub fn new(
+        state: Arc<State>,
+        dialect: Arc<dyn Dialect>,
+        recorder: Arc<dyn Recorder>,
+        lifecycle: Arc<Lifecycle>,
+    ) -> Self {
+        Self { state, dialect, recorder, lifecycle }
     }
 
     fn route(&self, head: &Head, ask: &Ask) -> Result<(Arc<Route>, ServiceName), Reason> {
+        if self.lifecycle.is_ending() {
+            return Err(Reason::Stopping);
+        }
         let catalog = self.state.catalog().ok_or(Reason::NoConfiguration)?;
         let host = head.header("host").unwrap_or("");
         let route = find_route(&catalog, host, &head.path).ok_or(Reason::NoRoute)?;
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -53,18 +53,27 @@
     pub daemon: Arc<str>,
     /// Loads that should be done by now and have not shown in the list of targets.
     pub due: AtomicUsize,
-    /// Orders that targets have accepted, as far as this planner knows.
-    pub counts: Mutex<Counts>,
+    /// What targets have accepted from this planner.
+    pub ledger: Mutex<Ledger>,
 }
 
-/// Orders that targets have accepted under one lease.
+/// What targets have accepted under one lease.
+///
+/// It goes before the list of targets, which may be seconds old: as long as a target has accepted
+/// no more orders than stand here, it holds what stands here.
 #[derive(Debug, Default)]
-pub struct Counts {
+pub struct Ledger {
     fence: u64,
-    accepted: HashMap<TargetName, u64>,
+    targets: HashMap<TargetName, Account>,
     notes: u64,
 }
 
+#[derive(Clone, Debug)]
+struct Account {
+    orders: u64,
+    models: Vec<Held>,
+}
+
 /// A task under way.
 struct Progress {
     target: Arc<Target>,
@@ -79,6 +88,8 @@
     LeaseLost,
     /// The target has accepted other orders than this task knows of.
     Overtaken,
+    /// The target holds other models than the task was planned with.
+    Outdated,
     /// The target does not answer.
     Silent,
     /// The target refuses the order.
@@ -92,6 +103,7 @@
         match self {
             Stopped::LeaseLost => "lease_lost",
             Stopped::Overtaken => "overtaken",
+            Stopped::Outdated => "outdated",
             Stopped::Silent => "silent",
             Stopped::Refused => "refused",
             Stopped::NotLoaded => "not_loaded",
@@ -115,11 +127,12 @@
                 ("accepted", &progress.orders),
                 ("reason", &stopped.name()),
             ]);
-            self.counts().accepted.remove(&task.target.name);
+            self.ledger().targets.remove(&task.target.name);
             self.publish(&progress, progress.models.clone());
             return false;
         }
-        self.counts().accepted.insert(task.target.name.clone(), progress.orders);
+        let account = Account { orders: progress.orders, models: progress.models };
+        self.ledger().targets.insert(task.target.name.clone(), account);
         true
     }
 
@@ -139,30 +152,35 @@
     fn begin(&self, progress: &mut Progress) -> Result<(), Stopped> {
         let fence = self.lease.may_order(self.now()).ok_or(Stopped::LeaseLost)?;
         let known = {
-            let mut counts = self.counts();
-            if counts.fence != fence {
-                *counts = Counts { fence, ..Counts::default() };
+            let mut ledger = self.ledger();
+            if ledger.fence != fence {
+                *ledger = Ledger { fence, ..Ledger::default() };
             }
-            counts.accepted.get(&progress.target.name).copied()
+            ledger.targets.get(&progress.target.name).cloned()
         };
         if let Some(known) = known {
-            progress.orders = known;
-            return Ok(());
+            progress.orders = known.orders;
+            return self.agree(progress, known.models);
         }
         let report = self.report(progress)?;
         progress.orders = report.orders;
         if report.busy {
             return Err(Stopped::Overtaken);
         }
-        if !same_models(&report.models, &progress.models) {
-            self.publish(progress, report.models);
-            return Err(Stopped::Overtaken);
+        self.agree(progress, report.models)
+    }
+
+    /// Gives the task up if the target holds other models than it was planned with.
+    fn agree(&self, progress: &mut Progress, models: Vec<Held>) -> Result<(), Stopped> {
+        if same_models(&models, &progress.models) {
+            return Ok(());
         }
-        Ok(())
+        progress.models = models;
+        Err(Stopped::Outdated)
     }
 
-    fn counts(&self) -> MutexGuard<'_, Counts> {
-        self.counts.lock().expect("no holder of the lock panics")
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().expect("no holder of the lock panics")
     }
 
     fn now(&self) -> Time {
@@ -233,16 +251,38 @@
                         return Err(Stopped::Silent);
                     }
                     self.pause(REPORT_LAG);
-                    let report = self.report(progress)?;
-                    if report.orders > progress.orders {
-                        progress.orders = report.orders;
-                        return Ok(Ordered::Accepted);
+                    if self.was_carried_out(progress, action)? {
+                        return Ok(Ordered::Done);
                     }
                 }
             }
         }
     }
 
+    /// Finds out whether an order without an answer was carried out.
+    ///
+    /// A higher count alone does not tell: an earlier order may have been carried out late.
+    fn was_carried_out(&self, progress: &mut Progress, action: &Action) -> Result<bool, Stopped> {
+        let mut expected = progress.models.clone();
+        apply(&mut expected, action);
+        for _ in 0..LOAD_REPORTS {
+            let report = self.report(progress)?;
+            if report.orders <= progress.orders {
+                return Ok(false);
+            }
+            if !report.busy {
+                progress.orders = report.orders;
+                if same_models(&report.models, &expected) {
+                    return Ok(true);
+                }
+                progress.models = report.models;
+                return Err(Stopped::Overtaken);
+            }
+            self.pause(LOAD_LOOK);
+        }
+        Err(Stopped::Silent)
+    }
+
     /// An adapter that is removed at once counts as an order; what already holds does not.
     fn settle_done(&self, progress: &mut Progress, action: &Action) {
         if let Action::Remove { adapter: Some(_), .. } = action {
@@ -258,7 +298,7 @@
         }
         progress.orders = report.orders;
         if !report.busy {
-            self.publish(progress, report.models);
+            progress.models = report.models;
         }
         Err(Stopped::Overtaken)
     }
@@ -324,9 +364,9 @@
     /// Takes what the task knows of the target into this daemon's view, from where all are told.
     fn publish(&self, progress: &Progress, models: Vec<Held>) {
         let (fence, revision) = {
-            let mut counts = self.counts();
-            counts.notes += 1;
-            (counts.fence, counts.notes)
+            let mut ledger = self.ledger();
+            ledger.notes += 1;
+            (ledger.fence, ledger.notes)
         };
         let now = self.now();
         let mut fleet = self.state.fleet();
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -25,6 +25,8 @@
 const STACK_BYTES: usize = 256 << 10;
 /// How often an idle connection looks whether the daemon drains.
 const IDLE_SLICE: Duration = Duration::from_millis(250);
+/// How often it looks if it is served while the daemon drains: each look wakes a thread.
+const KEPT_SLICE: Duration = Duration::from_millis(1000);
 /// A refused sender's remaining bytes are read away for this long, so that it sees the answer.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -52,7 +54,8 @@
 pub enum KeptConnections {
     /// It is closed at once.
     ClosedWhileDraining,
-    /// It stays until its next request, whose answer says that it is the last.
+    /// It stays until its next request, whose answer says that it is the last, or until the
+    /// daemon is ending.
     ServedWhileDraining,
 }
 
@@ -79,6 +82,7 @@
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     draining: AtomicBool,
+    ending: AtomicBool,
     closed: AtomicBool,
     connections: AtomicU32,
     busy: AtomicU32,
@@ -90,6 +94,16 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Says that requests that come now would not be finished in time.
+    pub fn end(&self) {
+        self.ending.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether requests that come now would not be finished in time.
+    pub fn is_ending(&self) -> bool {
+        self.ending.load(Ordering::SeqCst)
+    }
+
     /// Says that no new connection is taken.
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
@@ -270,14 +284,14 @@
             Age::Used if options.kept == KeptConnections::ClosedWhileDraining => {
                 lifecycle.is_draining()
             }
-            Age::Used => lifecycle.is_closed(),
+            Age::Used => lifecycle.is_ending(),
         };
         if is_over || Instant::now() >= until {
             return Ok(false);
         }
         rx.allow(match options.kept {
             KeptConnections::ClosedWhileDraining => IDLE_SLICE,
-            KeptConnections::ServedWhileDraining => until.saturating_duration_since(Instant::now()),
+            KeptConnections::ServedWhileDraining => KEPT_SLICE,
         });
         match rx.fill() {
             Ok(0) => return Ok(false),
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -129,7 +129,7 @@
             targets: Arc::new(Runners),
             daemon,
             due: 0.into(),
-            counts: Mutex::default(),
+            ledger: Mutex::default(),
         });
         let socket = UdpSocket::bind(peers)?;
         let conductor = Arc::new(Conductor::new(Arc::clone(&state), orders, socket, incarnation));
@@ -145,7 +145,12 @@
         let recorder = Arc::new(PageRecorder::default());
 
         let dialect = Arc::new(PlatformHeaders);
-        let server = Server::new(Arc::clone(&state), dialect, Arc::clone(&recorder) as _);
+        let server = Server::new(
+            Arc::clone(&state),
+            dialect,
+            Arc::clone(&recorder) as _,
+            Arc::clone(&lifecycle),
+        );
         serve(settings.listen.callers, caller_options(settings), Arc::new(server), &lifecycle)?;
         let ready = ReadyPage {
             state: Arc::clone(&state),
@@ -178,6 +183,9 @@
         let until = began + self.grace.saturating_sub(STOP_MARGIN);
         while Instant::now() < until {
             let lingered = began.elapsed() >= STOP_LINGER;
+            if lingered {
+                self.lifecycle.end();
+            }
             if lingered && self.lifecycle.busy() == 0 {
                 break;
             }
