--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     keep::SharedLease,
+    news::ListNews,
     outside::Action,
-    peer::{self, InFlight, MAX_BYTES, Message, ModelUse, TargetNote},
+    peer::{self, InFlight, MAX_BYTES, Message, ModelUse, News, TargetNote},
     plan::{DAEMON_SPAN, Planner, Task},
     state::State,
     target::Target,
@@ -37,6 +38,8 @@
 struct Told {
     /// The revisions told, and when first.
     notes: HashMap<TargetName, (u64, Time)>,
+    /// The number of the last change of the list, and the configuration's version.
+    versions: (u64, u64),
     peers: HashMap<SocketAddr, Time>,
     was_planner: bool,
 }
@@ -116,24 +119,46 @@
                     self.state.demand_changed.raise();
                 }
             }
-            Message::News { fence, daemons, orders: _, targets, in_flight } => {
-                if self.lease.is_mine() || !self.lease.hear(fence, now) {
-                    return;
-                }
-                let mut fleet = self.state.fleet();
-                fleet.daemons = usize::from(daemons).max(1);
-                for note in &targets {
-                    fleet.note(note, fence, now);
-                }
-                fleet.note_in_flight(&in_flight);
-                drop(fleet);
-                if !targets.is_empty() {
-                    self.state.targets_changed.raise();
+            Message::News(news) => {
+                if !self.lease.is_mine() && self.lease.hear(news.fence, now) {
+                    self.take_news(news, now);
                 }
             }
         }
     }
 
+    fn take_news(&self, news: News, now: Time) {
+        let mine = self.state.catalog().map_or(0, |c| c.version);
+        let (changes, is_due) = {
+            let mut followed = self.state.followed();
+            let config_age = Duration::from_millis(news.config_age_ms.into());
+            followed.config(news.config, config_age, now);
+            let changes = followed.list(news.fence, news.list, now);
+            let is_due = followed.list_fresh_for(now).is_zero()
+                || followed.config_fresh_for(mine, now).is_zero();
+            (changes, is_due)
+        };
+        let is_changed = !changes.is_empty() || !news.targets.is_empty();
+        let mut fleet = self.state.fleet();
+        fleet.daemons = usize::from(news.daemons).max(1);
+        for change in changes {
+            fleet.apply_news(change, now);
+        }
+        for note in &news.targets {
+            fleet.note(note, news.fence, now);
+        }
+        if let Some(in_flight) = &news.in_flight {
+            fleet.note_in_flight(in_flight);
+        }
+        drop(fleet);
+        if is_changed {
+            self.state.targets_changed.raise();
+        }
+        if is_due {
+            self.state.call_due.raise();
+        }
+    }
+
     /// Sends demand, or plans and sends news, until the process ends.
     pub fn conduct(self: &Arc<Self>) {
         let mut seen = 0;
@@ -254,7 +279,10 @@
         let mut notes = self.state.fleet().notes();
         let peers: Vec<SocketAddr> = {
             let mut told = self.told();
-            let has_changed = keep_news(&mut told, &mut notes, now);
+            let list = self.state.fleet().log.last();
+            let config = self.state.catalog().map_or(0, |c| c.version);
+            let has_changed = keep_news(&mut told, &mut notes, now)
+                | (std::mem::replace(&mut told.versions, (list, config)) != (list, config));
             if !is_due && !has_changed {
                 return;
             }
@@ -270,25 +298,49 @@
             fleet.daemons = daemons.max(1);
             fleet.note_in_flight(&in_flight);
         }
-        let message = |targets: &[TargetNote]| Message::News {
-            fence: self.lease.fence(),
-            daemons: u16::try_from(daemons).unwrap_or(u16::MAX),
-            orders: self.lease.may_order(now).is_some(),
-            targets: targets.to_vec(),
-            in_flight: in_flight.clone(),
-        };
-        let mut parts: Vec<&[TargetNote]> = notes.chunks(NOTES).collect();
-        if parts.is_empty() {
-            parts.push(&[]);
-        }
-        for part in parts {
-            let message = message(part);
+        for message in self.messages(&notes, &in_flight, daemons, now) {
             for peer in &peers {
                 self.send(&message, *peer);
             }
         }
     }
 
+    /// Makes the news in parts that fit a datagram each.
+    fn messages(
+        &self,
+        notes: &[TargetNote],
+        in_flight: &[InFlight],
+        daemons: usize,
+        now: Time,
+    ) -> Vec<Message> {
+        let contacts = *self.state.contacts();
+        let age = |at: Option<Time>| at.map_or(Duration::MAX, |at| now.since(at));
+        let config_age = age(contacts.config).as_millis();
+        let news = News {
+            fence: self.lease.fence(),
+            daemons: u16::try_from(daemons).unwrap_or(u16::MAX),
+            config: self.state.catalog().map_or(0, |c| c.version),
+            config_age_ms: u32::try_from(config_age).unwrap_or(u32::MAX),
+            list: ListNews::default(),
+            targets: Vec::new(),
+            in_flight: None,
+        };
+        let lists = self.state.fleet().log.news(age(contacts.list), NOTES, now);
+        let mut parts: Vec<News> =
+            lists.into_iter().map(|list| News { list, ..news.clone() }).collect();
+        let last = parts[parts.len() - 1].list.to;
+        let current = ListNews { from: last, to: last, ..parts[0].list.clone() };
+        let current = ListNews { changes: Vec::new(), ..current };
+        let bare = News { list: current, ..news };
+        parts.extend(notes.chunks(NOTES).map(|n| News { targets: n.to_vec(), ..bare.clone() }));
+        let in_flight = Some(largest(in_flight));
+        match &mut parts[..] {
+            [only] if only.list.changes.is_empty() => only.in_flight = in_flight,
+            _ => parts.push(News { in_flight, ..bare }),
+        }
+        parts.into_iter().map(Message::News).collect()
+    }
+
     fn send(&self, message: &Message, to: SocketAddr) {
         for part in split(message) {
             let Some(bytes) = peer::encode(&part) else {
@@ -301,6 +353,11 @@
         }
     }
 
+    /// Tells whether this daemon is the planner, whom the others follow.
+    pub fn is_planner(&self) -> bool {
+        self.lease.is_mine()
+    }
+
     /// Tells whether a load should be done by now and has not shown in the list.
     pub fn awaits_load(&self) -> bool {
         self.orders.due.load(Ordering::SeqCst) > 0
@@ -322,6 +379,14 @@
     has_changed
 }
 
+/// Returns the largest numbers of requests at targets, as many as fit a datagram.
+fn largest(in_flight: &[InFlight]) -> Vec<InFlight> {
+    let mut largest = in_flight.to_vec();
+    largest.sort_by_key(|f| std::cmp::Reverse(f.count));
+    largest.truncate(2 * ENTRIES);
+    largest
+}
+
 /// Splits a message whose lists are long, so that each part fits a datagram.
 fn split(message: &Message) -> Vec<Message> {
     let Message::Demand { daemon, incarnation, models, in_flight } = message else {
@@ -330,11 +395,8 @@
     if models.len() <= ENTRIES && in_flight.len() <= ENTRIES {
         return vec![message.clone()];
     }
-    // Models in use come in several datagrams; requests in flight are a whole, so the first
-    // datagram has them all or, if there are too many, the largest.
-    let mut rest = in_flight.clone();
-    rest.sort_by_key(|f| std::cmp::Reverse(f.count));
-    rest.truncate(2 * ENTRIES);
+    // Models in use come in several datagrams; requests in flight are a whole in each.
+    let rest = largest(in_flight);
     let parts = models.chunks(ENTRIES).map(|models| Message::Demand {
         daemon: Arc::clone(daemon),
         incarnation: Arc::clone(incarnation),
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    news::{ChangeLog, Entry, ListChange},
     outside::TargetChange,
     peer::{InFlight, ModelUse, TargetNote},
     target::{Held, Target, TargetState},
@@ -210,6 +211,8 @@
     uses: BTreeMap<UseKey, Use>,
     /// Daemons that the planner counts.
     pub daemons: usize,
+    /// Changes of the list that requests depend on.
+    pub log: ChangeLog,
     /// Until when entries that go missing are taken for lapsed and not for gone.
     lapse_until: Time,
 }
@@ -247,13 +250,22 @@
     }
 
     fn put(&mut self, target: Target, now: Time) {
+        let entry = Entry::of(&target);
         match self.members.get_mut(&target.name) {
-            Some(m) if m.target.version > target.version => {}
-            Some(m) => m.set_entry(target, now),
+            Some(m) if m.target.version > target.version => return,
+            Some(m) => {
+                let listed = Target { models: m.listed.clone(), ..Target::clone(&m.target) };
+                let is_news = m.lapses_at.is_some() || !entry.is_same(&listed);
+                m.set_entry(target, now);
+                if !is_news {
+                    return;
+                }
+            }
             None => {
                 self.members.insert(target.name.clone(), Member::new(target));
             }
         }
+        self.log.add(ListChange::Put(entry), now);
     }
 
     fn removed(&mut self, name: &TargetName, now: Time) {
@@ -264,12 +276,35 @@
             m.lapses_at.get_or_insert(lapse_until);
             return;
         }
-        self.members.remove(name);
+        self.drop_member(name, now);
+    }
+
+    fn drop_member(&mut self, name: &TargetName, now: Time) {
+        if self.members.remove(name).is_some() {
+            self.log.add(ListChange::Removed(name.clone()), now);
+        }
+    }
+
+    /// Takes in a change of the list that the planner has told.
+    pub fn apply_news(&mut self, change: ListChange, now: Time) {
+        match change {
+            ListChange::Put(entry) => {
+                let known = self.members.get(&entry.name).map(|m| Arc::clone(&m.target));
+                self.put(entry.into_target(known.as_deref()), now);
+            }
+            // The planner has waited for entries that lapsed while the store was away.
+            ListChange::Removed(name) => self.drop_member(&name, now),
+        }
     }
 
     /// Drops entries that lapsed while the store was away and did not come back.
     pub fn expire(&mut self, now: Time) {
-        self.members.retain(|_, m| m.lapses_at.is_none_or(|at| now < at));
+        let has_lapsed = |m: &Member| m.lapses_at.is_some_and(|at| now >= at);
+        let lapsed = self.members.values().filter(|m| has_lapsed(m));
+        let lapsed: Vec<TargetName> = lapsed.map(|m| m.target.name.clone()).collect();
+        for name in lapsed {
+            self.drop_member(&name, now);
+        }
         self.members.values_mut().for_each(|m| m.expire_note(now));
         self.uses.retain(|_, u| u.waiting > 0 || now.since(u.last) < USES_KEPT);
     }
--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -16,7 +16,9 @@
 };
 
 /// How long a call that follows the configuration waits for a change.
-pub const CONFIG_WAIT: Duration = Duration::from_millis(1500);
+pub const CONFIG_WAIT: Duration = Duration::from_millis(1000);
+/// An answer shows the store as it was at most this long before it arrived.
+const ANSWER_SPAN: Duration = Duration::from_millis(100);
 /// How often a store that does not answer is asked again.
 pub const RETRY: Duration = Duration::from_millis(250);
 
@@ -63,11 +65,17 @@
 
     /// Makes one call; tells how long to pause before the next.
     pub fn step(&mut self) -> Duration {
+        let began = self.state.now();
         let result = match self.version {
             Some(version) => self.store.catalog_changes(version, CONFIG_WAIT),
             None => self.store.catalog().map(Some),
         };
         self.contact.take(&result);
+        if matches!(result, Ok(Some(_))) {
+            // A call that waits shows what was so until its end; its start is on the safe side.
+            let ended = self.state.now();
+            self.state.contacts().config = Some(began.max(ended.before(ANSWER_SPAN)));
+        }
         match result {
             Ok(Some((catalog, version))) => {
                 let is_first = self.version.is_none();
@@ -80,6 +88,7 @@
                 if self.state.set_catalog(catalog) {
                     event::FLEET_CONFIG.emit(&[("version", &number), ("store_version", &version)]);
                     self.state.targets_changed.raise();
+                    self.state.demand_changed.raise();
                 }
                 Duration::ZERO
             }
@@ -111,6 +120,8 @@
 
     /// Makes one call; tells whether the store answered.
     pub fn step(&mut self) -> bool {
+        let began = self.state.now();
+        let mark = self.state.followed().before_call();
         let result = match self.version {
             Some(version) => self.store.target_changes(version),
             None => self.store.targets().map(|(targets, version)| {
@@ -134,12 +145,16 @@
                     fleet.apply(change.clone(), now);
                 }
                 fleet.expire(now);
+                drop(fleet);
+                self.state.followed().after_call(mark);
+                self.state.contacts().list = Some(began);
             }
             Ok(TargetNews::HistoryLost) => self.version = None,
             Err(_) => {}
         }
         if is_changed {
             self.state.targets_changed.raise();
+            self.state.demand_changed.raise();
         }
         result.is_ok()
     }
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod keep;
 pub mod lease;
+pub mod news;
 pub mod outside;
 pub mod peer;
 pub mod plan;
--- /dev/null
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -0,0 +1,218 @@
+//! How daemons share what one of them reads of the store, so that not all of them ask it.
+//!
+//! The planner numbers each change of the list that matters to requests and sends it to all. A
+//! daemon that has every number up to the newest knows the list as of the planner's last call;
+//! one that misses a number, or whose planner has no fresh view, asks the store itself.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tansyknot_core::{
+    clock::Time,
+    name::{ServiceName, TargetName, ZoneName},
+};
+
+use crate::target::{Held, Target, TargetState};
+
+/// Changes are repeated this long, as datagrams get lost: three beats.
+const CHANGE_SPAN: Duration = Duration::from_millis(950);
+/// A daemon whose view is older than this asks the store itself; a leaving target must get
+/// nothing new 2 s after its entry says so.
+pub const LIST_SPAN: Duration = Duration::from_millis(1300);
+/// The same for the configuration, which must be in force within 2 s.
+pub const CONFIG_SPAN: Duration = Duration::from_millis(1600);
+
+/// An entry of the list without what only the planner needs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The target.
+    pub name: TargetName,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether it takes new work.
+    pub state: TargetState,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// The models that it holds.
+    pub models: Vec<Held>,
+    /// The version of the entry.
+    pub version: u64,
+}
+
+impl Entry {
+    /// Takes what requests need of a target.
+    pub fn of(target: &Target) -> Self {
+        Self {
+            name: target.name.clone(),
+            service: target.service.clone(),
+            address: target.address,
+            zone: target.zone.clone(),
+            state: target.state,
+            slots: target.slots,
+            models: target.models.clone(),
+            version: target.version,
+        }
+    }
+
+    /// Makes a target of the entry, with the copies of weights that are known of it.
+    pub fn into_target(self, known: Option<&Target>) -> Target {
+        Target {
+            name: self.name,
+            service: self.service,
+            address: self.address,
+            zone: self.zone,
+            state: self.state,
+            slots: self.slots,
+            models: self.models,
+            in_memory: known.map(|t| t.in_memory.clone()).unwrap_or_default(),
+            on_disk: known.map(|t| t.on_disk.clone()).unwrap_or_default(),
+            version: self.version,
+        }
+    }
+
+    /// Tells whether requests are treated alike by both.
+    pub fn is_same(&self, target: &Target) -> bool {
+        Entry { version: target.version, ..self.clone() } == Entry::of(target)
+    }
+}
+
+/// A change of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListChange {
+    /// The entry is new or has changed.
+    Put(Entry),
+    /// The entry is gone.
+    Removed(TargetName),
+}
+
+/// Changes with the numbers after `from`, up to `to`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// The number before the first change.
+    pub from: u64,
+    /// The number of the last change.
+    pub to: u64,
+    /// How long ago the list was read, in milliseconds.
+    pub age_ms: u32,
+    /// The changes.
+    pub changes: Vec<ListChange>,
+}
+
+/// The changes that a daemon has seen in the list, numbered.
+#[derive(Clone, Debug, Default)]
+pub struct ChangeLog {
+    last: u64,
+    kept: VecDeque<(u64, Time, ListChange)>,
+}
+
+impl ChangeLog {
+    /// Adds a change.
+    pub fn add(&mut self, change: ListChange, now: Time) {
+        self.last += 1;
+        self.kept.push_back((self.last, now, change));
+        self.forget(now);
+    }
+
+    /// Leaves a number out, so that all who follow ask the store.
+    pub fn skip(&mut self) {
+        self.last += 1;
+        self.kept.clear();
+    }
+
+    fn forget(&mut self, now: Time) {
+        let is_old = |at: &Time| now.since(*at) >= CHANGE_SPAN;
+        while self.kept.front().is_some_and(|(_, at, _)| is_old(at)) {
+            self.kept.pop_front();
+        }
+    }
+
+    /// Returns the number of the last change.
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    /// Returns the changes to repeat, in parts of at most `most` changes.
+    pub fn news(&mut self, age: Duration, most: usize, now: Time) -> Vec<ListNews> {
+        self.forget(now);
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let changes: Vec<(u64, ListChange)> =
+            self.kept.iter().map(|(number, _, change)| (*number, change.clone())).collect();
+        if changes.is_empty() {
+            return vec![ListNews { from: self.last, to: self.last, age_ms, changes: Vec::new() }];
+        }
+        let part = |part: &[(u64, ListChange)]| ListNews {
+            from: part[0].0 - 1,
+            to: part[part.len() - 1].0,
+            age_ms,
+            changes: part.iter().map(|(_, change)| change.clone()).collect(),
+        };
+        changes.chunks(most).map(part).collect()
+    }
+}
+
+/// What a daemon has from the planner in place of calls of its own.
+#[derive(Clone, Debug, Default)]
+pub struct Followed {
+    fence: u64,
+    /// Every change up to this number is known.
+    number: Option<u64>,
+    /// A call that begins now makes every change up to this number known.
+    newest: u64,
+    list_at: Option<Time>,
+    config_at: Option<Time>,
+    config_version: u64,
+}
+
+impl Followed {
+    /// Takes in news of the list; returns the changes that are new, or none if one is missing.
+    pub fn list(&mut self, fence: u64, news: ListNews, now: Time) -> Vec<ListChange> {
+        if self.fence != fence {
+            *self = Self { fence, config_version: self.config_version, ..Self::default() };
+        }
+        self.newest = self.newest.max(news.to);
+        let Some(number) = self.number.filter(|n| *n >= news.from) else { return Vec::new() };
+        let known = usize::try_from(number - news.from).unwrap_or(usize::MAX);
+        self.number = Some(number.max(news.to));
+        let read = now.before(Duration::from_millis(news.age_ms.into()));
+        if number.max(news.to) == self.newest {
+            self.list_at = self.list_at.max(Some(read));
+        }
+        news.changes.into_iter().skip(known).collect()
+    }
+
+    /// Takes in how old the planner's view of the configuration is, and its version.
+    pub fn config(&mut self, version: u64, age: Duration, now: Time) {
+        self.config_version = self.config_version.max(version);
+        self.config_at = self.config_at.max(Some(now.before(age)));
+    }
+
+    /// Returns the number that a call that begins now will make known.
+    pub fn before_call(&self) -> (u64, u64) {
+        (self.fence, self.newest)
+    }
+
+    /// Takes in that a call that began at `mark` has succeeded.
+    pub fn after_call(&mut self, mark: (u64, u64)) {
+        let (fence, number) = mark;
+        if fence == self.fence {
+            self.number = self.number.max(Some(number));
+        }
+    }
+
+    /// Returns how long the view of the list is fresh enough without a call.
+    pub fn list_fresh_for(&self, now: Time) -> Duration {
+        let is_whole = self.number == Some(self.newest);
+        let at = self.list_at.filter(|_| is_whole);
+        at.map_or(Duration::ZERO, |at| LIST_SPAN.saturating_sub(now.since(at)))
+    }
+
+    /// Returns how long version `mine` of the configuration is fresh enough without a call.
+    pub fn config_fresh_for(&self, mine: u64, now: Time) -> Duration {
+        let at = self.config_at.filter(|_| mine >= self.config_version);
+        at.map_or(Duration::ZERO, |at| CONFIG_SPAN.saturating_sub(now.since(at)))
+    }
+}
--- a/crates/tansyknot-fleet/src/peer.rs
+++ b/crates/tansyknot-fleet/src/peer.rs
@@ -8,10 +8,13 @@
 use serde::{Deserialize, Serialize};
 use tansyknot_core::name::{AdapterName, ModelName, ServiceName, TargetName};
 
-use crate::target::{Held, TargetState};
+use crate::{
+    news::ListNews,
+    target::{Held, TargetState},
+};
 
 /// The first byte of each datagram; it changes with the format.
-const FORMAT: u8 = 0xA1;
+const FORMAT: u8 = 0xA2;
 /// Longer datagrams are not sent: they would be split on the way.
 pub const MAX_BYTES: usize = 1200;
 
@@ -69,18 +72,26 @@
         in_flight: Vec<InFlight>,
     },
     /// From the planner to every daemon.
-    News {
-        /// The planner's fencing token.
-        fence: u64,
-        /// Daemons that the planner has heard of lately.
-        daemons: u16,
-        /// Whether the planner may send orders now.
-        orders: bool,
-        /// Targets that the planner has changed lately.
-        targets: Vec<TargetNote>,
-        /// Requests at targets, from all daemons.
-        in_flight: Vec<InFlight>,
-    },
+    News(News),
+}
+
+/// What the planner tells every daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The planner's fencing token.
+    pub fence: u64,
+    /// Daemons that the planner has heard of lately.
+    pub daemons: u16,
+    /// The configuration that the planner has in force.
+    pub config: u64,
+    /// How long ago the planner asked the store for it, in milliseconds.
+    pub config_age_ms: u32,
+    /// Changes of the list of targets.
+    pub list: ListNews,
+    /// Targets that the planner has changed lately.
+    pub targets: Vec<TargetNote>,
+    /// Requests at targets, from all daemons; `None` if another part of the news has them.
+    pub in_flight: Option<Vec<InFlight>>,
 }
 
 /// Encodes a message; `None` if it is too long for a datagram.
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -15,6 +15,7 @@
     budget::{Budget, BudgetOptions},
     catalog::Catalog,
     fleet::Fleet,
+    news::Followed,
 };
 
 /// A moment that other threads wait for.
@@ -47,6 +48,15 @@
     }
 }
 
+/// When calls began that the store answered last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Contacts {
+    /// For the list of targets.
+    pub list: Option<Time>,
+    /// For the configuration.
+    pub config: Option<Time>,
+}
+
 /// What the threads of a daemon share.
 pub struct State {
     /// The clock.
@@ -55,7 +65,11 @@
     pub targets_changed: Signal,
     /// Raised when a request begins to wait for a load.
     pub demand_changed: Signal,
+    /// Raised when the planner has told that a call to the store is due.
+    pub call_due: Signal,
     fleet: Mutex<Fleet>,
+    followed: Mutex<Followed>,
+    contacts: Mutex<Contacts>,
     catalog: RwLock<Option<Arc<Catalog>>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     budget_options: BudgetOptions,
@@ -68,7 +82,10 @@
             clock,
             targets_changed: Signal::default(),
             demand_changed: Signal::default(),
+            call_due: Signal::default(),
             fleet: Mutex::new(Fleet::new(zone)),
+            followed: Mutex::default(),
+            contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
             budget_options,
@@ -89,6 +106,24 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns what the planner has told in place of calls to the store.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread has panicked with it.
+    pub fn followed(&self) -> MutexGuard<'_, Followed> {
+        self.followed.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns when calls began that the store answered last.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread has panicked with it.
+    pub fn contacts(&self) -> MutexGuard<'_, Contacts> {
+        self.contacts.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the configuration in force.
     ///
     /// # Panics
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -36,7 +36,7 @@
 use crate::page::PageRecorder;
 
 /// How often the list of targets is followed; a leaving target must get no work after 2 s.
-const FOLLOW_TARGETS: Duration = Duration::from_millis(900);
+const FOLLOW_TARGETS: Duration = Duration::from_millis(600);
 /// How often it is followed while a load should be done.
 const FOLLOW_LOADS: Duration = Duration::from_millis(90);
 /// After the signal to stop, new connections come for this long: two missed checks at one a
@@ -164,7 +164,8 @@
             serve(SocketAddr::new(host, port), page_options(settings), page, &pages)?;
         }
 
-        follow_config(ConfigFollower::new(Arc::clone(&state), Arc::clone(&store)));
+        let follower = ConfigFollower::new(Arc::clone(&state), Arc::clone(&store));
+        follow_config(follower, &state, &conductor);
         let follower = TargetFollower::new(Arc::clone(&state), store, targets_known);
         follow_targets(follower, &state, &conductor);
         keep(&keeper);
@@ -230,34 +231,52 @@
     Ok(())
 }
 
-fn follow_config(mut follower: ConfigFollower) {
+fn follow_config(mut follower: ConfigFollower, state: &Arc<State>, conductor: &Arc<Conductor>) {
+    let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
     spawn("config", move || {
         loop {
             let pause = follower.step();
-            if !pause.is_zero() {
-                thread::sleep(pause);
-            }
+            thread::sleep(pause);
+            await_config_call(&state, &conductor);
         }
     });
 }
 
+/// Waits as long as the planner's news of the configuration are fresh.
+fn await_config_call(state: &State, conductor: &Conductor) {
+    loop {
+        let seen = state.call_due.count();
+        let mine = state.catalog().map_or(0, |c| c.version);
+        let left = state.followed().config_fresh_for(mine, state.now());
+        if conductor.is_planner() || mine == 0 || left.is_zero() {
+            return;
+        }
+        state.call_due.wait(seen, left);
+    }
+}
+
 fn follow_targets(mut follower: TargetFollower, state: &Arc<State>, conductor: &Arc<Conductor>) {
     let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
     spawn("targets", move || {
         loop {
             let answered = follower.step();
-            pause_targets(&state, &conductor, answered);
+            if !answered {
+                thread::sleep(follow::RETRY);
+            } else if conductor.is_planner() {
+                pause_planner(&state, &conductor);
+            } else {
+                await_list_call(&state, &conductor);
+            }
         }
     });
 }
 
 /// Waits until the list is to be followed again, sooner if a load is due.
-fn pause_targets(state: &State, conductor: &Conductor, answered: bool) {
+fn pause_planner(state: &State, conductor: &Conductor) {
     let began = Instant::now();
-    let span = if answered { FOLLOW_TARGETS } else { follow::RETRY };
     let mut seen = state.demand_changed.count();
     loop {
-        let span = if conductor.awaits_load() { span.min(FOLLOW_LOADS) } else { span };
+        let span = if conductor.awaits_load() { FOLLOW_LOADS } else { FOLLOW_TARGETS };
         let left = span.saturating_sub(began.elapsed());
         if left.is_zero() {
             return;
@@ -266,6 +285,21 @@
     }
 }
 
+/// Waits as long as the planner's news of the list are fresh.
+fn await_list_call(state: &State, conductor: &Conductor) {
+    let began = Instant::now();
+    loop {
+        let seen = state.call_due.count();
+        let fresh_for = state.followed().list_fresh_for(state.now());
+        // Without fresh news the list is read at the pace of a planner.
+        let left = fresh_for.max(FOLLOW_TARGETS.saturating_sub(began.elapsed()));
+        if conductor.is_planner() || left.is_zero() {
+            return;
+        }
+        state.call_due.wait(seen, left);
+    }
+}
+
 fn keep(keeper: &Arc<Keeper>) {
     let keeper = Arc::clone(keeper);
     spawn("lease", move || {
