--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -120,7 +120,11 @@
                 }
             }
             Message::News(news) => {
-                if !self.lease.is_mine() && self.lease.hear(news.fence, now) {
+                let age = Duration::from_millis(news.lease_age_ms.into());
+                let sent = now.before(age);
+                if !self.lease.is_mine()
+                    && self.lease.hear(news.fence, news.lease_version, sent, now)
+                {
                     self.take_news(news, now);
                 }
             }
@@ -186,7 +190,7 @@
             fleet.expire(now);
             (fleet.uses(now), fleet.in_flight())
         };
-        if self.lease.is_mine() {
+        if self.lease.is_valid(now) {
             self.lead(uses, in_flight, is_due, now);
         } else {
             self.told().was_planner = false;
@@ -223,9 +227,7 @@
             }
         }
         self.planner().hear(&self.daemon, &self.incarnation, &uses, in_flight, now);
-        if self.lease.may_order(now).is_some() {
-            self.plan(now);
-        }
+        self.plan(now);
         self.send_news(is_due, now);
     }
 
@@ -241,7 +243,7 @@
                 .collect();
             (targets, suspects)
         };
-        let usable = |name: &TargetName| !suspects.contains(name);
+        let usable = |name: &TargetName| !suspects.contains(name) && self.lease.is_open(name, now);
         let tasks = self.planner().plan(&targets, &usable, &catalog, now);
         for task in tasks {
             self.start(task);
@@ -316,8 +318,12 @@
         let contacts = *self.state.contacts();
         let age = |at: Option<Time>| at.map_or(Duration::MAX, |at| now.since(at));
         let config_age = age(contacts.config).as_millis();
+        let renewed = self.lease.renewed();
         let news = News {
             fence: self.lease.fence(),
+            lease_version: renewed.map_or(0, |(version, _)| version),
+            lease_age_ms: u32::try_from(age(renewed.map(|(_, at)| at)).as_millis())
+                .unwrap_or(u32::MAX),
             daemons: u16::try_from(daemons).unwrap_or(u16::MAX),
             config: self.state.catalog().map_or(0, |c| c.version),
             config_age_ms: u32::try_from(config_age).unwrap_or(u32::MAX),
@@ -355,7 +361,7 @@
 
     /// Tells whether this daemon is the planner, whom the others follow.
     pub fn is_planner(&self) -> bool {
-        self.lease.is_mine()
+        self.lease.is_valid(self.state.now())
     }
 
     /// Tells whether a load should be done by now and has not shown in the list.
--- a/crates/tansyknot-fleet/src/keep.rs
+++ b/crates/tansyknot-fleet/src/keep.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use tansyknot_core::{clock::Time, event};
+use tansyknot_core::{clock::Time, event, name::TargetName};
 
 use crate::{
     lease::{Claim, Holder, Lease, LeaseOptions, RENEW_EVERY},
@@ -14,9 +14,9 @@
 };
 
 /// A planner heard of this long ago is looked for in the store.
-const SILENCE: Duration = Duration::from_millis(1000);
+const SILENCE: Duration = Duration::from_millis(800);
 /// How often the row is read while the planner is silent.
-const LOOK_EVERY: Duration = Duration::from_millis(400);
+const LOOK_EVERY: Duration = Duration::from_millis(350);
 /// How often the planner's messages are looked for.
 const IDLE: Duration = Duration::from_millis(200);
 /// How soon a renewal without an answer is tried again.
@@ -40,9 +40,29 @@
         self.lease.lock().expect("no holder of the lock panics")
     }
 
-    /// Returns the fencing token if this daemon may send an order now.
-    pub fn may_order(&self, now: Time) -> Option<u64> {
-        self.lease().may_order(now)
+    /// Returns the fencing token if this daemon may order `target` now.
+    pub fn may_order(&self, target: &TargetName, now: Time) -> Option<u64> {
+        self.lease().may_order(target, now)
+    }
+
+    /// Tells whether this daemon could order `target` if the row named it.
+    pub fn is_open(&self, target: &TargetName, now: Time) -> bool {
+        self.lease().is_open(target, now)
+    }
+
+    /// Notes that this daemon orders `target` now.
+    pub fn ordered(&self, target: &TargetName, now: Time) {
+        self.lease().ordered(target, now);
+    }
+
+    /// Tells whether this daemon is the planner for now.
+    pub fn is_valid(&self, now: Time) -> bool {
+        self.lease().is_valid(now)
+    }
+
+    /// Returns the row's version and when this daemon wrote it.
+    pub fn renewed(&self) -> Option<(u64, Time)> {
+        self.lease().renewed()
     }
 
     /// Tells whether this daemon holds the lease, as far as it knows.
@@ -61,17 +81,19 @@
         self.lease().holder().map_or(0, |h| h.fence)
     }
 
-    /// Takes in a message of a planner; tells whether it is the newest planner known.
+    /// Takes in a message of a planner that wrote `version` of the row at `sent`; tells whether
+    /// it is the newest planner known.
     ///
     /// # Panics
     ///
     /// Panics if another thread has panicked with it.
-    pub fn hear(&self, fence: u64, now: Time) -> bool {
+    pub fn hear(&self, fence: u64, version: u64, sent: Time, now: Time) -> bool {
         let mut heard = self.heard.lock().expect("no holder of the lock panics");
         if heard.is_some_and(|h| h.fence > fence) || fence < self.fence() {
             return false;
         }
         *heard = Some(Heard { fence, at: now });
+        self.lease().told(fence, version, sent);
         true
     }
 
@@ -93,6 +115,8 @@
     shared: Arc<SharedLease>,
     me: Holder,
     options: LeaseOptions,
+    /// Held while the row is read or written, so that this daemon does one thing at a time to it.
+    calling: Mutex<()>,
 }
 
 impl Keeper {
@@ -104,33 +128,53 @@
         me: Holder,
         options: LeaseOptions,
     ) -> Self {
-        Self { state, store, shared, me, options }
+        Self { state, store, shared, me, options, calling: Mutex::new(()) }
     }
 
     /// Renews, reads or takes the row, whichever is due; tells how long to pause.
     pub fn step(&self) -> Duration {
         let now = self.state.now();
-        if self.shared.is_mine() {
-            return self.renew(now);
-        }
-        if self.shared.is_heard(now) {
+        if !self.shared.is_mine() && self.shared.is_heard(now) {
             return IDLE;
         }
+        let _calling = self.calling();
+        if self.shared.is_mine() {
+            let renewed = self.claim(None);
+            return if renewed { RENEW_EVERY } else { RETRY };
+        }
         if !self.look() {
             return LOOK_EVERY;
         }
-        let now = self.state.now();
-        let claim = self.shared.lease().claim(&self.me, self.options, now);
-        if let Some(claim) = claim {
-            self.write(&claim);
-        }
+        self.claim(None);
         if self.shared.is_mine() { RENEW_EVERY } else { LOOK_EVERY }
     }
 
-    fn renew(&self, now: Time) -> Duration {
-        let claim = self.shared.lease().claim(&self.me, self.options, now);
-        let written = claim.is_some_and(|claim| self.write(&claim));
-        if written { RENEW_EVERY } else { RETRY }
+    /// Has the row name `target`, if this daemon is the planner; returns the fencing token if the
+    /// target may be ordered then.
+    pub fn cover(&self, target: &TargetName) -> Option<u64> {
+        let fence = self.shared.may_order(target, self.state.now());
+        if fence.is_some() {
+            return fence;
+        }
+        if !self.shared.is_open(target, self.state.now()) {
+            return None;
+        }
+        let _calling = self.calling();
+        if self.shared.is_mine() {
+            self.claim(Some(target));
+        }
+        self.shared.may_order(target, self.state.now())
+    }
+
+    fn calling(&self) -> MutexGuard<'_, ()> {
+        self.calling.lock().expect("no holder of the lock panics")
+    }
+
+    /// Makes the claim that this daemon may make now; tells whether it took effect.
+    fn claim(&self, target: Option<&TargetName>) -> bool {
+        let now = self.state.now();
+        let claim = self.shared.lease().claim(&self.me, self.options, target, now);
+        claim.is_some_and(|claim| self.write(claim))
     }
 
     /// Reads the row; tells whether the store answered.
@@ -152,7 +196,7 @@
     fn take_in(&self, row: Option<LeaseRow>, now: Time) {
         let before = self.shared.planner();
         let (holder, version) = match row {
-            Some(row) => (decode(&row), row.version),
+            Some(row) => (Some(decode(&row)), row.version),
             None => (None, 0),
         };
         self.shared.lease().read(holder, version, now, &self.me.incarnation);
@@ -165,17 +209,23 @@
     }
 
     /// Writes a claim; tells whether it took effect.
-    fn write(&self, claim: &Claim) -> bool {
+    fn write(&self, claim: Claim) -> bool {
         let was_mine = self.shared.is_mine();
+        let fence = claim.holder.fence;
         let value = encode(&claim.holder);
         let result = self.store.write_lease(claim.expected, &value);
         let now = self.state.now();
         match result {
             Ok(Written::Done(version)) => {
-                self.shared.lease().written(claim, version, now);
                 if !was_mine {
-                    event::FLEET_LEASE_TAKEN
-                        .emit(&[("fence", &claim.holder.fence), ("version", &version)]);
+                    event::FLEET_LEASE_TAKEN.emit(&[
+                        ("fence", &claim.holder.fence),
+                        ("version", &version),
+                        ("resting", &claim.holder.covers.len()),
+                    ]);
+                }
+                self.shared.lease().written(claim, version);
+                if !was_mine {
                     self.state.demand_changed.raise();
                 }
                 true
@@ -183,7 +233,7 @@
             Ok(Written::Conflict(row)) => {
                 self.take_in(row, now);
                 if was_mine && !self.shared.is_mine() {
-                    event::FLEET_LEASE_LOST.emit(&[("fence", &claim.holder.fence)]);
+                    event::FLEET_LEASE_LOST.emit(&[("fence", &fence)]);
                 }
                 false
             }
@@ -196,7 +246,9 @@
 
     /// Gives the lease up, if it is held, so that another daemon need not wait for its end.
     pub fn release(&self) {
-        let released = self.shared.lease().release(&self.me);
+        let _calling = self.calling();
+        let now = self.state.now();
+        let released = self.shared.lease().release(&self.me, self.options, now);
         let Some((version, holder)) = released else { return };
         match self.store.write_lease(version, &encode(&holder)) {
             Ok(_) => {}
@@ -209,13 +261,20 @@
     serde_json::to_vec(holder).expect("a holder serializes without failure")
 }
 
-/// Decodes the row; one that can't be read counts as a holder that never renews.
-fn decode(row: &LeaseRow) -> Option<Holder> {
-    match serde_json::from_slice(&row.value) {
-        Ok(holder) => Some(holder),
-        Err(e) => {
-            event::FLEET_BAD_ENTRY.emit(&[("error", &e)]);
-            None
+/// Decodes the row; one that can't be read counts as that of an unknown holder.
+///
+/// Versions of the store rise with every write, and no token was ever above them.
+fn decode(row: &LeaseRow) -> Holder {
+    serde_json::from_slice(&row.value).unwrap_or_else(|e| {
+        event::FLEET_BAD_ENTRY.emit(&[("error", &e)]);
+        Holder {
+            daemon: "unknown".into(),
+            incarnation: "unknown".into(),
+            address: (std::net::Ipv4Addr::UNSPECIFIED, 0).into(),
+            fence: row.version,
+            released: false,
+            covers: std::collections::BTreeMap::new(),
+            covers_all: true,
         }
-    }
+    })
 }
--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -1,24 +1,29 @@
-//! Who the planner is: a row of the store that its holder renews, and when it may send orders.
+//! Who the planner is: a row of the store that its holder renews, and which targets it may order.
 //!
 //! The row is only ever changed by compare-and-swap. A holder trusts a renewal for [`VALID`] from
-//! the moment it was sent, by its own monotonic clock. Another daemon takes the row only after it
-//! has seen it unchanged for [`TAKE_AFTER`], by its own clock, which is longer; it then sends no
-//! order until the spans in [`LeaseOptions`] have passed since the latest possible order of the
-//! holder before.
+//! the moment it was sent, by its own monotonic clock, and sends orders only to targets that the
+//! row names. Another daemon takes the row after it has stood unchanged for [`TAKE_AFTER`], which
+//! is longer. It may order at once whatever the row did not name, as nobody has ordered that for
+//! the platform's span between two holders; what the row named has to wait for that span, counted
+//! from the latest moment at which the holder before could have ordered it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
-use tansyknot_core::clock::Time;
+use tansyknot_core::{clock::Time, name::TargetName};
 
 use crate::outside::PeerAddress;
 
 /// How long a renewal is good for, from the moment it was sent.
-pub const VALID: Duration = Duration::from_millis(1500);
+pub const VALID: Duration = Duration::from_millis(1300);
 /// How long the row must have stood unchanged before another daemon takes it.
-pub const TAKE_AFTER: Duration = Duration::from_millis(2100);
+pub const TAKE_AFTER: Duration = Duration::from_millis(1500);
 /// How often the holder renews.
-pub const RENEW_EVERY: Duration = Duration::from_millis(600);
+pub const RENEW_EVERY: Duration = Duration::from_millis(500);
 /// Added to the span between orders of two holders, for what the network delays.
 const ORDER_MARGIN: Duration = Duration::from_millis(300);
 
@@ -35,6 +40,13 @@
     pub fence: u64,
     /// Whether the holder has stopped sending orders for good.
     pub released: bool,
+    /// The targets that it may order, or that wait for the holder before, and how long ago the
+    /// last order to each was possible when the row was written, in milliseconds.
+    #[serde(default)]
+    pub covers: BTreeMap<TargetName, u64>,
+    /// Whether it is unknown what the holder has ordered.
+    #[serde(default)]
+    pub covers_all: bool,
 }
 
 /// The span that must lie between the orders of two holders.
@@ -44,6 +56,13 @@
     pub turn: Duration,
 }
 
+impl LeaseOptions {
+    /// Returns how long a target is left alone after the last order of another holder.
+    fn rest(self) -> Duration {
+        self.turn + ORDER_MARGIN
+    }
+}
+
 /// What this daemon knows of the planner's row.
 #[derive(Clone, Debug, Default)]
 pub struct Lease {
@@ -55,43 +74,65 @@
 struct Seen {
     holder: Holder,
     version: u64,
+    /// The row has stood unchanged since then, or longer.
     since: Time,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Held {
     fence: u64,
-    valid_until: Time,
-    orders_from: Time,
+    renewed: Time,
+    /// Targets that the row names, and the last moment at which this holder ordered them.
+    covered: HashMap<TargetName, Time>,
+    /// Targets of the holder before, and when they may be ordered.
+    resting: HashMap<TargetName, Time>,
+    /// Nothing may be ordered before this time.
+    all_from: Time,
+}
+
+impl Held {
+    fn is_valid(&self, now: Time) -> bool {
+        now < self.renewed + VALID
+    }
+
+    fn rests(&self, target: &TargetName, now: Time) -> bool {
+        now < self.all_from || self.resting.get(target).is_some_and(|from| now < *from)
+    }
 }
 
 /// A row that may be written now, and what becomes of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Claim {
     /// The version that the row must have; 0 if there must be none.
     pub expected: u64,
     /// The value to write.
     pub holder: Holder,
-    /// When the claim is sent.
-    sent: Time,
-    /// The first moment at which the new holder may send orders.
-    orders_from: Time,
+    held: Held,
 }
 
 impl Lease {
     /// Takes in the row as it was read at `now`.
     pub fn read(&mut self, holder: Option<Holder>, version: u64, now: Time, me: &Arc<str>) {
         let Some(holder) = holder else {
-            self.seen = None;
-            self.held = None;
+            *self = Self::default();
             return;
         };
         if holder.incarnation != *me {
             self.held = None;
         }
-        let is_same = self.seen.as_ref().is_some_and(|s| s.version == version);
-        if !is_same {
-            self.seen = Some(Seen { holder, version, since: now });
+        let before = self.seen.as_ref().filter(|s| s.version == version);
+        let since = before.map_or(now, |s| s.since);
+        self.seen = Some(Seen { holder, version, since });
+    }
+
+    /// Takes in that the holder says it wrote `version` at `sent`.
+    pub fn told(&mut self, fence: u64, version: u64, sent: Time) {
+        let Some(seen) = self.seen.as_mut().filter(|s| s.holder.fence == fence) else { return };
+        if version > seen.version {
+            seen.version = version;
+            seen.since = sent;
+        } else if version == seen.version {
+            seen.since = seen.since.min(sent);
         }
     }
 
@@ -105,63 +146,130 @@
         self.held.is_some()
     }
 
+    /// Tells whether this daemon is the planner for now.
+    pub fn is_valid(&self, now: Time) -> bool {
+        self.held.as_ref().is_some_and(|h| h.is_valid(now))
+    }
+
+    /// Returns the row's version and when this daemon wrote it.
+    pub fn renewed(&self) -> Option<(u64, Time)> {
+        Some((self.seen.as_ref()?.version, self.held.as_ref()?.renewed))
+    }
+
     /// Returns the claim that `me` may make now: a renewal, or the row of a holder that is gone.
-    pub fn claim(&self, me: &Holder, options: LeaseOptions, now: Time) -> Option<Claim> {
-        let Some(seen) = &self.seen else {
-            let holder = Holder { fence: 1, released: false, ..me.clone() };
-            return Some(Claim { expected: 0, holder, sent: now, orders_from: now });
+    /// `target` is one that the row is to name.
+    pub fn claim(
+        &self,
+        me: &Holder,
+        options: LeaseOptions,
+        target: Option<&TargetName>,
+        now: Time,
+    ) -> Option<Claim> {
+        let (expected, mut held) = match (&self.seen, &self.held) {
+            (None, _) => (0, Held { fence: 1, ..Held::default() }),
+            (Some(seen), Some(held)) => (seen.version, held.clone()),
+            (Some(seen), None) => (seen.version, succeed(seen, me, options, now)?),
         };
-        if let Some(held) = &self.held {
-            let holder = Holder { fence: held.fence, released: false, ..me.clone() };
-            let orders_from = held.orders_from;
-            return Some(Claim { expected: seen.version, holder, sent: now, orders_from });
-        }
-        let fence = seen.holder.fence + 1;
-        let holder = Holder { fence, released: false, ..me.clone() };
-        let claim =
-            |orders_from| Some(Claim { expected: seen.version, holder, sent: now, orders_from });
-        let same_host =
-            seen.holder.daemon == me.daemon && seen.holder.address.ip() == me.address.ip();
-        if same_host {
-            // An earlier run on this host has ended, and both count as one holder.
-            return claim(now);
-        }
-        if seen.holder.released {
-            return claim(now + options.turn + ORDER_MARGIN);
+        held.renewed = now;
+        held.resting.retain(|_, from| now < *from);
+        held.covered.retain(|_, last| now.since(*last) < options.rest());
+        if let Some(target) = target {
+            held.covered.insert(target.clone(), now);
         }
-        if now.since(seen.since) >= TAKE_AFTER {
-            let last_order = now.before(TAKE_AFTER.saturating_sub(VALID));
-            return claim(last_order + options.turn + ORDER_MARGIN);
-        }
-        None
+        let holder = Holder {
+            fence: held.fence,
+            released: false,
+            covers: covers(&held, options, now),
+            covers_all: now < held.all_from,
+            ..me.clone()
+        };
+        Some(Claim { expected, holder, held })
     }
 
     /// Takes in that a claim took effect and gave the row this version.
-    pub fn written(&mut self, claim: &Claim, version: u64, now: Time) {
-        self.seen = Some(Seen { holder: claim.holder.clone(), version, since: now });
-        self.held = Some(Held {
-            fence: claim.holder.fence,
-            valid_until: claim.sent + VALID,
-            orders_from: claim.orders_from,
-        });
+    pub fn written(&mut self, claim: Claim, version: u64) {
+        let since = claim.held.renewed;
+        self.seen = Some(Seen { holder: claim.holder, version, since });
+        self.held = Some(claim.held);
+    }
+
+    /// Tells whether `target` could be ordered if the row named it.
+    pub fn is_open(&self, target: &TargetName, now: Time) -> bool {
+        self.held.as_ref().is_some_and(|h| h.is_valid(now) && !h.rests(target, now))
     }
 
-    /// Returns the fencing token if an order may be sent now.
-    pub fn may_order(&self, now: Time) -> Option<u64> {
+    /// Returns the fencing token if `target` may be ordered now.
+    pub fn may_order(&self, target: &TargetName, now: Time) -> Option<u64> {
         let held = self.held.as_ref()?;
-        let allowed = now >= held.orders_from && now < held.valid_until;
+        let allowed =
+            held.is_valid(now) && !held.rests(target, now) && held.covered.contains_key(target);
         allowed.then_some(held.fence)
     }
 
+    /// Notes that `target` is ordered now.
+    pub fn ordered(&mut self, target: &TargetName, now: Time) {
+        if let Some(held) = &mut self.held {
+            held.covered.insert(target.clone(), now);
+        }
+    }
+
     /// Returns the row that gives the lease up, and forgets that it is held.
-    pub fn release(&mut self, me: &Holder) -> Option<(u64, Holder)> {
+    pub fn release(
+        &mut self,
+        me: &Holder,
+        options: LeaseOptions,
+        now: Time,
+    ) -> Option<(u64, Holder)> {
         let held = self.held.take()?;
         let seen = self.seen.as_ref()?;
-        Some((seen.version, Holder { fence: held.fence, released: true, ..me.clone() }))
+        let holder = Holder {
+            fence: held.fence,
+            released: true,
+            covers: covers(&held, options, now),
+            covers_all: now < held.all_from,
+            ..me.clone()
+        };
+        Some((seen.version, holder))
     }
+}
+
+/// What `me` holds when it takes the row of another holder now; `None` if it may not yet.
+fn succeed(seen: &Seen, me: &Holder, options: LeaseOptions, now: Time) -> Option<Held> {
+    let before = &seen.holder;
+    let fence = before.fence + 1;
+    let same_host = before.daemon == me.daemon && before.address.ip() == me.address.ip();
+    let is_free = same_host || before.released || now.since(seen.since) >= TAKE_AFTER;
+    if !is_free {
+        return None;
+    }
+    // An earlier run on this host has ended, and both count as one holder; what rested for the
+    // holder before that one still does. A released row says how long ago orders were sent.
+    let last_order = match (same_host, before.released) {
+        (true, _) | (false, true) => None,
+        (false, false) => Some(seen.since + VALID),
+    };
+    let from = |idle_ms: u64| match last_order {
+        Some(last) => last + options.rest(),
+        None if same_host => now,
+        None => now + options.rest().saturating_sub(Duration::from_millis(idle_ms)),
+    };
+    let resting = before.covers.iter().map(|(target, idle)| (target.clone(), from(*idle)));
+    let all_from = if before.covers_all { from(0) } else { Time::default() };
+    Some(Held { fence, resting: resting.collect(), all_from, ..Held::default() })
+}
 
-    /// Takes in that the lease is another's or unknown after a conflict.
-    pub fn lost(&mut self) {
-        self.held = None;
+/// Returns the targets that the row names, with the time since their last order.
+fn covers(held: &Held, options: LeaseOptions, now: Time) -> BTreeMap<TargetName, u64> {
+    let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    let own = held.covered.iter().map(|(target, last)| (target, now.since(*last)));
+    let resting = held
+        .resting
+        .iter()
+        .map(|(target, from)| (target, options.rest().saturating_sub(from.since(now))));
+    let mut covers = BTreeMap::new();
+    for (target, idle) in own.chain(resting) {
+        let entry = covers.entry(target.clone()).or_insert(u64::MAX);
+        *entry = (*entry).min(millis(idle));
     }
+    covers
 }
--- a/crates/tansyknot-fleet/src/news.rs
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -96,6 +96,8 @@
     pub from: u64,
     /// The number of the last change.
     pub to: u64,
+    /// The number of the newest change of all; other datagrams have what lies between.
+    pub newest: u64,
     /// How long ago the list was read, in milliseconds.
     pub age_ms: u32,
     /// The changes.
@@ -141,12 +143,15 @@
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
         let changes: Vec<(u64, ListChange)> =
             self.kept.iter().map(|(number, _, change)| (*number, change.clone())).collect();
+        let newest = self.last;
         if changes.is_empty() {
-            return vec![ListNews { from: self.last, to: self.last, age_ms, changes: Vec::new() }];
+            let (from, to) = (newest, newest);
+            return vec![ListNews { from, to, newest, age_ms, changes: Vec::new() }];
         }
         let part = |part: &[(u64, ListChange)]| ListNews {
             from: part[0].0 - 1,
             to: part[part.len() - 1].0,
+            newest,
             age_ms,
             changes: part.iter().map(|(_, change)| change.clone()).collect(),
         };
@@ -173,7 +178,7 @@
         if self.fence != fence {
             *self = Self { fence, config_version: self.config_version, ..Self::default() };
         }
-        self.newest = self.newest.max(news.to);
+        self.newest = self.newest.max(news.newest);
         let Some(number) = self.number.filter(|n| *n >= news.from) else { return Vec::new() };
         let known = usize::try_from(number - news.from).unwrap_or(usize::MAX);
         self.number = Some(number.max(news.to));
--- a/crates/tansyknot-fleet/src/peer.rs
+++ b/crates/tansyknot-fleet/src/peer.rs
@@ -14,7 +14,7 @@
 };
 
 /// The first byte of each datagram; it changes with the format.
-const FORMAT: u8 = 0xA2;
+const FORMAT: u8 = 0xA3;
 /// Longer datagrams are not sent: they would be split on the way.
 pub const MAX_BYTES: usize = 1200;
 
@@ -80,6 +80,10 @@
 pub struct News {
     /// The planner's fencing token.
     pub fence: u64,
+    /// The version of the planner's row that it wrote last.
+    pub lease_version: u64,
+    /// How long ago that write was sent, in milliseconds.
+    pub lease_age_ms: u32,
     /// Daemons that the planner has heard of lately.
     pub daemons: u16,
     /// The configuration that the planner has in force.
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    keep::SharedLease,
+    keep::{Keeper, SharedLease},
     outside::{Action, Order, Ordered, Targets},
     peer::TargetNote,
     plan::{Step, Task},
@@ -34,10 +34,10 @@
 const REPORT_LAG: Duration = Duration::from_millis(400);
 /// Orders without an answer after which the task is given up.
 const SILENCES_MAX: u32 = 3;
-/// Time beyond its expected end after which a load is looked for in a report.
-const LOAD_GRACE: Duration = Duration::from_millis(800);
 /// Pause between two looks for the end of a load.
 const LOAD_LOOK: Duration = Duration::from_millis(120);
+/// Looks at the list before a load that should be done is looked for in a report.
+const LIST_LOOKS: u32 = 7;
 /// Reports after which a load that does not end is given up.
 const LOAD_REPORTS: u32 = 30;
 
@@ -45,7 +45,9 @@
 pub struct Orders {
     /// The shared state.
     pub state: Arc<State>,
-    /// The lease that allows orders.
+    /// Keeps the lease that allows orders.
+    pub keeper: Arc<Keeper>,
+    /// The lease.
     pub lease: Arc<SharedLease>,
     /// Calls to targets.
     pub targets: Arc<dyn Targets>,
@@ -150,7 +152,7 @@
 
     /// Finds out how many orders the target has accepted, and that it holds what was planned with.
     fn begin(&self, progress: &mut Progress) -> Result<(), Stopped> {
-        let fence = self.lease.may_order(self.now()).ok_or(Stopped::LeaseLost)?;
+        let fence = self.keeper.cover(&progress.target.name).ok_or(Stopped::LeaseLost)?;
         let known = {
             let mut ledger = self.ledger();
             if ledger.fence != fence {
@@ -216,14 +218,20 @@
     fn accepted(&self, progress: &mut Progress, action: &Action) -> Result<Ordered, Stopped> {
         let (mut conflicts, mut silences) = (0, 0);
         loop {
-            let fence = self.lease.may_order(self.now()).ok_or(Stopped::LeaseLost)?;
+            let name = &progress.target.name;
+            let fence = self.keeper.cover(name).ok_or(Stopped::LeaseLost)?;
             let order = Order {
                 action: action.clone(),
                 expected: progress.orders,
                 holder: Arc::clone(&self.daemon),
                 fence,
             };
-            let still_allowed = || self.lease.may_order(self.now()) == Some(fence);
+            let still_allowed = || {
+                let now = self.now();
+                let allowed = self.lease.may_order(name, now) == Some(fence);
+                self.lease.ordered(name, now);
+                allowed
+            };
             match self.targets.order(&progress.target, &order, &still_allowed) {
                 Ok(Ordered::Accepted) => {
                     progress.orders += 1;
@@ -334,12 +342,11 @@
     }
 
     fn look_for(&self, progress: &Progress, model: &ModelName) -> bool {
-        let listed_until = self.now() + LOAD_GRACE;
-        while self.now() < listed_until {
+        for _ in 0..LIST_LOOKS {
+            let seen = self.state.targets_changed.count();
             if self.is_listed(&progress.target.name, model) {
                 return true;
             }
-            let seen = self.state.targets_changed.count();
             self.state.targets_changed.wait(seen, LOAD_LOOK);
         }
         for _ in 0..LOAD_REPORTS {
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/budget.rs
@@ -0,0 +1,57 @@
+//! The retry budget's bound over sliding windows.
+
+use std::time::Duration;
+
+use tansyknot_core::clock::Time;
+use tansyknot_fleet::budget::{Budget, BudgetOptions};
+use yare::parameterized;
+
+const OPTIONS: BudgetOptions =
+    BudgetOptions { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
+
+/// Takes as many second sends as there are at `at`.
+fn drain(budget: &mut Budget, at: Time, daemons: usize) -> usize {
+    (0..1000).take_while(|_| budget.take(at, daemons, &OPTIONS)).count()
+}
+
+#[parameterized(
+    alone = { 1, 44 },
+    six = { 6, 7 },
+    seventy = { 70, 0 },
+    unknown = { 0, 44 },
+)]
+fn daemons_share_the_slack(daemons: usize, expected: usize) {
+    let mut budget = Budget::default();
+    assert_eq!(drain(&mut budget, Time::from_millis(0), daemons), expected);
+}
+
+#[test]
+fn all_daemons_together_stay_within_the_bound_in_every_window() {
+    const DAEMONS: usize = 6;
+    let mut budgets = vec![Budget::default(); DAEMONS];
+    let (mut first, mut again) = (Vec::new(), Vec::new());
+    for ms in (0..60_000).step_by(20) {
+        let now = Time::from_millis(ms);
+        let budget = &mut budgets[(ms / 20) as usize % DAEMONS];
+        budget.first(now, &OPTIONS);
+        first.push(now);
+        while budget.take(now, DAEMONS, &OPTIONS) {
+            again.push(now);
+        }
+    }
+    for end in (10_000..60_000).step_by(500) {
+        let end = Time::from_millis(end);
+        let within = |at: &&Time| **at <= end && end.since(**at) <= OPTIONS.window;
+        let sends = again.iter().filter(within).count() as f64;
+        let requests = first.iter().filter(within).count() as f64;
+        assert!(sends <= requests * OPTIONS.ratio + OPTIONS.slack);
+    }
+}
+
+#[test]
+fn old_sends_leave_the_window() {
+    let mut budget = Budget::default();
+    assert_eq!(drain(&mut budget, Time::from_millis(0), 1), 44);
+    assert_eq!(drain(&mut budget, Time::from_millis(9_000), 1), 0);
+    assert_eq!(drain(&mut budget, Time::from_millis(10_001), 1), 44);
+}
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -0,0 +1,211 @@
+//! What the planner orders for which demand.
+
+mod support;
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use support::{catalog, held, target};
+use tansyknot_core::{
+    clock::Time,
+    name::{AdapterName, ModelName, ServiceName, TargetName},
+};
+use tansyknot_fleet::{
+    outside::Action,
+    peer::{InFlight, ModelUse},
+    plan::{Planner, Task, used_mb},
+    target::{Target, TargetState},
+};
+use yare::parameterized;
+
+fn wants(model: &str, adapter: Option<&str>, waiting: u16, arrived: u32) -> ModelUse {
+    ModelUse {
+        service: ServiceName::from("s"),
+        model: ModelName::from(model),
+        adapter: adapter.map(AdapterName::from),
+        waiting,
+        arrived,
+    }
+}
+
+fn busy(target: &str, model: &str, count: u16) -> InFlight {
+    InFlight { target: TargetName::from(target), model: Some(ModelName::from(model)), count }
+}
+
+struct Rig {
+    planner: Planner,
+    targets: Vec<Arc<Target>>,
+    now: Time,
+}
+
+impl Rig {
+    fn new(targets: Vec<Target>) -> Self {
+        let targets = targets.into_iter().map(Arc::new).collect();
+        Self { planner: Planner::default(), targets, now: Time::from_millis(100_000) }
+    }
+
+    fn hear(&mut self, uses: &[ModelUse], in_flight: Vec<InFlight>) {
+        self.planner.hear(&"d".into(), &"run-1".into(), uses, in_flight, self.now);
+    }
+
+    fn plan(&mut self) -> Vec<Task> {
+        self.planner.plan(&self.targets, &|_| true, &catalog(), self.now)
+    }
+}
+
+fn orders(tasks: &[Task]) -> Vec<String> {
+    let text = |t: &Task, action: &Action| match action {
+        Action::Load { model, adapter: None } => format!("{} +{model}", t.target.name),
+        Action::Remove { model, adapter: None } => format!("{} -{model}", t.target.name),
+        Action::Load { model, adapter: Some(a) } => format!("{} +{model}/{a}", t.target.name),
+        Action::Remove { model, adapter: Some(a) } => format!("{} -{model}/{a}", t.target.name),
+    };
+    tasks.iter().flat_map(|t| t.steps.iter().map(|s| text(t, &s.action))).collect()
+}
+
+#[test]
+fn nothing_is_ordered_without_demand() {
+    let mut rig = Rig::new(vec![target("t1", &["m0"], &["m1"])]);
+    assert!(rig.plan().is_empty());
+}
+
+#[test]
+fn model_is_loaded_where_its_weights_are_nearest() {
+    let mut memory = target("t3", &["m0"], &["m5"]);
+    memory.in_memory = vec![ModelName::from("m5")];
+    let mut rig =
+        Rig::new(vec![target("t1", &["m0"], &[]), target("t2", &["m0"], &["m5"]), memory]);
+    rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t3 +m5"]);
+}
+
+#[test]
+fn least_asked_for_model_makes_way() {
+    let mut rig = Rig::new(vec![target("t1", &["m0", "m1", "m2"], &["m5"])]);
+    rig.hear(&[wants("m0", None, 0, 1), wants("m1", None, 0, 1), wants("m2", None, 0, 1)], vec![]);
+    rig.hear(
+        &[wants("m0", None, 0, 9), wants("m2", None, 0, 5), wants("m5", None, 2, 2)],
+        Vec::new(),
+    );
+    assert_eq!(orders(&rig.plan()), ["t1 -m1", "t1 +m5"]);
+}
+
+#[test]
+fn model_in_use_does_not_make_way() {
+    let mut rig = Rig::new(vec![target("t1", &["m0", "m1", "m2"], &["m5"])]);
+    let in_flight = vec![busy("t1", "m0", 1), busy("t1", "m1", 1), busy("t1", "m2", 1)];
+    rig.hear(&[wants("m5", None, 1, 1)], in_flight);
+    assert!(rig.plan().is_empty());
+}
+
+#[test]
+fn burst_at_many_daemons_loads_a_model_once() {
+    let mut rig = Rig::new(vec![target("t1", &[], &["m5"]), target("t2", &[], &["m5"])]);
+    for daemon in ["a", "b", "c", "d"] {
+        let uses = [wants("m5", None, 3, 3)];
+        rig.planner.hear(&daemon.into(), &"run".into(), &uses, Vec::new(), rig.now);
+    }
+    assert_eq!(rig.plan().len(), 1);
+    assert!(rig.plan().is_empty(), "the load is on its way");
+}
+
+#[test]
+fn engine_is_never_planned_beyond_its_memory() {
+    let mut rig = Rig::new(vec![target("t1", &["m0", "m1"], &["m5", "m6", "m7"])]);
+    let uses: Vec<ModelUse> = (2..10).map(|n| wants(&format!("m{n}"), None, 1, 1)).collect();
+    rig.hear(&uses, Vec::new());
+    let tasks = rig.plan();
+    let engine = catalog().engine(&ServiceName::from("s")).cloned().expect("an engine");
+    let mut models: BTreeSet<String> = ["m0".to_owned(), "m1".to_owned()].into();
+    for step in tasks.iter().flat_map(|t| &t.steps) {
+        match &step.action {
+            Action::Load { model, .. } => models.insert(model.to_string()),
+            Action::Remove { model, .. } => models.remove(model.as_str()),
+        };
+        let names: Vec<&str> = models.iter().map(String::as_str).collect();
+        assert!(used_mb(&engine, &target("t1", &names, &[])) <= engine.memory_mb);
+    }
+    assert_eq!(tasks.len(), 1, "one task a target at a time");
+}
+
+#[test]
+fn loads_from_the_weight_store_keep_below_its_limit() {
+    let mut rig = Rig::new((0..10).map(|n| target(&format!("t{n}"), &[], &[])).collect());
+    let uses: Vec<ModelUse> = (0..10).map(|n| wants(&format!("m{n}"), None, 1, 1)).collect();
+    rig.hear(&uses, Vec::new());
+    let mut begun = 0;
+    for _ in 0..10 {
+        for _ in rig.plan() {
+            rig.planner.remote_begins(rig.now);
+            begun += 1;
+        }
+    }
+    // The platform allows 20 in 5 s; two planners in turn may each begin theirs in one window.
+    assert!((1..=10).contains(&begun), "{begun}");
+}
+
+#[parameterized(
+    rare = { 1, 1 },
+    warm = { 30, 2 },
+    hot = { 200, 3 },
+)]
+fn models_asked_for_often_have_more_copies(arrived: u32, copies: usize) {
+    let mut rig = Rig::new((0..5).map(|n| target(&format!("t{n}"), &[], &["m0"])).collect());
+    rig.hear(&[wants("m0", None, 1, 1)], Vec::new());
+    rig.hear(&[wants("m0", None, 1, 1 + arrived)], Vec::new());
+    let mut holders = BTreeSet::new();
+    for _ in 0..6 {
+        for task in rig.plan() {
+            let name = task.target.name.clone();
+            holders.insert(name.to_string());
+            rig.planner.ended(&name, true, rig.now);
+            let at = rig.targets.iter().position(|t| t.name == name).expect("a target");
+            rig.targets[at] = Arc::new(target(name.as_str(), &["m0"], &["m0"]));
+        }
+    }
+    assert_eq!(holders.len(), copies);
+}
+
+#[test]
+fn draining_and_unreachable_targets_get_no_order() {
+    let mut leaving = target("t1", &[], &["m5"]);
+    leaving.state = TargetState::Draining;
+    let mut rig = Rig::new(vec![leaving, target("t2", &[], &["m5"])]);
+    rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
+    let usable = |name: &TargetName| name.as_str() != "t2";
+    assert!(rig.planner.plan(&rig.targets, &usable, &catalog(), rig.now).is_empty());
+}
+
+#[test]
+fn adapter_goes_beside_its_model_where_fewest_are() {
+    let full = Target { models: vec![held("m0", &["a1", "a2"])], ..target("t1", &[], &[]) };
+    let mut rig = Rig::new(vec![full, target("t2", &["m0"], &[]), target("t3", &["m1"], &[])]);
+    rig.hear(&[wants("m0", None, 0, 1), wants("m0", Some("a3"), 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t2 +m0/a3"]);
+}
+
+#[test]
+fn adapter_without_a_place_takes_the_place_of_the_least_used() {
+    let full = Target { models: vec![held("m0", &["a1", "a2"])], ..target("t1", &[], &[]) };
+    let mut rig = Rig::new(vec![full]);
+    rig.hear(&[wants("m0", Some("a1"), 0, 1), wants("m0", Some("a2"), 0, 1)], Vec::new());
+    rig.hear(&[wants("m0", Some("a1"), 0, 9), wants("m0", Some("a3"), 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t1 -m0/a2", "t1 +m0/a3"]);
+}
+
+#[test]
+fn model_is_loaded_for_an_adapter_that_waits() {
+    let mut rig = Rig::new(vec![target("t1", &[], &["m0"])]);
+    rig.hear(&[wants("m0", Some("a1"), 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t1 +m0"]);
+}
+
+#[test]
+fn daemon_that_has_fallen_silent_wants_nothing() {
+    let mut rig = Rig::new(vec![target("t1", &[], &["m5"])]);
+    rig.hear(&[wants("m5", None, 1, 1)], vec![busy("t1", "m0", 4)]);
+    rig.now = rig.now + tansyknot_fleet::plan::DAEMON_SPAN;
+    rig.planner.hear(&"other".into(), &"run".into(), &[], Vec::new(), rig.now);
+    assert_eq!(rig.planner.daemons(), 1);
+    assert!(rig.plan().is_empty());
+    assert!(rig.planner.in_flight().is_empty());
+}
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/task.rs
@@ -0,0 +1,142 @@
+//! Orders that are lost, late, conflicting or sent without the lease.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use support::{Daemon, FakeStore, FakeTarget, OrderFault, held, target};
+use tansyknot_core::{
+    clock::ManualClock,
+    name::{ModelName, TargetName},
+};
+use tansyknot_fleet::{
+    outside::Action,
+    plan::{Step, Task},
+    target::Target,
+    task::Orders,
+};
+use yare::parameterized;
+
+struct Rig {
+    clock: ManualClock,
+    daemon: Daemon,
+    fake: FakeTarget,
+    orders: Orders,
+    target: Target,
+}
+
+fn rig() -> Rig {
+    let clock = ManualClock::new();
+    let store = FakeStore::new();
+    let daemon = Daemon::new("a", &store, &clock);
+    daemon.keep();
+    let target = target("t", &["m0", "m1", "m2"], &["m3"]);
+    let fake = FakeTarget::listed(&daemon.state, &target);
+    let orders = Orders {
+        state: Arc::clone(&daemon.state),
+        keeper: Arc::clone(&daemon.keeper),
+        lease: Arc::clone(&daemon.lease),
+        targets: Arc::new(fake.clone()),
+        daemon: "a".into(),
+        due: 0.into(),
+        ledger: Default::default(),
+    };
+    Rig { clock, daemon, fake, orders, target }
+}
+
+impl Rig {
+    /// Renews the lease as the daemon's own thread does meanwhile.
+    fn renew(&self) {
+        self.clock.advance(Duration::from_secs(1));
+        self.daemon.keep();
+    }
+}
+
+fn exchange(target: &Target, out: &str, into: &str) -> Task {
+    let step = |action| Step { action, takes: Duration::ZERO };
+    let model = |name: &str| ModelName::from(name);
+    let steps = vec![
+        step(Action::Remove { model: model(out), adapter: None }),
+        step(Action::Load { model: model(into), adapter: None }),
+    ];
+    Task { target: Arc::new(target.clone()), steps }
+}
+
+#[test]
+fn models_change_places_and_everyone_is_told() {
+    let rig = rig();
+    assert!(rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_eq!(rig.fake.models(), ["m0", "m2", "m3"]);
+    let fleet = rig.daemon.state.fleet();
+    let view = fleet.target(&TargetName::from("t")).expect("it is in the view");
+    assert!(view.holds(&ModelName::from("m3"), None));
+    assert!(!view.holds(&ModelName::from("m1"), None));
+}
+
+#[parameterized(
+    order_lost = { &[OrderFault::Lost] },
+    answer_lost = { &[OrderFault::AnswerLost] },
+    late = { &[OrderFault::Late] },
+    second_order_lost = { &[OrderFault::Busy, OrderFault::Lost] },
+    second_answer_lost = { &[OrderFault::Busy, OrderFault::AnswerLost] },
+    busy = { &[OrderFault::Busy, OrderFault::Busy, OrderFault::Busy] },
+)]
+fn engine_never_holds_more_than_it_has_room_for(faults: &[OrderFault]) {
+    let rig = rig();
+    rig.fake.engine().faults.extend(faults);
+    rig.orders.run(&exchange(&rig.target, "m1", "m3"));
+    // Whatever became of the first task, the next ones start from what is true.
+    for _ in 0..6 {
+        rig.renew();
+        let found = rig.daemon.state.fleet().target(&rig.target.name).cloned();
+        let view = found.expect("it is in the view");
+        let (out, into) =
+            if view.holds(&ModelName::from("m3"), None) { ("m3", "m1") } else { ("m1", "m3") };
+        rig.orders.run(&exchange(&view, out, into));
+        assert!(rig.fake.engine().most_models <= 3, "{:?}", rig.fake.models());
+    }
+    assert!(rig.fake.models().len() <= 3);
+}
+
+#[test]
+fn late_order_after_a_newer_one_is_void() {
+    let rig = rig();
+    rig.fake.engine().faults.extend([OrderFault::Late, OrderFault::Late, OrderFault::Late]);
+    assert!(!rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    rig.renew();
+    let found = rig.daemon.state.fleet().target(&rig.target.name).cloned();
+    let view = found.expect("it is in the view");
+    rig.orders.run(&exchange(&view, "m0", "m3"));
+    assert!(rig.fake.engine().most_models <= 3);
+}
+
+#[test]
+fn task_planned_with_an_old_list_is_not_carried_out() {
+    let rig = rig();
+    assert!(rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    rig.renew();
+    // The list is as it was before the planner's own orders, as after an outage of the store.
+    assert!(!rig.orders.run(&exchange(&rig.target, "m0", "m4")));
+    assert_eq!(rig.fake.models(), ["m0", "m2", "m3"]);
+}
+
+#[test]
+fn first_task_of_a_lease_starts_from_the_targets_report() {
+    let rig = rig();
+    {
+        let mut engine = rig.fake.engine();
+        engine.models = vec![held("m0", &[]), held("m5", &[]), held("m6", &[])];
+        engine.orders = 7;
+    }
+    assert!(!rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_eq!(rig.fake.models(), ["m0", "m5", "m6"]);
+    assert_eq!(rig.fake.engine().most_models, 3);
+}
+
+#[test]
+fn nothing_is_ordered_without_the_lease() {
+    let rig = rig();
+    rig.clock.advance(Duration::from_secs(2));
+    assert!(!rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_eq!((rig.fake.models().len(), rig.fake.engine().orders), (3, 0));
+}
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -0,0 +1,194 @@
+//! The view of the targets: entries, notes of the planner, lapses, and who takes a request.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::StdRng};
+use support::{held, target};
+use tansyknot_core::{
+    clock::Time,
+    name::{AdapterName, ModelName, ServiceName, TargetName, ZoneName},
+};
+use tansyknot_fleet::{
+    fleet::{self, Fleet, Pick, Want},
+    outside::TargetChange,
+    peer::{InFlight, TargetNote},
+    target::{Target, TargetState},
+};
+
+struct Wants {
+    service: ServiceName,
+    model: ModelName,
+    adapter: Option<AdapterName>,
+}
+
+fn wants(model: &str) -> Wants {
+    Wants { service: ServiceName::from("s"), model: ModelName::from(model), adapter: None }
+}
+
+impl Wants {
+    fn get(&self) -> Want<'_> {
+        Want {
+            service: &self.service,
+            model: Some(&self.model),
+            adapter: self.adapter.as_ref(),
+            prefix: None,
+        }
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(100_000 + ms)
+}
+
+fn fleet(targets: Vec<Target>) -> Fleet {
+    let mut fleet = Fleet::new(ZoneName::from("z1"));
+    fleet.set_all(targets, at(0));
+    fleet
+}
+
+fn pick(fleet: &mut Fleet, want: &Wants, tried: &[&str], now: Time) -> String {
+    let tried: Vec<TargetName> = tried.iter().map(|t| TargetName::from(*t)).collect();
+    match fleet.pick(&want.get(), &tried, now, &mut StdRng::seed_from_u64(1)) {
+        Pick::Target(t) => t.name.to_string(),
+        Pick::Full => "full".to_owned(),
+        Pick::NotLoaded => "not loaded".to_owned(),
+        Pick::NoTarget => "no target".to_owned(),
+    }
+}
+
+fn newer(mut t: Target, version: u64) -> TargetChange {
+    t.version = version;
+    TargetChange::Put(Box::new(t))
+}
+
+fn note(name: &str, revision: u64, models: &[&str]) -> TargetNote {
+    TargetNote {
+        target: TargetName::from(name),
+        revision,
+        state: TargetState::Ready,
+        models: models.iter().map(|m| held(m, &[])).collect(),
+    }
+}
+
+#[test]
+fn request_goes_where_the_model_is() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[]), target("t2", &["m1"], &[])]);
+    assert_eq!(pick(&mut f, &wants("m1"), &[], at(0)), "t2");
+    assert_eq!(pick(&mut f, &wants("m7"), &[], at(0)), "not loaded");
+    let other = Wants { service: ServiceName::from("none"), ..wants("m0") };
+    assert_eq!(pick(&mut f, &other, &[], at(0)), "no target");
+}
+
+#[test]
+fn older_entry_changes_nothing() {
+    let mut f = fleet(vec![]);
+    f.apply(newer(target("t1", &["m1"], &[]), 5), at(0));
+    f.apply(newer(target("t1", &["m0"], &[]), 4), at(10));
+    assert_eq!(pick(&mut f, &wants("m1"), &[], at(20)), "t1");
+}
+
+#[test]
+fn planners_note_goes_before_the_list_until_the_list_agrees_or_it_is_old() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    f.note(&note("t1", 1, &["m1"]), 7, at(0));
+    // A heartbeat that was written before the order does not bring the old model back.
+    f.apply(newer(target("t1", &["m0"], &[]), 2), at(100));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(100)), "not loaded");
+    assert_eq!(pick(&mut f, &wants("m1"), &[], at(100)), "t1");
+    f.expire(at(3_000));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(3_000)), "t1");
+}
+
+#[test]
+fn notes_that_overtake_each_other_are_told_apart() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    f.note(&note("t1", 2, &["m2"]), 7, at(0));
+    f.note(&note("t1", 1, &["m1"]), 7, at(1));
+    assert_eq!(pick(&mut f, &wants("m2"), &[], at(2)), "t1");
+    f.note(&note("t1", 1, &["m3"]), 8, at(3));
+    assert_eq!(pick(&mut f, &wants("m3"), &[], at(4)), "t1");
+}
+
+#[test]
+fn leaving_target_gets_nothing() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    let leaving = Target { state: TargetState::Draining, ..target("t1", &["m0"], &[]) };
+    f.apply(newer(leaving, 2), at(0));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(0)), "no target");
+    f.note(&note("t1", 1, &["m0"]), 7, at(10));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(20)), "no target");
+}
+
+#[test]
+fn entry_that_lapsed_while_the_store_was_away_stays_until_it_would_be_back() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    f.store_returned(at(0));
+    f.set_all(Vec::new(), at(10));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(20)), "t1");
+    let after = at(0) + fleet::LAPSE_GRACE;
+    f.expire(after);
+    assert_eq!(pick(&mut f, &wants("m0"), &[], after), "no target");
+}
+
+#[test]
+fn entry_that_is_removed_in_calm_is_gone_at_once() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    f.apply(TargetChange::Removed(TargetName::from("t1")), at(10));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(10)), "no target");
+}
+
+#[test]
+fn target_that_said_it_lacks_the_model_is_left_alone_for_a_while() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    f.missing(&TargetName::from("t1"), &wants("m0").get(), at(0));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(10)), "not loaded");
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(2_000)), "t1");
+}
+
+#[test]
+fn failing_and_unreachable_targets_are_avoided_as_long_as_there_is_another() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[]), target("t2", &["m0"], &[])]);
+    f.unreachable(&TargetName::from("t1"), at(0));
+    for _ in 0..4 {
+        assert_eq!(pick(&mut f, &wants("m0"), &[], at(10)), "t2");
+    }
+    assert_eq!(pick(&mut f, &wants("m0"), &["t2"], at(10)), "t1");
+}
+
+#[test]
+fn full_fleet_takes_nothing_and_a_place_that_is_given_back_is_used() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    let want = wants("m0");
+    let mut taken = 0;
+    while pick(&mut f, &want, &[], at(0)) == "t1" {
+        taken += 1;
+    }
+    assert_eq!(taken, 16, "its eight slots and as many waiting");
+    assert_eq!(pick(&mut f, &want, &[], at(0)), "full");
+    f.leave(&TargetName::from("t1"), Some(&want.model));
+    assert_eq!(pick(&mut f, &want, &[], at(0)), "t1");
+}
+
+#[test]
+fn requests_of_other_daemons_count() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[]), target("t2", &["m0"], &[])]);
+    let busy =
+        InFlight { target: TargetName::from("t1"), model: Some(ModelName::from("m0")), count: 6 };
+    f.note_in_flight(&[busy]);
+    for _ in 0..5 {
+        assert_eq!(pick(&mut f, &wants("m0"), &[], at(0)), "t2");
+    }
+}
+
+#[test]
+fn uses_are_told_while_they_are_new_or_wait() {
+    let mut f = fleet(vec![]);
+    f.arrived(&wants("m0").get(), at(0));
+    f.begin_waiting(&wants("m1").get(), at(0));
+    assert_eq!(f.uses(at(100)).len(), 2);
+    assert_eq!(f.uses(at(1_500)).len(), 1);
+    f.end_waiting(&wants("m1").get());
+    assert!(f.uses(at(1_500) + Duration::from_millis(1)).is_empty());
+}
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A daemon that serves a fleet of shared targets: its threads, its start and its planned stop.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
@@ -121,10 +122,20 @@
             address: peers,
             fence: 0,
             released: false,
+            covers: BTreeMap::new(),
+            covers_all: false,
         };
         let options = LeaseOptions { turn: settings.bounds.order_turn.duration() };
+        let keeper = Arc::new(Keeper::new(
+            Arc::clone(&state),
+            Arc::clone(&store),
+            Arc::clone(&lease),
+            me,
+            options,
+        ));
         let orders = Arc::new(Orders {
             state: Arc::clone(&state),
+            keeper: Arc::clone(&keeper),
             lease: Arc::clone(&lease),
             targets: Arc::new(Runners),
             daemon,
@@ -133,13 +144,6 @@
         });
         let socket = UdpSocket::bind(peers)?;
         let conductor = Arc::new(Conductor::new(Arc::clone(&state), orders, socket, incarnation));
-        let keeper = Arc::new(Keeper::new(
-            Arc::clone(&state),
-            Arc::clone(&store),
-            Arc::clone(&lease),
-            me,
-            options,
-        ));
         let lifecycle = Arc::new(Lifecycle::default());
         let targets_known = Arc::new(AtomicBool::new(false));
         let recorder = Arc::new(PageRecorder::default());
