Load more copies of hot models from the weight store; wait for what is announced

Second copies were never loaded from the weight store, so hot models stayed on one engine; requests for rare models waited until their callers had left (64 of 115).

Change: extra copies may come from the weight store, four loads at once; the planner announces what it loads and when it should be there; a request whose model is announced too late is refused at once with that time, one that nobody has announced waits half of its time, none longer than callers stay.

--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -15,7 +15,7 @@
     keep::SharedLease,
     news::ListNews,
     outside::Action,
-    peer::{self, InFlight, MAX_BYTES, Message, ModelUse, News, TargetNote},
+    peer::{self, Coming, InFlight, MAX_BYTES, Message, ModelUse, News, TargetNote},
     plan::{DAEMON_SPAN, Planner, Task},
     state::State,
     target::Target,
@@ -44,6 +44,12 @@
     was_planner: bool,
 }
 
+/// What all daemons together have at targets, and what is being loaded there.
+struct Loads {
+    in_flight: Vec<InFlight>,
+    coming: Vec<Coming>,
+}
+
 /// One daemon's part in the conversation.
 pub struct Conductor {
     state: Arc<State>,
@@ -154,6 +160,9 @@
         if let Some(in_flight) = &news.in_flight {
             fleet.note_in_flight(in_flight);
         }
+        if let Some(coming) = &news.coming {
+            fleet.note_coming(coming, now);
+        }
         drop(fleet);
         if is_changed {
             self.state.targets_changed.raise();
@@ -291,16 +300,18 @@
             told.peers.retain(|_, heard| now.since(*heard) < DAEMON_SPAN);
             told.peers.keys().copied().collect()
         };
-        let (daemons, in_flight) = {
+        let (daemons, in_flight, coming) = {
             let planner = self.planner();
-            (planner.daemons(), planner.in_flight())
+            (planner.daemons(), planner.in_flight(), planner.coming(now))
         };
         {
             let mut fleet = self.state.fleet();
             fleet.daemons = daemons.max(1);
             fleet.note_in_flight(&in_flight);
+            fleet.note_coming(&coming, now);
         }
-        for message in self.messages(&notes, &in_flight, daemons, now) {
+        let loads = Loads { in_flight, coming };
+        for message in self.messages(&notes, &loads, daemons, now) {
             for peer in &peers {
                 self.send(&message, *peer);
             }
@@ -311,7 +322,7 @@
     fn messages(
         &self,
         notes: &[TargetNote],
-        in_flight: &[InFlight],
+        loads: &Loads,
         daemons: usize,
         now: Time,
     ) -> Vec<Message> {
@@ -329,6 +340,7 @@
             config_age_ms: u32::try_from(config_age).unwrap_or(u32::MAX),
             list: ListNews::default(),
             targets: Vec::new(),
+            coming: None,
             in_flight: None,
         };
         let lists = self.state.fleet().log.news(age(contacts.list), NOTES, now);
@@ -339,10 +351,14 @@
         let current = ListNews { changes: Vec::new(), ..current };
         let bare = News { list: current, ..news };
         parts.extend(notes.chunks(NOTES).map(|n| News { targets: n.to_vec(), ..bare.clone() }));
-        let in_flight = Some(largest(in_flight));
+        let coming = Some(loads.coming.iter().take(ENTRIES).cloned().collect());
+        let in_flight = Some(largest(&loads.in_flight));
         match &mut parts[..] {
-            [only] if only.list.changes.is_empty() => only.in_flight = in_flight,
-            _ => parts.push(News { in_flight, ..bare }),
+            [only] if only.list.changes.is_empty() => {
+                only.coming = coming;
+                only.in_flight = in_flight;
+            }
+            _ => parts.push(News { coming, in_flight, ..bare }),
         }
         parts.into_iter().map(Message::News).collect()
     }
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -15,7 +15,7 @@
 use crate::{
     news::{ChangeLog, Entry, ListChange},
     outside::TargetChange,
-    peer::{InFlight, ModelUse, TargetNote},
+    peer::{Coming, InFlight, ModelUse, TargetNote},
     target::{Held, Target, TargetState},
 };
 
@@ -209,6 +209,8 @@
     zone: Option<ZoneName>,
     members: BTreeMap<TargetName, Member>,
     uses: BTreeMap<UseKey, Use>,
+    /// When models that are being loaded should be there.
+    coming: HashMap<(ServiceName, ModelName), Time>,
     /// Daemons that the planner counts.
     pub daemons: usize,
     /// Changes of the list that requests depend on.
@@ -341,6 +343,19 @@
         }
     }
 
+    /// Takes in which models are being loaded.
+    pub fn note_coming(&mut self, coming: &[Coming], now: Time) {
+        let at = |c: &Coming| now + Duration::from_millis(c.in_ms.into());
+        let entry = |c: &Coming| ((c.service.clone(), c.model.clone()), at(c));
+        self.coming = coming.iter().map(entry).collect();
+    }
+
+    /// Returns when the model of a request should be there, if it is being loaded.
+    pub fn expected(&self, want: &Want<'_>) -> Option<Time> {
+        let key = (want.service.clone(), want.model?.clone());
+        self.coming.get(&key).copied()
+    }
+
     /// Returns the targets of all services.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.members.values().map(|m| &m.target)
--- a/crates/tansyknot-fleet/src/peer.rs
+++ b/crates/tansyknot-fleet/src/peer.rs
@@ -14,7 +14,7 @@
 };
 
 /// The first byte of each datagram; it changes with the format.
-const FORMAT: u8 = 0xA3;
+const FORMAT: u8 = 0xA4;
 /// Longer datagrams are not sent: they would be split on the way.
 pub const MAX_BYTES: usize = 1200;
 
@@ -75,6 +75,17 @@
     News(News),
 }
 
+/// A model that is being loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Coming {
+    /// The service.
+    pub service: ServiceName,
+    /// The model.
+    pub model: ModelName,
+    /// When it should be there, in milliseconds from now.
+    pub in_ms: u32,
+}
+
 /// What the planner tells every daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -94,6 +105,8 @@
     pub list: ListNews,
     /// Targets that the planner has changed lately.
     pub targets: Vec<TargetNote>,
+    /// Models that are being loaded; `None` if another part of the news has them.
+    pub coming: Option<Vec<Coming>>,
     /// Requests at targets, from all daemons; `None` if another part of the news has them.
     pub in_flight: Option<Vec<InFlight>>,
 }
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -14,7 +14,7 @@
 use crate::{
     catalog::{Catalog, Engine, Model},
     outside::Action,
-    peer::{InFlight, ModelUse},
+    peer::{Coming, InFlight, ModelUse},
     target::Target,
 };
 
@@ -30,6 +30,8 @@
 const TWO_COPIES_RATE: f64 = 1.5;
 /// Arrivals a second above which a model has three copies: reading prompts slows the tokens.
 const THREE_COPIES_RATE: f64 = 8.0;
+/// What an order takes beside the load itself: the call, and the news of its end.
+const STEP_SPAN: Duration = Duration::from_millis(100);
 /// How long a task at a target usually takes, for weighing it against another target.
 const TASK_SPAN_S: f64 = 1.2;
 /// What making way costs in seconds, beside what is lost with the model.
@@ -43,6 +45,11 @@
 const REMOTE_SHARE: f64 = 0.45;
 /// The window in which loads from the weight store are counted.
 const REMOTE_WINDOW: Duration = Duration::from_secs(5);
+/// Loads from the weight store under way at once; beyond it each takes longer (the users' brief:
+/// four at once at full speed).
+const REMOTE_AT_ONCE: usize = 4;
+/// What a copy that is overloaded weighs against a model that is nowhere.
+const OVERLOAD_LACK: f64 = 2000.0;
 /// A target whose task ended badly gets no new one for this long.
 const FAILED_SPAN: Duration = Duration::from_millis(700);
 /// Share of an engine's slots in use above which no copy is added there.
@@ -136,7 +143,11 @@
 
 #[derive(Clone, Debug)]
 struct Pending {
+    service: ServiceName,
     loads: Vec<ModelName>,
+    /// When the last order should be done.
+    done_at: Time,
+    is_remote: bool,
 }
 
 /// What the planner knows of demand and of its own orders.
@@ -297,7 +308,7 @@
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         for (_, model) in wanted {
             if let Some(task) = self.place(round, &model) {
-                self.begin(task, tasks);
+                self.begin(task, round, tasks);
             }
         }
     }
@@ -315,10 +326,12 @@
             let waiting = waiting + self.adapters_waiting(round, model);
             return if waiting > 0 { 1000.0 + f64::from(waiting) } else { 0.0 };
         }
-        if coming == 0 && all < needed_copies(rate, self.total_in_flight(round, model)) {
-            return rate / all as f64;
+        let in_flight = self.total_in_flight(round, model);
+        if coming > 0 || all >= needed_copies(rate, in_flight) {
+            return 0.0;
         }
-        0.0
+        let is_overloaded = f64::from(in_flight) > PER_COPY * all as f64;
+        if is_overloaded { OVERLOAD_LACK + rate } else { rate / all as f64 }
     }
 
     fn adapters_waiting(&self, round: &Round<'_>, model: &ModelName) -> u32 {
@@ -356,7 +369,7 @@
                 continue;
             }
             let tier = Tier::of(target, model);
-            if tier == Tier::Remote && (is_extra || !self.remote_allowed(round)) {
+            if tier == Tier::Remote && !self.remote_allowed(round) {
                 continue;
             }
             let Some((victims, loss)) = self.make_way(round, target, about) else { continue };
@@ -428,23 +441,47 @@
     }
 
     fn remote_allowed(&self, round: &Round<'_>) -> bool {
+        if self.pending.values().filter(|p| p.is_remote).count() >= REMOTE_AT_ONCE {
+            return false;
+        }
         let since = |at: &&Time| round.now.since(**at) < REMOTE_WINDOW;
         let begun = self.remote.iter().filter(since).count();
         let most = round.engine.loads_per_s * REMOTE_WINDOW.as_secs_f64() * REMOTE_SHARE;
         (begun as f64) < most.floor().max(1.0)
     }
 
-    fn begin(&mut self, task: Task, tasks: &mut Vec<Task>) {
+    fn begin(&mut self, task: Task, round: &Round<'_>, tasks: &mut Vec<Task>) {
         let mut loads = Vec::new();
+        let mut is_remote = false;
         for step in &task.steps {
             if let Action::Load { model, adapter: None } = &step.action {
                 loads.push(model.clone());
+                is_remote |= Tier::of(&task.target, model) == Tier::Remote;
             }
         }
-        self.pending.insert(task.target.name.clone(), Pending { loads });
+        let takes: Duration = task.steps.iter().map(|s| s.takes + STEP_SPAN).sum();
+        let (service, done_at) = (round.service.clone(), round.now + takes);
+        let pending = Pending { service, loads, done_at, is_remote };
+        self.pending.insert(task.target.name.clone(), pending);
         tasks.push(task);
     }
 
+    /// Returns the models that are being loaded and when each should be there.
+    pub fn coming(&self, now: Time) -> Vec<Coming> {
+        let mut coming = Vec::new();
+        for p in self.pending.values() {
+            let span = p.done_at.since(now).max(STEP_SPAN);
+            let in_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+            let of = |model: &ModelName| Coming {
+                service: p.service.clone(),
+                model: model.clone(),
+                in_ms,
+            };
+            coming.extend(p.loads.iter().map(of));
+        }
+        coming
+    }
+
     /// Counts a load from the weight store that is about to be ordered.
     pub fn remote_begins(&mut self, now: Time) {
         self.remote.retain(|at| now.since(*at) < REMOTE_WINDOW);
@@ -469,7 +506,7 @@
             task.steps.extend(steps);
         }
         for task in by_target.into_values() {
-            self.begin(task, tasks);
+            self.begin(task, round, tasks);
         }
     }
 
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -9,6 +9,7 @@
 };
 
 use tansyknot_core::{
+    clock::Time,
     event,
     name::{ServiceName, TargetName},
     telemetry::Recorder,
@@ -48,6 +49,16 @@
 const GAP_PATIENCE: f64 = 2.5;
 /// The gap objective of a route that names none.
 const DEFAULT_GAP: Duration = Duration::from_secs(1);
+/// Callers leave a stream that is silent this long at least.
+const LEAVE_LEAST: Duration = Duration::from_secs(2);
+/// They leave a stream after this many times its objective, if that is longer.
+const LEAVE_OBJECTIVES: u32 = 4;
+/// They leave a stream after this many times its gap objective, if that is longer.
+const LEAVE_GAPS: u32 = 8;
+/// Kept back from the time after which a caller leaves: a first event has to be made.
+const LEAVE_MARGIN: Duration = Duration::from_millis(100);
+/// The share of its time that a request waits for a load that nobody has announced.
+const UNANNOUNCED_SHARE: f64 = 0.5;
 /// When to come back if no target was free in time.
 const RETRY_LATER: Duration = Duration::from_millis(500);
 /// When to come back to a daemon that has no configuration yet.
@@ -161,6 +172,8 @@
     relay: EventRelay,
     fallback: Option<Whole>,
     waited: Duration,
+    /// When a load should be done for which the request can't wait.
+    come_back: Option<Duration>,
     trail: String,
 }
 
@@ -191,6 +204,19 @@
     fn give_up_at(&self) -> Instant {
         self.until.checked_sub(ANSWER_MARGIN).unwrap_or(self.until)
     }
+
+    /// Returns when a target must have taken the request: callers leave a silent stream early.
+    fn take_by(&self) -> Instant {
+        if !self.route.repeat.is_stream() {
+            return self.give_up_at();
+        }
+        let gap = self.route.gap_objective.unwrap_or(Duration::ZERO);
+        let patience = LEAVE_LEAST
+            .max(self.route.objective * LEAVE_OBJECTIVES)
+            .max(gap * LEAVE_GAPS)
+            .saturating_sub(LEAVE_MARGIN);
+        self.give_up_at().min(self.began + patience)
+    }
 }
 
 /// Serves requests from the targets of the fleet.
@@ -317,7 +343,7 @@
             } else {
                 drop(fleet);
             }
-            let left = run.give_up_at().saturating_duration_since(Instant::now());
+            let left = self.wait_left(run, matches!(pick, Pick::NotLoaded), now);
             if left.is_zero() {
                 break Err(Reason::NoTargetInTime);
             }
@@ -337,6 +363,27 @@
         found
     }
 
+    /// Returns how much longer a request may wait for a target; zero if it would be in vain.
+    fn wait_left(&self, run: &mut Run<'_>, for_load: bool, now: Time) -> Duration {
+        let left = run.take_by().saturating_duration_since(Instant::now());
+        if !for_load {
+            return left;
+        }
+        let expected = self.state.fleet().expected(&run.want());
+        match expected.map(|at| at.since(now)) {
+            Some(span) if span <= left => left,
+            Some(span) => {
+                run.come_back = Some(span);
+                Duration::ZERO
+            }
+            None => {
+                let all = run.take_by().saturating_duration_since(run.began);
+                let most = run.began + all.mul_f64(UNANNOUNCED_SHARE);
+                most.saturating_duration_since(Instant::now())
+            }
+        }
+    }
+
     fn send(&self, run: &mut Run<'_>, target: &Target) -> Sent {
         let request = self.request(run, target);
         let until = run.give_up_at();
@@ -497,10 +544,11 @@
         &self,
         id: &str,
         reason: Reason,
+        come_back: Option<Duration>,
         stream: &mut TcpStream,
         after: After,
     ) -> io::Result<After> {
-        let headers = self.dialect.refusal(id, reason.retry_after());
+        let headers = self.dialect.refusal(id, come_back.or(reason.retry_after()));
         let body = format!("{{\"reason\":\"{}\"}}", reason.name()).into_bytes();
         let content_type = "application/json".to_owned();
         let whole = Whole { status: reason.status(), content_type, headers, body };
@@ -572,7 +620,7 @@
                     ("reason", &reason.name()),
                     ("path", &req.head.path),
                 ]);
-                return self.refuse(&ask.id, reason, stream, after);
+                return self.refuse(&ask.id, reason, None, stream, after);
             }
         };
         let allowed = ask.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
@@ -593,13 +641,17 @@
             relay: EventRelay::default(),
             fallback: None,
             waited: Duration::ZERO,
+            come_back: None,
             trail: String::new(),
         };
         let ended = self.serve(&mut run);
         self.account(&run, &ended);
         match ended {
             Ended::Answered { after, .. } => Ok(after),
-            Ended::Refused(reason) => self.refuse(&run.ask.id, reason, stream, after),
+            Ended::Refused(reason) => {
+                let come_back = run.come_back.filter(|_| reason.status() == 503);
+                self.refuse(&run.ask.id, reason, come_back, stream, after)
+            }
             Ended::Cut(_) => Ok(After::Close),
         }
     }
