Load first what can still be on time; never ask a dead target twice for a request

Change: a target that failed a request is asked again only once it is sound again, and the request waits for a load meanwhile; models whose requests can still be on time are loaded first; copies that those who wait can't use for 2.5 s are not counted.

--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -143,6 +143,13 @@
         self.routes.get(host)?.iter().find(|r| path.starts_with(r.prefix.as_ref()))
     }
 
+    /// Returns the longest objective of the routes that lead to a service.
+    pub fn longest_objective(&self, service: &ServiceName) -> Duration {
+        let routes = self.routes.values().flatten();
+        let to_it = routes.filter(|r| r.split.iter().any(|(s, _)| s == service));
+        to_it.map(|r| r.objective).max().unwrap_or_default()
+    }
+
     /// Returns the engine properties of a service; `None` for a plain or unknown one.
     pub fn engine(&self, service: &ServiceName) -> Option<&Engine> {
         self.services.get(service)?.engine.as_ref()
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -436,17 +436,13 @@
         }
         let holding: Vec<&Member> =
             ready.into_iter().filter(|m| m.holds(want) && !m.is_missing(want, now)).collect();
-        if holding.is_empty() {
+        let (sound, suspect): (Vec<&Member>, Vec<&Member>) =
+            holding.iter().partition(|m| now >= m.suspect_until);
+        // A target that has just failed this very request is asked again only once it is sound.
+        let choices = [untried(&sound, tried), untried(&suspect, tried), sound];
+        let Some(from) = choices.into_iter().find(|c| !c.is_empty()) else {
             return Pick::NotLoaded;
-        }
-        let sound: Vec<&Member> = holding
-            .iter()
-            .copied()
-            .filter(|m| now >= m.suspect_until && !tried.contains(&m.target.name))
-            .collect();
-        let untried: Vec<&Member> =
-            holding.iter().copied().filter(|m| !tried.contains(&m.target.name)).collect();
-        let from = [sound, untried].into_iter().find(|c| !c.is_empty()).unwrap_or(holding);
+        };
         let free: Vec<&Member> =
             from.into_iter().filter(|m| now >= m.full_until && m.load() < 1.0 + OVERFILL).collect();
         let Some(chosen) = self.least_loaded(&free, want, rng) else { return Pick::Full };
@@ -536,6 +532,12 @@
     }
 }
 
+/// Returns the targets that are not among `tried`.
+fn untried<'a>(members: &[&'a Member], tried: &[TargetName]) -> Vec<&'a Member> {
+    let is_untried = |m: &&&Member| !tried.contains(&m.target.name);
+    members.iter().filter(is_untried).copied().collect()
+}
+
 fn use_keys(want: &Want<'_>) -> Vec<UseKey> {
     let Some(model) = want.model else { return Vec::new() };
     let key =
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -48,6 +48,13 @@
 /// Loads from the weight store under way at once; beyond it each takes longer (the users' brief:
 /// four at once at full speed).
 const REMOTE_AT_ONCE: usize = 4;
+/// What a model that is nowhere weighs if those who wait can still be on time.
+const FRESH_LACK: f64 = 1000.0;
+/// What a model that is nowhere weighs if they can't.
+const LATE_LACK: f64 = 500.0;
+/// Requests that wait this long although there are copies can't use those. At 0.6 s, two beats,
+/// loads were made for requests that were on their way already (docs/ROUNDS.md).
+const UNUSABLE_AFTER: Duration = Duration::from_millis(2500);
 /// What a copy that is overloaded weighs against a model that is nowhere.
 const OVERLOAD_LACK: f64 = 2000.0;
 /// A target whose task ended badly gets no new one for this long.
@@ -112,6 +119,8 @@
 #[derive(Clone, Debug, Default)]
 struct Demand {
     waiting: u32,
+    /// Since when requests have waited without a break.
+    waiting_since: Option<Time>,
     rate: f64,
     at: Time,
 }
@@ -167,6 +176,8 @@
     engine: &'a Engine,
     targets: Vec<&'a Arc<Target>>,
     in_flight: HashMap<(TargetName, ModelName), u32>,
+    /// Requests that have waited longer can't be on time any more.
+    fresh_for: Duration,
     now: Time,
 }
 
@@ -215,6 +226,9 @@
                 }
             }
         }
+        for d in self.demand.values_mut() {
+            d.waiting_since = (d.waiting > 0).then(|| d.waiting_since.unwrap_or(now));
+        }
     }
 
     /// Returns the daemons heard of lately.
@@ -279,6 +293,7 @@
                     .filter(|t| t.service == service.name && t.is_ready() && usable(&t.name))
                     .collect(),
                 in_flight: self.in_flight_by_model(),
+                fresh_for: fresh_for(catalog, &service.name),
                 now,
             };
             self.plan_models(&round, &mut tasks);
@@ -321,10 +336,16 @@
         let copies = self.copies(round, model);
         let coming = self.pending.values().filter(|p| p.loads.contains(model)).count();
         let all = copies + coming;
+        let waited = self.waited(round, model);
         if all == 0 {
             // Requests for an adapter wait for the model as well.
             let waiting = waiting + self.adapters_waiting(round, model);
-            return if waiting > 0 { 1000.0 + f64::from(waiting) } else { 0.0 };
+            return if waiting > 0 { urgency(waiting, waited, round) } else { 0.0 };
+        }
+        let is_new = self.settled.keys().any(|(_, m)| m == model);
+        if coming == 0 && waiting > 0 && waited > UNUSABLE_AFTER && !is_new {
+            // There are copies, but those who wait can't use them.
+            return urgency(waiting, waited, round);
         }
         let in_flight = self.total_in_flight(round, model);
         if coming > 0 || all >= needed_copies(rate, in_flight) {
@@ -334,6 +355,13 @@
         if is_overloaded { OVERLOAD_LACK + rate } else { rate / all as f64 }
     }
 
+    /// Returns how long requests for a model have waited without a break.
+    fn waited(&self, round: &Round<'_>, model: &ModelName) -> Duration {
+        let of_model = self.demand.iter().filter(|((s, m, _), _)| s == round.service && m == model);
+        let since = of_model.filter_map(|(_, d)| d.waiting_since).min();
+        since.map_or(Duration::ZERO, |at| round.now.since(at))
+    }
+
     fn adapters_waiting(&self, round: &Round<'_>, model: &ModelName) -> u32 {
         self.demand
             .iter()
@@ -595,6 +623,20 @@
     }
 }
 
+/// Returns how urgent a model is that requests wait for: those that can still be on time go
+/// before those that can't, and the longest wait goes first among them.
+fn urgency(waiting: u32, waited: Duration, round: &Round<'_>) -> f64 {
+    let is_fresh = waited < round.fresh_for;
+    let base = if is_fresh { FRESH_LACK } else { LATE_LACK };
+    base + f64::from(waiting) + waited.as_secs_f64()
+}
+
+/// Returns how long a request of a service may wait for a load and still be on time.
+fn fresh_for(catalog: &Catalog, service: &ServiceName) -> Duration {
+    let objective = catalog.longest_objective(service);
+    objective.saturating_sub(Duration::from_secs_f64(TASK_SPAN_S))
+}
+
 fn needed_copies(rate: f64, in_flight: u32) -> usize {
     let by_rate = match rate {
         r if r > THREE_COPIES_RATE => 3,
--- a/crates/tansyknot-fleet/src/relay.rs
+++ b/crates/tansyknot-fleet/src/relay.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{self, Read},
     net::TcpStream,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use tansyknot_http::{
@@ -73,7 +73,7 @@
     /// The first event must be there by then.
     pub first: Instant,
     /// Each further one must follow within this span.
-    pub gap: std::time::Duration,
+    pub gap: Duration,
     /// Nothing is waited for after this.
     pub until: Instant,
 }
@@ -88,6 +88,10 @@
     pub first_at: Option<Instant>,
     /// Events passed on.
     pub events: u64,
+    /// When the last event was passed on.
+    last_at: Option<Instant>,
+    /// The longest pause between two events that were passed on.
+    pub longest_gap: Duration,
 }
 
 /// How the caller takes a stream.
@@ -176,7 +180,11 @@
         self.begin(head, caller).map_err(|_| Failure::CallerLeft)?;
         let Some(out) = &mut self.out else { return Err(Failure::CallerLeft) };
         out.send(whole).map_err(|_| Failure::CallerLeft)?;
-        self.first_at.get_or_insert_with(Instant::now);
+        let now = Instant::now();
+        let gap = self.last_at.map_or(Duration::ZERO, |at| now.duration_since(at));
+        self.longest_gap = self.longest_gap.max(gap);
+        self.last_at = Some(now);
+        self.first_at.get_or_insert(now);
         self.events += events::count(whole);
         if let Some(id) = events::last_id(whole) {
             self.last_id = Some(id);
@@ -185,7 +193,7 @@
     }
 
     /// Ends the caller's stream cleanly.
-    pub fn finish(mut self) {
+    pub fn finish(&mut self) {
         if let Some(out) = self.out.take() {
             out.end();
         }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -271,7 +271,7 @@
             run.tried.push(target.name.clone());
             match sent {
                 Sent::Passed(status) => {
-                    std::mem::take(&mut run.relay).finish();
+                    run.relay.finish();
                     return Ended::Answered { status, after: run.caller.after };
                 }
                 Sent::NotRun(_) => {}
@@ -574,6 +574,8 @@
             _ => event::FLEET_FAILED,
         };
         let version = self.state.catalog().map_or(0, |c| c.version);
+        let first = run.relay.first_at.map(|at| at.duration_since(run.began).as_millis());
+        let first_ms = first.map_or_else(String::new, |ms| ms.to_string());
         let model = run.ask.model.as_ref().map_or("", |m| m.as_str());
         let adapter = run.ask.adapter.as_ref().map_or("", |a| a.as_str());
         kind.emit(&[
@@ -587,6 +589,8 @@
             ("sends", &run.sends),
             ("runs", &run.runs),
             ("waited_ms", &run.waited.as_millis()),
+            ("first_ms", &first_ms),
+            ("gap_ms", &run.relay.longest_gap.as_millis()),
             ("events", &run.relay.events),
             ("total_ms", &total.as_millis()),
             ("trail", &run.trail),
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -26,10 +26,12 @@
 
 /// Pause before an order is sent again that met another one under way.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a model's removal, which takes some ms if nobody uses it.
+const REMOVAL_PAUSE: Duration = Duration::from_millis(30);
 /// Conflicts after which the target is asked what it has accepted.
-const CONFLICTS_BEFORE_REPORT: u32 = 4;
-/// Conflicts after which the task is given up.
-const CONFLICTS_MAX: u32 = 40;
+const CONFLICTS_BEFORE_REPORT: u32 = 5;
+/// Conflicts after which the task is given up: some seconds, as a removal waits for its runs.
+const CONFLICTS_MAX: u32 = 60;
 /// A report may be this old, so what was done before that long shows in it.
 const REPORT_LAG: Duration = Duration::from_millis(400);
 /// Orders without an answer after which the task is given up.
@@ -208,6 +210,7 @@
             Action::Load { model, adapter: None } if ordered == Ordered::Accepted => {
                 self.await_load(progress, model, step.takes)?;
             }
+            Action::Remove { adapter: None, .. } => self.pause(REMOVAL_PAUSE),
             _ => {}
         }
         self.publish(progress, progress.models.clone());
--- a/crates/tansyknot-fleet/tests/plan.rs
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -97,6 +97,31 @@
     assert!(rig.plan().is_empty());
 }
 
+#[test]
+fn requests_that_can_be_on_time_go_before_those_that_are_late() {
+    let mut rig = Rig::new(vec![target("t1", &[], &["m5", "m6"])]);
+    rig.hear(&[wants("m5", None, 9, 9)], Vec::new());
+    // The objective is 2.5 s and a load takes 1.2 s.
+    for _ in 0..3 {
+        rig.now = rig.now + std::time::Duration::from_millis(800);
+        rig.hear(&[wants("m5", None, 9, 9)], Vec::new());
+    }
+    rig.hear(&[wants("m5", None, 9, 9), wants("m6", None, 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t1 +m6"]);
+}
+
+#[test]
+fn copies_that_those_who_wait_cannot_use_are_not_counted() {
+    let mut rig = Rig::new(vec![target("t1", &["m5"], &[]), target("t2", &[], &["m5"])]);
+    rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
+    assert!(rig.plan().is_empty(), "the news of the copy may be on its way");
+    for _ in 0..4 {
+        rig.now = rig.now + std::time::Duration::from_millis(700);
+        rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
+    }
+    assert_eq!(orders(&rig.plan()), ["t2 +m5"]);
+}
+
 #[test]
 fn burst_at_many_daemons_loads_a_model_once() {
     let mut rig = Rig::new(vec![target("t1", &[], &["m5"]), target("t2", &[], &["m5"])]);
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -15,7 +15,7 @@
 };
 use tansyknot_fleet::{
     budget::BudgetOptions,
-    catalog::{Catalog, Engine, Model, Service},
+    catalog::{Catalog, Engine, Model, Repeat, Route, Service},
     keep::{Keeper, SharedLease},
     lease::{Holder, LeaseOptions},
     outside::{
@@ -288,7 +288,19 @@
         models,
     };
     let service = Service { name: ServiceName::from("s"), engine: Some(engine) };
-    Catalog::new(1, Vec::new(), vec![service])
+    let route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        repeat: Repeat::Stream,
+        timeout: Duration::from_secs(25),
+        objective: Duration::from_millis(2500),
+        gap_objective: None,
+        priority: 0,
+        attempts_max: 1,
+        split: vec![(ServiceName::from("s"), 1)],
+    };
+    Catalog::new(1, vec![route], vec![service])
 }
 
 /// How a target answers the next order.
--- a/crates/tansyknot-fleet/tests/view.rs
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -157,6 +157,14 @@
     assert_eq!(pick(&mut f, &wants("m0"), &["t2"], at(10)), "t1");
 }
 
+#[test]
+fn dead_target_is_not_asked_again_by_the_request_that_it_failed() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[])]);
+    f.unreachable(&TargetName::from("t1"), at(0));
+    assert_eq!(pick(&mut f, &wants("m0"), &["t1"], at(10)), "not loaded");
+    assert_eq!(pick(&mut f, &wants("m0"), &["t1"], at(700)), "t1");
+}
+
 #[test]
 fn full_fleet_takes_nothing_and_a_place_that_is_given_back_is_used() {
     let mut f = fleet(vec![target("t1", &["m0"], &[])]);
