Tell only what is new between beats; leave planning to hosts with good links

The planner stood on a 10 Mbit/s host and told 68 daemons all changes of the last 0.95 s with every new one, so that its datagrams were lost; and a change that came late counted as a reason for a call.

Ruled out: a planner that had stopped (it ordered and renewed throughout), datagrams too long to send (none), a store that refused (few).

Change: between beats only new changes are told, of each target the latest one; a late change is waited for as long as the view may be old; one write of the planner's row names all targets that tasks wait for; daemons on links below 60 Mbit/s take the lease only if nobody else does.

--- a/crates/tansyknot-config/src/fleet.rs
+++ b/crates/tansyknot-config/src/fleet.rs
@@ -19,6 +19,9 @@
     pub listen: FleetListen,
     /// The platform's store.
     pub store: SocketAddr,
+    /// The host's link, in Mbit/s. Daemons on slow links leave the planning to others.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Bounds that the platform sets.
     pub bounds: FleetBounds,
     /// Bounds on what callers send.
--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -288,17 +288,19 @@
 
     fn send_news(&self, is_due: bool, now: Time) {
         let mut notes = self.state.fleet().notes();
-        let peers: Vec<SocketAddr> = {
+        let (after, peers): (u64, Vec<SocketAddr>) = {
             let mut told = self.told();
             let list = self.state.fleet().log.last();
             let config = self.state.catalog().map_or(0, |c| c.version);
-            let has_changed = keep_news(&mut told, &mut notes, now)
+            // Between two beats only what is new is told; a beat repeats what may have been lost.
+            let after = if is_due { 0 } else { told.versions.0 };
+            let has_changed = keep_news(&mut told, &mut notes, is_due, now)
                 | (std::mem::replace(&mut told.versions, (list, config)) != (list, config));
             if !is_due && !has_changed {
                 return;
             }
             told.peers.retain(|_, heard| now.since(*heard) < DAEMON_SPAN);
-            told.peers.keys().copied().collect()
+            (after, told.peers.keys().copied().collect())
         };
         let (daemons, in_flight, coming) = {
             let planner = self.planner();
@@ -311,7 +313,7 @@
             fleet.note_coming(&coming, now);
         }
         let loads = Loads { in_flight, coming };
-        for message in self.messages(&notes, &loads, daemons, now) {
+        for message in self.messages(after, &notes, &loads, daemons, now) {
             for peer in &peers {
                 self.send(&message, *peer);
             }
@@ -321,6 +323,7 @@
     /// Makes the news in parts that fit a datagram each.
     fn messages(
         &self,
+        after: u64,
         notes: &[TargetNote],
         loads: &Loads,
         daemons: usize,
@@ -343,7 +346,7 @@
             coming: None,
             in_flight: None,
         };
-        let lists = self.state.fleet().log.news(age(contacts.list), NOTES, now);
+        let lists = self.state.fleet().log.news(after, age(contacts.list), NOTES, now);
         let mut parts: Vec<News> =
             lists.into_iter().map(|list| News { list, ..news.clone() }).collect();
         let last = parts[parts.len() - 1].list.to;
@@ -387,7 +390,7 @@
 }
 
 /// Keeps the notes that have not been told for long; tells whether one is new.
-fn keep_news(told: &mut Told, notes: &mut Vec<TargetNote>, now: Time) -> bool {
+fn keep_news(told: &mut Told, notes: &mut Vec<TargetNote>, repeat: bool, now: Time) -> bool {
     let mut has_changed = false;
     notes.retain(|n| {
         let known = told.notes.get(&n.target).filter(|(revision, _)| *revision == n.revision);
@@ -396,7 +399,7 @@
             has_changed = true;
             return true;
         };
-        now.since(*first) < NOTE_SPAN
+        repeat && now.since(*first) < NOTE_SPAN
     });
     has_changed
 }
--- a/crates/tansyknot-fleet/src/keep.rs
+++ b/crates/tansyknot-fleet/src/keep.rs
@@ -1,6 +1,7 @@
 //! Keeps the planner's lease: renews it, watches its holder, and takes it when the holder is gone.
 
 use std::{
+    collections::BTreeSet,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -108,6 +109,20 @@
     }
 }
 
+/// Whether a daemon leaves the lease to others if it can: the planner tells everyone everything,
+/// which takes a good link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reluctance {
+    /// It takes the lease as soon as it may.
+    #[default]
+    None,
+    /// It takes the lease only if nobody else has for a while.
+    Reluctant,
+}
+
+/// How long a reluctant daemon leaves the lease to others.
+const RELUCTANT_SPAN: Duration = Duration::from_millis(900);
+
 /// Keeps the lease for one daemon.
 pub struct Keeper {
     state: Arc<State>,
@@ -115,8 +130,13 @@
     shared: Arc<SharedLease>,
     me: Holder,
     options: LeaseOptions,
+    reluctance: Reluctance,
+    /// Since when the lease could be taken.
+    free_since: Mutex<Option<Time>>,
     /// Held while the row is read or written, so that this daemon does one thing at a time to it.
     calling: Mutex<()>,
+    /// Targets that the next write is to name.
+    wanted: Mutex<BTreeSet<TargetName>>,
 }
 
 impl Keeper {
@@ -127,8 +147,19 @@
         shared: Arc<SharedLease>,
         me: Holder,
         options: LeaseOptions,
+        reluctance: Reluctance,
     ) -> Self {
-        Self { state, store, shared, me, options, calling: Mutex::new(()) }
+        Self {
+            state,
+            store,
+            shared,
+            me,
+            options,
+            reluctance,
+            free_since: Mutex::default(),
+            calling: Mutex::default(),
+            wanted: Mutex::default(),
+        }
     }
 
     /// Renews, reads or takes the row, whichever is due; tells how long to pause.
@@ -139,16 +170,31 @@
         }
         let _calling = self.calling();
         if self.shared.is_mine() {
-            let renewed = self.claim(None);
+            let renewed = self.claim();
             return if renewed { RENEW_EVERY } else { RETRY };
         }
         if !self.look() {
             return LOOK_EVERY;
         }
-        self.claim(None);
+        if self.is_willing() {
+            self.claim();
+        }
         if self.shared.is_mine() { RENEW_EVERY } else { LOOK_EVERY }
     }
 
+    /// Tells whether this daemon takes the lease if it may.
+    fn is_willing(&self) -> bool {
+        if self.reluctance == Reluctance::None {
+            return true;
+        }
+        let now = self.state.now();
+        let none = BTreeSet::new();
+        let may = self.shared.lease().claim(&self.me, self.options, &none, now).is_some();
+        let mut since = self.free_since.lock().expect("no holder of the lock panics");
+        *since = may.then(|| since.unwrap_or(now));
+        since.is_some_and(|since| now.since(since) >= RELUCTANT_SPAN)
+    }
+
     /// Has the row name `target`, if this daemon is the planner; returns the fencing token if the
     /// target may be ordered then.
     pub fn cover(&self, target: &TargetName) -> Option<u64> {
@@ -159,9 +205,12 @@
         if !self.shared.is_open(target, self.state.now()) {
             return None;
         }
+        self.wanted().insert(target.clone());
         let _calling = self.calling();
-        if self.shared.is_mine() {
-            self.claim(Some(target));
+        // Another task's write may have named this target too.
+        let fence = self.shared.may_order(target, self.state.now());
+        if fence.is_none() && self.shared.is_mine() {
+            self.claim();
         }
         self.shared.may_order(target, self.state.now())
     }
@@ -170,10 +219,15 @@
         self.calling.lock().expect("no holder of the lock panics")
     }
 
+    fn wanted(&self) -> MutexGuard<'_, BTreeSet<TargetName>> {
+        self.wanted.lock().expect("no holder of the lock panics")
+    }
+
     /// Makes the claim that this daemon may make now; tells whether it took effect.
-    fn claim(&self, target: Option<&TargetName>) -> bool {
+    fn claim(&self) -> bool {
         let now = self.state.now();
-        let claim = self.shared.lease().claim(&self.me, self.options, target, now);
+        let targets = std::mem::take(&mut *self.wanted());
+        let claim = self.shared.lease().claim(&self.me, self.options, &targets, now);
         claim.is_some_and(|claim| self.write(claim))
     }
 
--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -8,7 +8,7 @@
 //! from the latest moment at which the holder before could have ordered it.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -157,12 +157,12 @@
     }
 
     /// Returns the claim that `me` may make now: a renewal, or the row of a holder that is gone.
-    /// `target` is one that the row is to name.
+    /// `targets` are those that the row is to name besides.
     pub fn claim(
         &self,
         me: &Holder,
         options: LeaseOptions,
-        target: Option<&TargetName>,
+        targets: &BTreeSet<TargetName>,
         now: Time,
     ) -> Option<Claim> {
         let (expected, mut held) = match (&self.seen, &self.held) {
@@ -173,9 +173,7 @@
         held.renewed = now;
         held.resting.retain(|_, from| now < *from);
         held.covered.retain(|_, last| now.since(*last) < options.rest());
-        if let Some(target) = target {
-            held.covered.insert(target.clone(), now);
-        }
+        held.covered.extend(targets.iter().map(|target| (target.clone(), now)));
         let holder = Holder {
             fence: held.fence,
             released: false,
--- a/crates/tansyknot-fleet/src/news.rs
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -89,6 +89,16 @@
     Removed(TargetName),
 }
 
+impl ListChange {
+    /// Returns the target that the change is about.
+    pub fn target(&self) -> &TargetName {
+        match self {
+            ListChange::Put(entry) => &entry.name,
+            ListChange::Removed(name) => name,
+        }
+    }
+}
+
 /// Changes with the numbers after `from`, up to `to`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListNews {
@@ -100,21 +110,25 @@
     pub newest: u64,
     /// How long ago the list was read, in milliseconds.
     pub age_ms: u32,
-    /// The changes.
-    pub changes: Vec<ListChange>,
+    /// The changes and their numbers. A number that is left out belongs to a target that a later
+    /// change is about.
+    pub changes: Vec<(u64, ListChange)>,
 }
 
 /// The changes that a daemon has seen in the list, numbered.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
     last: u64,
+    /// Changes up to this number are not repeated any more.
+    floor: u64,
     kept: VecDeque<(u64, Time, ListChange)>,
 }
 
 impl ChangeLog {
-    /// Adds a change.
+    /// Adds a change, which takes the place of earlier ones of the same target.
     pub fn add(&mut self, change: ListChange, now: Time) {
         self.last += 1;
+        self.kept.retain(|(_, _, earlier)| earlier.target() != change.target());
         self.kept.push_back((self.last, now, change));
         self.forget(now);
     }
@@ -122,12 +136,16 @@
     /// Leaves a number out, so that all who follow ask the store.
     pub fn skip(&mut self) {
         self.last += 1;
+        self.floor = self.last;
         self.kept.clear();
     }
 
     fn forget(&mut self, now: Time) {
         let is_old = |at: &Time| now.since(*at) >= CHANGE_SPAN;
-        while self.kept.front().is_some_and(|(_, at, _)| is_old(at)) {
+        while let Some((number, at, _)) = self.kept.front()
+            && is_old(at)
+        {
+            self.floor = *number;
             self.kept.pop_front();
         }
     }
@@ -137,25 +155,31 @@
         self.last
     }
 
-    /// Returns the changes to repeat, in parts of at most `most` changes.
-    pub fn news(&mut self, age: Duration, most: usize, now: Time) -> Vec<ListNews> {
+    /// Returns the changes after number `after` that are still repeated, in parts of at most
+    /// `most` changes.
+    pub fn news(&mut self, after: u64, age: Duration, most: usize, now: Time) -> Vec<ListNews> {
         self.forget(now);
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        let changes: Vec<(u64, ListChange)> =
-            self.kept.iter().map(|(number, _, change)| (*number, change.clone())).collect();
+        let changes: Vec<(u64, ListChange)> = self
+            .kept
+            .iter()
+            .filter(|(number, _, _)| *number > after)
+            .map(|(number, _, change)| (*number, change.clone()))
+            .collect();
         let newest = self.last;
         if changes.is_empty() {
             let (from, to) = (newest, newest);
             return vec![ListNews { from, to, newest, age_ms, changes: Vec::new() }];
         }
-        let part = |part: &[(u64, ListChange)]| ListNews {
-            from: part[0].0 - 1,
-            to: part[part.len() - 1].0,
-            newest,
-            age_ms,
-            changes: part.iter().map(|(_, change)| change.clone()).collect(),
-        };
-        changes.chunks(most).map(part).collect()
+        // Numbers that were left out before the oldest change kept are unknown to who lacks them.
+        let mut from = after.max(self.floor);
+        let mut parts = Vec::new();
+        for part in changes.chunks(most) {
+            let to = part[part.len() - 1].0;
+            parts.push(ListNews { from, to, newest, age_ms, changes: part.to_vec() });
+            from = to;
+        }
+        parts
     }
 }
 
@@ -180,13 +204,13 @@
         }
         self.newest = self.newest.max(news.newest);
         let Some(number) = self.number.filter(|n| *n >= news.from) else { return Vec::new() };
-        let known = usize::try_from(number - news.from).unwrap_or(usize::MAX);
         self.number = Some(number.max(news.to));
         let read = now.before(Duration::from_millis(news.age_ms.into()));
         if number.max(news.to) == self.newest {
             self.list_at = self.list_at.max(Some(read));
         }
-        news.changes.into_iter().skip(known).collect()
+        let is_new = |(n, _): &(u64, ListChange)| *n > number;
+        news.changes.into_iter().filter(is_new).map(|(_, change)| change).collect()
     }
 
     /// Takes in how old the planner's view of the configuration is, and its version.
@@ -209,10 +233,11 @@
     }
 
     /// Returns how long the view of the list is fresh enough without a call.
+    ///
+    /// A change that is missing may still come: until then the view is as old as the last moment
+    /// at which none was missing.
     pub fn list_fresh_for(&self, now: Time) -> Duration {
-        let is_whole = self.number == Some(self.newest);
-        let at = self.list_at.filter(|_| is_whole);
-        at.map_or(Duration::ZERO, |at| LIST_SPAN.saturating_sub(now.since(at)))
+        self.list_at.map_or(Duration::ZERO, |at| LIST_SPAN.saturating_sub(now.since(at)))
     }
 
     /// Returns how long version `mine` of the configuration is fresh enough without a call.
--- a/crates/tansyknot-fleet/tests/lease.rs
+++ b/crates/tansyknot-fleet/tests/lease.rs
@@ -9,7 +9,7 @@
     clock::{Clock, ManualClock},
     name::TargetName,
 };
-use tansyknot_fleet::lease;
+use tansyknot_fleet::{keep::Reluctance, lease};
 use yare::parameterized;
 
 /// The platform's bound on turns of two holders, as both sites set it.
@@ -207,6 +207,20 @@
     assert!(span >= TURN, "{span:?}");
 }
 
+#[test]
+fn reluctant_daemon_plans_only_if_nobody_else_does() {
+    let clock = ManualClock::new();
+    let store = FakeStore::new();
+    let slow = Daemon::with("s", &store, &clock, Reluctance::Reluctant);
+    run(&clock, &[&slow], 500);
+    assert!(!slow.lease.is_mine());
+    let fast = Daemon::new("f", &store, &clock);
+    run(&clock, &[&slow, &fast], 2_000);
+    assert!(fast.lease.is_mine() && !slow.lease.is_mine());
+    run(&clock, &[&slow], 6_000);
+    assert!(slow.lease.is_mine(), "the other one is dead");
+}
+
 #[test]
 fn row_that_cannot_be_read_is_replaced() {
     let clock = ManualClock::new();
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -22,7 +22,7 @@
     budget::BudgetOptions,
     conduct::Conductor,
     follow::{self, ConfigFollower, TargetFollower},
-    keep::{Keeper, SharedLease},
+    keep::{Keeper, Reluctance, SharedLease},
     lease::{Holder, LeaseOptions},
     outside::Store,
     serve::Server,
@@ -47,6 +47,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// How often the stop looks whether requests are under way.
 const STOP_LOOK: Duration = Duration::from_millis(50);
+/// A planner with 70 daemons sends some 25 Mbit/s while many targets change (docs/ROUNDS.md).
+const PLANNER_MBPS: f64 = 60.0;
 /// Connections to the pages of readiness and metrics.
 const PAGE_CONNECTIONS: u32 = 32;
 
@@ -132,6 +134,7 @@
             Arc::clone(&lease),
             me,
             options,
+            reluctance(settings),
         ));
         let orders = Arc::new(Orders {
             state: Arc::clone(&state),
@@ -202,6 +205,13 @@
     }
 }
 
+fn reluctance(settings: &FleetSettings) -> Reluctance {
+    match settings.link_mbps {
+        Some(mbps) if mbps < PLANNER_MBPS => Reluctance::Reluctant,
+        _ => Reluctance::None,
+    }
+}
+
 fn caller_options(settings: &FleetSettings) -> ServerOptions {
     let limits = &settings.limits;
     ServerOptions {
