Refuse requests that still wait when the daemon ends

Change: from then on a waiting request is refused as not run, to come back at once.

Ruled out: the request had not been with any target.

--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -343,6 +343,10 @@
             } else {
                 drop(fleet);
             }
+            if self.lifecycle.is_ending() {
+                // Nothing was sent, so another daemon can still serve it.
+                break Err(Reason::Stopping);
+            }
             let left = self.wait_left(run, matches!(pick, Pick::NotLoaded), now);
             if left.is_zero() {
                 break Err(Reason::NoTargetInTime);
