Go on from what the planner has told when asking the store; read a forgotten list at once

A follower whose own last call was older than the store's history got 410, waited its pause of 0.6 s, and then read the whole list with 0.7 s for it, which a slow link in use may exceed.

Tests: three in virtual time; the first two fail without the change.

--- a/crates/tansyknot-fleet/src/conduct/telling.rs
+++ b/crates/tansyknot-fleet/src/conduct/telling.rs
@@ -6,7 +6,7 @@
 
 use super::Conductor;
 use crate::{
-    news::ListNews,
+    news::{ListNews, ListRead},
     peer::{self, Coming, InFlight, Message, News, TargetNote},
     plan::DAEMON_SPAN,
 };
@@ -97,7 +97,8 @@
             coming: None,
             in_flight: None,
         };
-        let lists = self.state.fleet().log.news(after, age(contacts.list), NOTES, now);
+        let read = ListRead { age: age(contacts.list), version: contacts.list_version };
+        let lists = self.state.fleet().log.news(after, read, NOTES, now);
         let mut parts: Vec<News> =
             lists.into_iter().map(|list| News { list, ..news.clone() }).collect();
         let last = parts[parts.len() - 1].list.to;
--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -118,10 +118,21 @@
         Self { state, store, version: None, contact, known }
     }
 
-    /// Makes one call; tells whether the store answered.
+    /// Has the next call read the whole list, with what news leave out.
+    pub fn read_anew(&mut self) {
+        self.version = None;
+    }
+
+    /// Makes a call, or two if the store has forgotten what came since the last one; tells
+    /// whether the store answered.
     pub fn step(&mut self) -> bool {
         let began = self.state.now();
-        let mark = self.state.followed().before_call();
+        let mark = {
+            let followed = self.state.followed();
+            // What the planner has told need not be asked for, and may be forgotten by the store.
+            self.version = self.version.map(|own| own.max(followed.list_version()));
+            followed.before_call()
+        };
         let result = match self.version {
             Some(version) => self.store.target_changes(version),
             None => self.store.targets().map(|(targets, version)| {
@@ -147,9 +158,15 @@
                 fleet.expire(now);
                 drop(fleet);
                 self.state.followed().after_call(mark);
-                self.state.contacts().list = Some(began);
+                let mut contacts = self.state.contacts();
+                contacts.list = Some(began);
+                contacts.list_version = *version;
+            }
+            Ok(TargetNews::HistoryLost) => {
+                // The view is old already: the whole list is read at once.
+                self.read_anew();
+                return self.step();
             }
-            Ok(TargetNews::HistoryLost) => self.version = None,
             Err(_) => {}
         }
         if is_changed {
--- a/crates/tansyknot-fleet/src/news.rs
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -110,11 +110,22 @@
     pub newest: u64,
     /// How long ago the list was read, in milliseconds.
     pub age_ms: u32,
+    /// The store's version that the list is to be followed from.
+    pub version: u64,
     /// The changes and their numbers. A number that is left out belongs to a target that a later
     /// change is about.
     pub changes: Vec<(u64, ListChange)>,
 }
 
+/// The planner's last reading of the list.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ListRead {
+    /// How long ago it was.
+    pub age: Duration,
+    /// The store's version to go on from.
+    pub version: u64,
+}
+
 /// The changes that a daemon has seen in the list, numbered.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
@@ -157,9 +168,9 @@
 
     /// Returns the changes after number `after` that are still repeated, in parts of at most
     /// `most` changes.
-    pub fn news(&mut self, after: u64, age: Duration, most: usize, now: Time) -> Vec<ListNews> {
+    pub fn news(&mut self, after: u64, read: ListRead, most: usize, now: Time) -> Vec<ListNews> {
         self.forget(now);
-        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let age_ms = u32::try_from(read.age.as_millis()).unwrap_or(u32::MAX);
         let changes: Vec<(u64, ListChange)> = self
             .kept
             .iter()
@@ -169,14 +180,17 @@
         let newest = self.last;
         if changes.is_empty() {
             let (from, to) = (newest, newest);
-            return vec![ListNews { from, to, newest, age_ms, changes: Vec::new() }];
+            let version = read.version;
+            return vec![ListNews { from, to, newest, age_ms, version, changes: Vec::new() }];
         }
         // Numbers that were left out before the oldest change kept are unknown to who lacks them.
         let mut from = after.max(self.floor);
         let mut parts = Vec::new();
         for part in changes.chunks(most) {
             let to = part[part.len() - 1].0;
-            parts.push(ListNews { from, to, newest, age_ms, changes: part.to_vec() });
+            let version = read.version;
+            let changes = part.to_vec();
+            parts.push(ListNews { from, to, newest, age_ms, version, changes });
             from = to;
         }
         parts
@@ -192,6 +206,7 @@
     /// A call that begins now makes every change up to this number known.
     newest: u64,
     list_at: Option<Time>,
+    list_version: u64,
     config_at: Option<Time>,
     config_version: u64,
 }
@@ -208,6 +223,7 @@
         let read = now.before(Duration::from_millis(news.age_ms.into()));
         if number.max(news.to) == self.newest {
             self.list_at = self.list_at.max(Some(read));
+            self.list_version = self.list_version.max(news.version);
         }
         let is_new = |(n, _): &(u64, ListChange)| *n > number;
         news.changes.into_iter().filter(is_new).map(|(_, change)| change).collect()
@@ -219,6 +235,11 @@
         self.config_at = self.config_at.max(Some(now.before(age)));
     }
 
+    /// Returns the store's version up to which the list is known by news, 0 if none.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
     /// Returns the number that a call that begins now will make known.
     pub fn before_call(&self) -> (u64, u64) {
         (self.fence, self.newest)
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/follow.rs
@@ -0,0 +1,75 @@
+//! Following the list by calls and by the planner's news.
+
+mod support;
+
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
+
+use support::{FakeStore, StoreFault, state, target};
+use tansyknot_core::{clock::ManualClock, name::TargetName};
+use tansyknot_fleet::{
+    follow::TargetFollower,
+    news::{ChangeLog, ListRead},
+    outside::{TargetChange, TargetNews},
+};
+
+#[test]
+fn list_is_read_at_once_when_the_store_has_forgotten() {
+    let store = FakeStore::new();
+    let door = store.door();
+    let state = state(&ManualClock::new());
+    let known = Arc::new(AtomicBool::new(false));
+    store.set_list(vec![target("t1", &[], &[])]);
+    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
+    assert!(follower.step());
+    store.set_list(vec![target("t2", &[], &[])]);
+    store.push_news(TargetNews::HistoryLost);
+    assert!(follower.step());
+    assert!(state.fleet().target(&TargetName::from("t2")).is_some());
+    assert!(state.fleet().target(&TargetName::from("t1")).is_none());
+    assert_eq!(door.list_calls(), 3);
+}
+
+#[test]
+fn call_goes_on_from_what_the_planner_has_told() {
+    let store = FakeStore::new();
+    let door = store.door();
+    let state = state(&ManualClock::new());
+    let known = Arc::new(AtomicBool::new(false));
+    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
+    assert!(follower.step());
+    let now = state.now();
+    let read = ListRead { age: Duration::ZERO, version: 77 };
+    let news = ChangeLog::default().news(0, read, 4, now);
+    for _ in 0..2 {
+        state.followed().list(1, news[0].clone(), now);
+        let mark = state.followed().before_call();
+        state.followed().after_call(mark);
+    }
+    assert!(follower.step());
+    assert_eq!(door.followed_from(), 77);
+}
+
+#[test]
+fn store_that_is_away_leaves_the_view() {
+    let store = FakeStore::new();
+    let door = store.door();
+    let state = state(&ManualClock::new());
+    let known = Arc::new(AtomicBool::new(false));
+    store.set_list(vec![target("t1", &[], &[])]);
+    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
+    assert!(follower.step());
+    door.set(StoreFault::Silent);
+    assert!(!follower.step());
+    assert!(state.fleet().target(&TargetName::from("t1")).is_some());
+    door.set(StoreFault::None);
+    let gone = TargetChange::Removed(TargetName::from("t1"));
+    store.push_news(TargetNews::Changes { changes: vec![gone], version: 9 });
+    assert!(follower.step());
+    assert!(
+        state.fleet().target(&TargetName::from("t1")).is_some(),
+        "it may have lapsed while the store was away"
+    );
+}
--- a/crates/tansyknot-fleet/tests/news.rs
+++ b/crates/tansyknot-fleet/tests/news.rs
@@ -8,13 +8,15 @@
 use support::target;
 use tansyknot_core::clock::Time;
 use tansyknot_fleet::{
-    news::{ChangeLog, Entry, Followed, LIST_SPAN, ListChange},
+    news::{ChangeLog, Entry, Followed, LIST_SPAN, ListChange, ListRead},
     peer::{self, Message},
 };
 use yare::parameterized;
 
 const BEAT: Duration = Duration::from_millis(300);
 const PART: usize = 4;
+/// A reading of this moment.
+const FRESH: ListRead = ListRead { age: Duration::ZERO, version: 5 };
 
 fn put(n: u64) -> ListChange {
     let mut t = target(&format!("t{}", n % 7), &["m0"], &[]);
@@ -28,13 +30,13 @@
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
     log.add(put(1), now);
-    for part in log.news(0, Duration::ZERO, PART, now) {
+    for part in log.news(0, FRESH, PART, now) {
         assert!(f.list(1, part, now).is_empty());
     }
     assert!(f.list_fresh_for(now).is_zero());
     let mark = f.before_call();
     f.after_call(mark);
-    for part in log.news(0, Duration::ZERO, PART, now) {
+    for part in log.news(0, FRESH, PART, now) {
         assert!(f.list(1, part, now).is_empty(), "the call has shown it already");
     }
     assert_eq!(f.list_fresh_for(now), LIST_SPAN);
@@ -45,7 +47,7 @@
     let mut log = ChangeLog::default();
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
-    let news = log.news(0, Duration::ZERO, PART, now);
+    let news = log.news(0, FRESH, PART, now);
     f.list(1, news[0].clone(), now);
     let mark = f.before_call();
     f.list(2, news[0].clone(), now);
@@ -58,10 +60,10 @@
     let mut log = ChangeLog::default();
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
-    let fresh = log.news(0, Duration::ZERO, PART, now);
+    let fresh = log.news(0, FRESH, PART, now);
     f.list(1, fresh[0].clone(), now);
     f.after_call(f.before_call());
-    let stale = log.news(0, LIST_SPAN, PART, now);
+    let stale = log.news(0, ListRead { age: LIST_SPAN, version: 5 }, PART, now);
     f.list(1, stale[0].clone(), now);
     assert!(f.list_fresh_for(now + LIST_SPAN).is_zero());
 }
@@ -71,13 +73,13 @@
     let mut log = ChangeLog::default();
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
-    f.list(1, log.news(0, Duration::ZERO, PART, now)[0].clone(), now);
+    f.list(1, log.news(0, FRESH, PART, now)[0].clone(), now);
     f.after_call(f.before_call());
-    f.list(1, log.news(0, Duration::ZERO, PART, now)[0].clone(), now);
+    f.list(1, log.news(0, FRESH, PART, now)[0].clone(), now);
     for n in 1..=7 {
         log.add(put(n), now);
     }
-    let parts = log.news(0, Duration::ZERO, 3, now);
+    let parts = log.news(0, FRESH, 3, now);
     assert_eq!(parts.len(), 3);
     f.list(1, parts[0].clone(), now + BEAT);
     f.list(1, parts[2].clone(), now + BEAT);
@@ -94,7 +96,7 @@
     for n in 1..=6 {
         log.add(put(n), now);
     }
-    let parts = log.news(5, Duration::ZERO, PART, now);
+    let parts = log.news(5, FRESH, PART, now);
     assert_eq!((parts.len(), parts[0].from, parts[0].to), (1, 5, 6));
 }
 
@@ -124,7 +126,7 @@
         if rng.random_bool(0.01) {
             log.skip();
         }
-        for part in log.news(0, Duration::ZERO, PART, now) {
+        for part in log.news(0, FRESH, PART, now) {
             if !rng.random_bool(loss) {
                 view.extend(f.list(1, part, now).iter().map(key));
             }
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -62,6 +62,7 @@
     store: FakeStore,
     fault: Arc<Mutex<StoreFault>>,
     list_calls: Arc<Mutex<u64>>,
+    followed_from: Arc<Mutex<u64>>,
 }
 
 impl FakeStore {
@@ -98,6 +99,11 @@
         *self.list_calls.lock().expect("no test panics with it")
     }
 
+    /// Returns the version that the list was followed from last.
+    pub(crate) fn followed_from(&self) -> u64 {
+        *self.followed_from.lock().expect("no test panics with it")
+    }
+
     fn pass(&self) -> Result<StoreFault> {
         match *self.fault.lock().expect("no test panics with it") {
             StoreFault::Silent => Err(Error::unknown("store", "silent")),
@@ -123,6 +129,7 @@
     }
 
     fn target_changes(&self, version: u64) -> Result<TargetNews> {
+        *self.followed_from.lock().expect("no test panics with it") = version;
         *self.list_calls.lock().expect("no test panics with it") += 1;
         let fault = self.pass()?;
         let next = self.store.news.lock().expect("no test panics with it").pop_front();
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -308,7 +308,13 @@
 fn follow_targets(mut follower: TargetFollower, state: &Arc<State>, conductor: &Arc<Conductor>) {
     let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
     spawn("targets", move || {
+        let mut was_planner = false;
         loop {
+            let is_planner = conductor.is_planner();
+            if is_planner && !was_planner {
+                follower.read_anew();
+            }
+            was_planner = is_planner;
             let answered = follower.step();
             if !answered {
                 thread::sleep(follow::RETRY);
