--- a/crates/tansyknotd/tests/fleet.rs
+++ b/crates/tansyknotd/tests/fleet.rs
@@ -12,8 +12,13 @@
 };
 
 use rustix::process::{Pid, Signal};
-use serde_json::{Value, json};
-use tansyknot_adapter_standins::{runner::Runner, store::Store};
+use serde_json::Value;
+use tansyknot_adapter_standins::{
+    caller::Request,
+    operator::{Configuration, MODELS},
+    runner::Runner,
+    store::Store,
+};
 
 /// Nothing here takes this long; what does has failed.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -102,39 +107,23 @@
 }
 
 fn dossier(address: SocketAddr, id: &str, model: &str) -> String {
-    let head = format!(
-        "POST /dossier/ HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nModel: {model}\r\n\
-         Deadline-Ms: 20000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-    );
-    ask(address, &head)
-}
-
-fn config() -> Value {
-    let model = |name: &str| {
-        json!({ "name": name, "weights-mb": 70000.0, "load-s": 6.0, "warm-s": 0.05,
-                "disk-s": 0.05, "adapters": 0, "adapter-mb": 60.0 })
-    };
-    json!({
-        "version": 3,
-        "routes": [{
-            "name": "dossier", "host": "desk.example", "prefix": "/dossier/",
-            "route-type": "streaming", "timeout-ms": 20000, "target-latency-ms": 5000,
-            "priority": 0, "service": "models", "max-attempts": 1, "resumable": false,
-            "gap-target-ms": 300,
-        }],
-        "services": [{ "name": "models", "engine": {
-            "slots": 8, "kv-capacity": 90000, "weights-mb": 75000.0, "adapter-slots": 2,
-            "loads-per-s": 9.0, "models": [model("m0"), model("m1"), model("m2")] } }],
-        "limits": { "max-header-bytes": 16384, "max-body-bytes": 65536,
-                    "header-timeout-ms": 3000, "idle-timeout-ms": 15000 },
-    })
+    let req = Request::new("/dossier/", id, Some(model), 20_000);
+    ask(address, &Request { more: "Connection: close\r\n", ..req }.text())
 }
 
 /// A store with one engine, which holds one model at a time and has all of them on its disk.
 fn platform() -> (Store, Runner) {
     let store = Store::new();
-    store.put("op", "config", &config());
-    let runner = Runner::start(&store, "models", "i-a", &["m0"]);
+    let configuration = Configuration {
+        version: 3,
+        timeout_ms: 20_000,
+        objective_ms: 5_000,
+        gap_ms: 300,
+        models_at_once: 1,
+        models: 3,
+    };
+    configuration.write(&store);
+    let runner = Runner::start(&store, MODELS, "i-a", &["m0"]);
     runner.set_on_disk(&["m0", "m1", "m2"]);
     (store, runner)
 }
@@ -161,6 +150,6 @@
     let answer = dossier(second.callers, "id-2", "m2");
     assert!(answer.contains("200 OK") && answer.contains("token 6"), "{answer}");
     assert_eq!(runner.models(), ["m2"]);
-    let holders: Vec<Value> = runner.orders_seen().iter().map(|o| o["holder"].clone()).collect();
+    let holders: Vec<String> = runner.orders_seen().into_iter().map(|o| o.holder).collect();
     assert_eq!(holders, ["d1", "d1", "d2", "d2"]);
 }
--- a/crates/tansyknotd/tests/soak/check.rs
+++ b/crates/tansyknotd/tests/soak/check.rs
@@ -6,8 +6,6 @@
     time::{Duration, Instant},
 };
 
-use serde_json::Value;
-
 use crate::{
     client,
     world::{MODELS_AT_ONCE, World},
@@ -93,31 +91,25 @@
 /// Checks the turns and tokens of the holders at one runner.
 fn orders(world: &World, id: &str) -> Vec<String> {
     let Some(r) = world.runners.iter().find(|r| r.standin.id == id) else { return Vec::new() };
-    let seen = r.standin.orders_at();
+    let seen = r.standin.orders_seen();
     let mut delayed = r.path.healed();
     delayed.extend(world.daemons.iter().flat_map(|d| d.thawed()));
     let is_excused =
         |at: Instant| delayed.iter().any(|d| *d <= at && at.duration_since(*d) <= SLACK);
-    let seen: Vec<_> = seen.into_iter().filter(|(at, _)| !is_excused(*at)).collect();
+    let seen: Vec<_> = seen.into_iter().filter(|o| !is_excused(o.at)).collect();
     let mut broken = Vec::new();
     for (before, after) in seen.iter().zip(seen.iter().skip(1)) {
-        let (holder, fence) = sender(&before.1);
-        let (next_holder, next_fence) = sender(&after.1);
-        let span = after.0.duration_since(before.0);
-        if holder != next_holder && span < TURN {
-            broken.push(format!("{id}: {holder} and {next_holder} took turns in {span:?}"));
+        let span = after.at.duration_since(before.at);
+        let (holder, next) = (&before.holder, &after.holder);
+        if holder != next && span < TURN {
+            broken.push(format!("{id}: {holder} and {next} took turns in {span:?}"));
         }
-        if next_fence < fence {
-            broken.push(format!("{id}: token {next_fence} after {fence}"));
+        if after.fence < before.fence {
+            broken.push(format!("{id}: token {} after {}", after.fence, before.fence));
         }
-        if holder != next_holder && fence == next_fence {
-            broken.push(format!("{id}: two holders with token {fence}"));
+        if holder != next && before.fence == after.fence {
+            broken.push(format!("{id}: two holders with token {}", before.fence));
         }
     }
     broken
 }
-
-/// Returns the holder of an order and its fencing token.
-fn sender(order: &Value) -> (Value, u64) {
-    (order["holder"].clone(), order["fencing-token"].as_u64().unwrap_or(0))
-}
--- a/crates/tansyknotd/tests/soak/client.rs
+++ b/crates/tansyknotd/tests/soak/client.rs
@@ -7,9 +7,9 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use tansyknot_adapter_standins::runner::EVENTS;
+use tansyknot_adapter_standins::{caller::Request, runner::EVENTS};
 
-use crate::world::{Outcome, World};
+use crate::world::{MODEL_COUNT, Outcome, World};
 
 /// How long a caller waits for an answer; above every route's timeout.
 const WAIT: Duration = Duration::from_secs(9);
@@ -36,7 +36,7 @@
             break;
         }
         let (path, is_stream) = ROUTES[rng.random_range(0..ROUTES.len())];
-        let model = format!("m{}", rng.random_range(0..4));
+        let model = format!("m{}", rng.random_range(0..MODEL_COUNT));
         let id = format!("s{seed}-{n}");
         let daemon = &world.daemons[rng.random_range(0..world.daemons.len())];
         if rng.random_bool(0.2) {
@@ -92,12 +92,8 @@
     id: &str,
     model: Option<&str>,
 ) -> Option<Answer> {
-    let model = model.map(|m| format!("Model: {m}\r\n")).unwrap_or_default();
-    let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\n{model}\
-         Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
-    );
-    stream.get_mut().write_all(head.as_bytes()).ok()?;
+    let req = Request::new(path, id, model, 4_000);
+    stream.get_mut().write_all(req.text().as_bytes()).ok()?;
     let mut line = String::new();
     stream.read_line(&mut line).ok()?;
     let status = line.split(' ').nth(1)?.parse().ok()?;
--- a/crates/tansyknotd/tests/soak/world.rs
+++ b/crates/tansyknotd/tests/soak/world.rs
@@ -16,8 +16,9 @@
 
 use rand::{Rng, rngs::StdRng};
 use rustix::process::{Pid, Signal};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tansyknot_adapter_standins::{
+    operator::{Configuration, MODELS, PLAIN},
     runner::{Fault, Runner},
     store::{Door, Mood, Store},
 };
@@ -30,6 +31,8 @@
 const DAEMONS: u64 = 3;
 /// Models that an engine holds at once.
 pub(crate) const MODELS_AT_ONCE: usize = 2;
+/// Models that callers ask for.
+pub(crate) const MODEL_COUNT: usize = 4;
 
 /// A runner and the path that daemons take to it.
 pub(crate) struct RunnerAt {
@@ -69,7 +72,7 @@
 impl World {
     pub(crate) fn start(seed: u64) -> Self {
         let store = Store::new();
-        store.put("op", "config", &config(1));
+        configuration(1).write(&store);
         let runner = |service: &str, id: &str, models: &[&str]| {
             let standin = Runner::start(&store, service, id, models);
             let path = Path::open(standin.address);
@@ -79,10 +82,10 @@
             RunnerAt { standin, path }
         };
         let runners = vec![
-            runner("models", "i-e1", &["m0", "m1"]),
-            runner("models", "i-e2", &["m0"]),
-            runner("plain", "i-p1", &[]),
-            runner("plain", "i-p2", &[]),
+            runner(MODELS, "i-e1", &["m0", "m1"]),
+            runner(MODELS, "i-e2", &["m0"]),
+            runner(PLAIN, "i-p1", &[]),
+            runner(PLAIN, "i-p2", &[]),
         ];
         let daemons = (0..DAEMONS).map(|n| Daemon::start(&store, seed, n)).collect();
         Self {
@@ -110,7 +113,7 @@
 
     pub(crate) fn change_config(&self) {
         let version = self.config.fetch_add(1, Ordering::SeqCst) + 1;
-        self.store.put("op", "config", &config(version));
+        configuration(version).write(&self.store);
     }
 
     pub(crate) fn stop_clients(&self) {
@@ -264,34 +267,13 @@
     [Fault::DropsOrder, Fault::LosesOrderAnswer][rng.random_range(0..2)]
 }
 
-fn config(version: u64) -> Value {
-    let model = |name: &str| {
-        json!({ "name": name, "weights-mb": 70000.0, "load-s": 1.0, "warm-s": 0.05,
-                "disk-s": 0.1, "adapters": 0, "adapter-mb": 60.0 })
-    };
-    let route = |name: &str, kind: &str, attempts: u32, resumable: bool, service: &str| {
-        json!({ "name": name, "host": "desk.example", "prefix": format!("/{name}/"),
-                "route-type": kind, "timeout-ms": 5000, "target-latency-ms": 300, "priority": 1,
-                "max-attempts": attempts, "resumable": resumable, "gap-target-ms": 200,
-                "service": service })
-    };
-    let memory = 70100.0 * MODELS_AT_ONCE as f64;
-    json!({
-        "version": version,
-        "routes": [
-            route("lookup", "idempotent", 2, false, "plain"),
-            route("ledger", "non_idempotent", 1, false, "plain"),
-            route("query", "streaming", 2, true, "models"),
-            route("dossier", "streaming", 1, false, "models"),
-        ],
-        "services": [
-            { "name": "plain" },
-            { "name": "models", "engine": {
-                "slots": 16, "kv-capacity": 90000, "weights-mb": memory, "adapter-slots": 2,
-                "loads-per-s": 9.0,
-                "models": [model("m0"), model("m1"), model("m2"), model("m3")] } },
-        ],
-        "limits": { "max-header-bytes": 16384, "max-body-bytes": 65536,
-                    "header-timeout-ms": 3000, "idle-timeout-ms": 15000 },
-    })
+fn configuration(version: u64) -> Configuration {
+    Configuration {
+        version,
+        timeout_ms: 5_000,
+        objective_ms: 300,
+        gap_ms: 200,
+        models_at_once: MODELS_AT_ONCE,
+        models: MODEL_COUNT,
+    }
 }
