Keep a silent target until another one has a place; count retries by arrivals

Some 30 requests that had waited for one load reach a target of 16 slots at once; while it reads their prompts no event comes for 0.75 s, we cut the stream, and no other target holds the model. So a stream that was being served was given up. Ruled out: targets that died (the same targets went on to serve), an empty retry budget (2 of 43). Change: when a target has been silent for its time, another one with a free slot and a retry are taken first; only then is the first let go. A stream that breaks off waits for another target from its last event on, not from its request: after 2.3 s it could not wait at all. A connection that was not opened costs no retry; a write that broke off counts as a run.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -115,12 +115,19 @@
     }
 }
 
+/// Decides what becomes of a target that has been silent as long as it might.
+pub trait Silence {
+    /// Returns until when to wait on, or `None` to let the target go.
+    fn wait_on(&self) -> Option<Instant>;
+}
+
 /// An open exchange, from which the answer is read.
-#[derive(Debug)]
 pub struct Exchange<'a> {
     stream: TcpStream,
     /// The caller, as long as it is watched.
     caller: Option<&'a TcpStream>,
+    /// Who decides when the target is silent; without one it is let go.
+    silence: Option<&'a dyn Silence>,
     buf: Vec<u8>,
     control: Control,
     end_is_failure: bool,
@@ -156,7 +163,8 @@
         }
         let control =
             Control { until: Rc::new(Cell::new(until)), failure: Rc::new(Cell::new(None)) };
-        let exchange = Self { stream, caller, buf: Vec::new(), control, end_is_failure: true };
+        let exchange =
+            Self { stream, caller, silence: None, buf: Vec::new(), control, end_is_failure: true };
         (&exchange.stream).write_all(request).map_err(|_| Failure::CutOff)?;
         Ok(exchange)
     }
@@ -166,6 +174,14 @@
         self.control.clone()
     }
 
+    /// Has `silence` decide whether to wait on when the target has been silent for too long.
+    pub fn decided_by<'b>(self, silence: &'b dyn Silence) -> Exchange<'b>
+    where
+        'a: 'b,
+    {
+        Exchange { silence: Some(silence), ..self }
+    }
+
     /// Reads the head of the answer.
     ///
     /// # Errors
@@ -223,7 +239,9 @@
         loop {
             let left = self.control.until.get().saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Err(Failure::Silent);
+                let until = self.silence.and_then(Silence::wait_on).ok_or(Failure::Silent)?;
+                self.control.wait_until(until);
+                continue;
             }
             let timeout = timespec(left);
             let mut fds = Vec::with_capacity(2);
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{Fleet, Pick, Want, member::Member};
+use crate::target::Target;
 
 /// What a mean failure of one adds to a target's load, in slots.
 const FAILURE_WEIGHT: f64 = 3.0;
@@ -32,18 +33,11 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Pick {
-        let ready: Vec<&Member> = self
-            .members
-            .values()
-            .filter(|m| m.target.service == *want.service && m.target.is_ready())
-            .collect();
-        if ready.is_empty() {
+        if self.ready(want).next().is_none() {
             return Pick::NoTarget;
         }
-        let holding: Vec<&Member> =
-            ready.into_iter().filter(|m| m.holds(want) && !m.is_missing(want, now)).collect();
         let (sound, suspect): (Vec<&Member>, Vec<&Member>) =
-            holding.iter().partition(|m| now >= m.suspect_until);
+            self.holding(want, now).partition(|m| now >= m.suspect_until);
         // A target that has just failed this very request is asked again only once it is sound.
         let choices = [untried(&sound, tried), untried(&suspect, tried), sound];
         let Some(from) = choices.into_iter().find(|c| !c.is_empty()) else {
@@ -57,6 +51,33 @@
         Pick::Target(target)
     }
 
+    /// Chooses a sound target with a free slot that is not among `tried`, and counts the request
+    /// there.
+    pub fn pick_elsewhere(
+        &mut self,
+        want: &Want<'_>,
+        tried: &[TargetName],
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Option<Arc<Target>> {
+        let is_free = |m: &&Member| now >= m.suspect_until && now >= m.full_until && m.load() < 1.0;
+        let free: Vec<&Member> = self.holding(want, now).filter(is_free).collect();
+        let chosen = self.least_loaded(&untried(&free, tried), want, rng)?;
+        let target = Arc::clone(&chosen.target);
+        self.enter(&target.name, want.model);
+        Some(target)
+    }
+
+    /// Returns the targets that take new work of a service.
+    fn ready(&self, want: &Want<'_>) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|m| m.target.service == *want.service && m.target.is_ready())
+    }
+
+    /// Returns those of them that hold what a request wants, as far as is known.
+    fn holding(&self, want: &Want<'_>, now: Time) -> impl Iterator<Item = &Member> {
+        self.ready(want).filter(move |m| m.holds(want) && !m.is_missing(want, now))
+    }
+
     fn least_loaded<'a>(
         &self,
         free: &[&'a Member],
--- a/crates/tansyknot-fleet/src/relay.rs
+++ b/crates/tansyknot-fleet/src/relay.rs
@@ -89,7 +89,7 @@
     /// Events passed on.
     pub events: u64,
     /// When the last event was passed on.
-    last_at: Option<Instant>,
+    pub last_at: Option<Instant>,
     /// The longest pause between two events that were passed on.
     pub longest_gap: Duration,
 }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -1,6 +1,7 @@
 //! The path of a request: route, pick a target, exchange, relay, account.
 
 mod attempt;
+mod handover;
 mod run;
 
 use std::{
@@ -75,17 +76,10 @@
         let now = self.state.now();
         self.state.fleet().arrived(&run.want(), now);
         loop {
-            let target = match self.find_target(run) {
+            let target = match self.next_target(run) {
                 Ok(target) => target,
                 Err(reason) => return self.give_up(run, reason),
             };
-            if run.sends == 0 {
-                self.state.count_first_send(&run.service);
-            } else if !self.state.take_second_send(&run.service) {
-                self.leave(run, &target);
-                run.note(format_args!("retry budget empty"));
-                return self.give_up(run, Reason::RefusedByTargets);
-            }
             run.sends += 1;
             let sent = self.send(run, &target);
             self.leave(run, &target);
@@ -144,6 +138,22 @@
         self.state.targets_changed.raise();
     }
 
+    /// Returns the target of the next send, which has been counted as a first one or a retry.
+    fn next_target(&self, run: &mut Run<'_>) -> Result<Arc<Target>, Reason> {
+        if let Some(target) = run.next.take() {
+            return Ok(target);
+        }
+        let target = self.find_target(run)?;
+        if run.sends == 0 {
+            self.state.count_first_send(&run.service);
+        } else if run.arrivals > 0 && !self.state.take_second_send(&run.service) {
+            self.leave(run, &target);
+            run.note(format_args!("retry budget empty"));
+            return Err(Reason::RefusedByTargets);
+        }
+        Ok(target)
+    }
+
     /// Finds a target, waiting for a load or a free place as long as there is time.
     fn find_target(&self, run: &mut Run<'_>) -> Result<Arc<Target>, Reason> {
         let mut waits_for_load = false;
@@ -202,8 +212,9 @@
                 Duration::ZERO
             }
             None => {
-                let all = run.take_by().saturating_duration_since(run.began);
-                let most = run.began + all.mul_f64(UNANNOUNCED_SHARE);
+                let from = run.last_heard();
+                let all = run.take_by().saturating_duration_since(from);
+                let most = from + all.mul_f64(UNANNOUNCED_SHARE);
                 most.saturating_duration_since(Instant::now())
             }
         }
@@ -308,7 +319,9 @@
             began,
             until: began + allowed,
             sends: 0,
+            arrivals: 0,
             runs: 0,
+            next: None,
             may_have_run: false,
             tried: Vec::new(),
             relay: EventRelay::default(),
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -6,6 +6,7 @@
 
 use super::{
     SENDS_MAX, Server,
+    handover::Handover,
     run::{NotRun, Run, Sent},
     write,
 };
@@ -35,18 +36,39 @@
         let opened =
             Exchange::open(target.address, &request, Some(run.caller.stream), until, &|| true);
         let sent = match opened {
-            Ok(exchange) => self.receive(run, target, exchange),
+            Ok(exchange) => {
+                run.arrivals += 1;
+                self.answer(run, target, exchange)
+            }
             Err(Failure::CallerLeft) => Sent::MayHaveRun(Failure::CallerLeft),
             Err(f) if f.nothing_sent() => {
                 run.note(format_args!("{} {f}", target.name));
                 Sent::NotRun(NotRun::Unreachable)
             }
-            Err(f) => Sent::MayHaveRun(f),
+            Err(f) => {
+                run.note(format_args!("{} {f} while it was sent", target.name));
+                run.arrivals += 1;
+                run.runs += 1;
+                Sent::MayHaveRun(f)
+            }
         };
         self.learn(run, target, &sent);
         sent
     }
 
+    /// Takes the answer of a target. Where the request may go elsewhere, a silent target is let
+    /// go as soon as another one has a place.
+    fn answer(&self, run: &mut Run<'_>, target: &Target, exchange: Exchange<'_>) -> Sent {
+        let patience = self.patience(run);
+        if !may_go_elsewhere(run) {
+            return self.receive(run, target, exchange, patience);
+        }
+        let handover = Handover::new(&self.state, run, target);
+        let sent = self.receive(run, target, exchange.decided_by(&handover), patience);
+        run.next = handover.into_next();
+        sent
+    }
+
     fn request(&self, run: &Run<'_>, target: &Target) -> Vec<u8> {
         let head = &run.req.head;
         let to = Forward {
@@ -68,9 +90,14 @@
         buf
     }
 
-    fn receive(&self, run: &mut Run<'_>, target: &Target, mut exchange: Exchange<'_>) -> Sent {
+    fn receive(
+        &self,
+        run: &mut Run<'_>,
+        target: &Target,
+        mut exchange: Exchange<'_>,
+        patience: Patience,
+    ) -> Sent {
         let control = exchange.control();
-        let patience = self.patience(run);
         control.wait_until(patience.first);
         let head = match exchange.head() {
             Ok(head) => head,
@@ -154,9 +181,7 @@
     fn patience(&self, run: &Run<'_>) -> Patience {
         let now = Instant::now();
         let until = run.give_up_at();
-        let may_go_elsewhere =
-            run.is_repeatable() && run.runs + 1 < run.route.attempts_max && run.sends < SENDS_MAX;
-        if !may_go_elsewhere {
+        if !may_go_elsewhere(run) {
             return Patience { first: until, gap: until.saturating_duration_since(now), until };
         }
         let left = until.saturating_duration_since(now);
@@ -185,3 +210,8 @@
         }
     }
 }
+
+/// Tells whether a request that a target has now may still be sent to another one.
+fn may_go_elsewhere(run: &Run<'_>) -> bool {
+    run.is_repeatable() && run.runs + 1 < run.route.attempts_max && run.sends < SENDS_MAX
+}
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -18,6 +18,7 @@
     fleet::Want,
     outside::Ask,
     relay::{CallerSide, EventRelay},
+    target::Target,
 };
 
 /// A request is given up this long before its time is over, so that the answer arrives in time.
@@ -137,7 +138,11 @@
     pub(super) began: Instant,
     pub(super) until: Instant,
     pub(super) sends: u32,
+    /// Sends of which a target may have seen a byte: these count against the retry budget.
+    pub(super) arrivals: u32,
     pub(super) runs: u32,
+    /// Where it goes on after a silent target.
+    pub(super) next: Option<Arc<Target>>,
     pub(super) may_have_run: bool,
     pub(super) tried: Vec<TargetName>,
     pub(super) relay: EventRelay,
@@ -186,6 +191,11 @@
             .max(self.route.objective * LEAVE_OBJECTIVES)
             .max(gap * LEAVE_GAPS)
             .saturating_sub(LEAVE_MARGIN);
-        self.give_up_at().min(self.began + patience)
+        self.give_up_at().min(self.last_heard() + patience)
+    }
+
+    /// Returns when the caller last had a sign of life: its stream's last event, or its request.
+    pub(super) fn last_heard(&self) -> Instant {
+        self.relay.last_at.unwrap_or(self.began)
     }
 }
