Sum up a planning round once; say what targets become; one list of the connection's header lines

Each planning round asked for a model's waiting requests with a pass over all demand for each of 500 models, and for the longest objective with a pass over all routes. Events 1614 and 1641 stood on the page and were never logged, 1651 was written by hand; log lines had empty file and line. The lines of one connection were listed in four places, none of which took those that a Connection line names. Change: plan/round.rs sums demand, copies and requests in flight up once a round; the catalog keeps the longest objective of each service. Targets that come, change state or go are logged, and the daemon's becoming ready; events carry the place in the code. tansyknot-http::head::end_to_end is the one list, and drops what Connection names.

--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -1,6 +1,6 @@
 //! The numbered events that daemons log, as docs/EVENTS.md lists them.
 
-use std::fmt::Display;
+use std::{fmt::Display, panic::Location};
 
 use log::{Level, kv::Value};
 
@@ -19,11 +19,13 @@
 pub type Field<'a> = (&'static str, &'a dyn Display);
 
 impl Event {
-    /// Logs the event with its fields.
+    /// Logs the event with its fields, as of the line that calls.
+    #[track_caller]
     pub fn emit(&self, fields: &[Field<'_>]) {
         if self.level > log::max_level() {
             return;
         }
+        let place = Location::caller();
         let mut kvs = Vec::with_capacity(fields.len() + 1);
         kvs.push(("event", Value::from(self.number)));
         for (name, value) in fields {
@@ -34,6 +36,8 @@
             &log::Record::builder()
                 .level(self.level)
                 .target("tansyknot")
+                .file_static(Some(place.file()))
+                .line(Some(place.line()))
                 .args(format_args!("{}", self.text))
                 .key_values(&kvs)
                 .build(),
--- a/crates/tansyknot-edge/src/stage/attempt.rs
+++ b/crates/tansyknot-edge/src/stage/attempt.rs
@@ -10,26 +10,16 @@
 
 use super::identify::{Identified, Kind};
 use crate::{
-    http::server::Request,
+    http::{head, server::Request},
     upstream::{self, Wire},
 };
 
-/// Headers of one connection, which are not passed on (RFC 9110, 7.6.1), and those that the
-/// daemon sets itself, so that a caller can't forge them.
+/// Headers that end here, and those that the daemon sets itself, so that a caller can't forge them.
 const NOT_FORWARDED: &[&str] = &[
     "authorization",
-    "connection",
-    "content-length",
     "expect",
     "host",
-    "keep-alive",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
     "traceparent",
-    "transfer-encoding",
-    "upgrade",
     "x-attempt-id",
     "x-caller",
     "x-deadline-ms",
@@ -121,7 +111,7 @@
 fn build<'a>(attempt: &Attempt<'a>) -> Result<http::Request<&'a [u8]>, ureq::Error> {
     let uri = format!("http://{}{}", attempt.target.address, attempt.identified.path);
     let mut req = http::Request::builder().method(attempt.req.head.method.as_str()).uri(uri);
-    let forwarded = attempt.req.head.headers.iter();
+    let forwarded = head::end_to_end(&attempt.req.head.headers);
     for (name, value) in forwarded.filter(|(name, _)| !NOT_FORWARDED.contains(&name.as_str())) {
         req = req.header(name, value);
     }
--- a/crates/tansyknot-edge/src/stage/relay.rs
+++ b/crates/tansyknot-edge/src/stage/relay.rs
@@ -6,10 +6,11 @@
 };
 
 use tansyknot_core::name::RequestId;
+use ureq::http;
 
 use super::attempt::Answer;
 use crate::http::{
-    events,
+    events, head,
     respond::{self, After, Streamed, Whole},
 };
 
@@ -33,34 +34,18 @@
     value.unwrap_or("application/octet-stream").to_owned()
 }
 
-/// Headers of an answer that are the connection's or that the daemon sets itself.
-const NOT_RELAYED: &[&str] = &[
-    "connection",
-    "content-length",
-    "content-type",
-    "date",
-    "keep-alive",
-    "proxy-authenticate",
-    "server",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-in-flight",
-    "x-request-id",
-];
+/// Headers of an answer that the daemon sets itself, or that are for it alone.
+const NOT_RELAYED: &[&str] = &["content-type", "date", "server", "x-in-flight", "x-request-id"];
 
 /// Returns the headers that the caller sees.
 pub fn headers(answer: &Answer, request: &RequestId) -> Vec<(String, String)> {
     let mut headers = vec![("x-request-id".to_owned(), request.to_string())];
-    for (name, value) in answer.headers() {
-        if NOT_RELAYED.contains(&name.as_str()) {
-            continue;
-        }
-        if let Ok(value) = value.to_str() {
-            headers.push((name.as_str().to_owned(), value.to_owned()));
-        }
-    }
+    let text = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    };
+    let received: Vec<(String, String)> = answer.headers().iter().filter_map(text).collect();
+    let is_relayed = |(name, _): &&(String, String)| !NOT_RELAYED.contains(&name.as_str());
+    headers.extend(head::end_to_end(&received).filter(is_relayed).cloned());
     headers
 }
 
--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -122,20 +122,27 @@
     pub services: HashMap<ServiceName, Service>,
     /// The routes of each host, the longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The longest objective of the routes that lead to each service.
+    longest_objectives: HashMap<ServiceName, Duration>,
 }
 
 impl Catalog {
     /// Makes a version of the configuration.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        let mut longest_objectives: HashMap<ServiceName, Duration> = HashMap::new();
         for route in routes {
+            for (service, _) in &route.split {
+                let longest = longest_objectives.entry(service.clone()).or_default();
+                *longest = route.objective.max(*longest);
+            }
             by_host.entry(Arc::clone(&route.host)).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, services, routes: by_host }
+        Self { version, services, routes: by_host, longest_objectives }
     }
 
     /// Returns the route with the longest prefix that begins `path`.
@@ -145,9 +152,7 @@
 
     /// Returns the longest objective of the routes that lead to a service.
     pub fn longest_objective(&self, service: &ServiceName) -> Duration {
-        let routes = self.routes.values().flatten();
-        let to_it = routes.filter(|r| r.split.iter().any(|(s, _)| s == service));
-        to_it.map(|r| r.objective).max().unwrap_or_default()
+        self.longest_objectives.get(service).copied().unwrap_or_default()
     }
 
     /// Returns the engine properties of a service; `None` for a plain or unknown one.
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use tansyknot_core::{
     clock::Time,
+    event,
     name::{AdapterName, ModelName, ServiceName, TargetName, ZoneName},
 };
 
@@ -123,12 +124,16 @@
             Some(m) => {
                 let listed = Target { models: m.listed.clone(), ..Target::clone(&m.target) };
                 let is_news = m.lapses_at.is_some() || !entry.is_same(&listed);
+                if m.target.state != target.state {
+                    tell(&target, target.state.name());
+                }
                 m.set_entry(target, now);
                 if !is_news {
                     return;
                 }
             }
             None => {
+                tell(&target, target.state.name());
                 self.members.insert(target.name.clone(), Member::new(target));
             }
         }
@@ -147,7 +152,8 @@
     }
 
     fn drop_member(&mut self, name: &TargetName, now: Time) {
-        if self.members.remove(name).is_some() {
+        if let Some(m) = self.members.remove(name) {
+            tell(&m.target, "gone");
             self.log.add(ListChange::Removed(name.clone()), now);
         }
     }
@@ -292,6 +298,17 @@
     }
 }
 
+/// Logs what has become of a target.
+fn tell(target: &Target, state: &str) {
+    event::FLEET_TARGET.emit(&[
+        ("target", &target.name),
+        ("service", &target.service),
+        ("address", &target.address),
+        ("state", &state),
+        ("version", &target.version),
+    ]);
+}
+
 fn use_keys(want: &Want<'_>) -> Vec<UseKey> {
     let Some(model) = want.model else { return Vec::new() };
     let key =
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod demand;
+mod round;
 mod tier;
 
 use std::{
@@ -24,6 +25,7 @@
 
 pub use demand::DAEMON_SPAN;
 use demand::{Daemon, Demand};
+use round::{ModelView, Round, Scope};
 pub use tier::Tier;
 
 /// Requests in flight for one copy above which another copy is loaded.
@@ -40,6 +42,8 @@
 const EVICT_S: f64 = 0.15;
 /// What losing a model that one request a second asks for costs, in seconds of load time.
 const RATE_WEIGHT_S: f64 = 2.0;
+/// What losing a copy that is not needed costs against one that is.
+const SPARE_COPY_WEIGHT: f64 = 0.1;
 /// A model stays this long after its load, so that those who waited can be sent.
 const SETTLE: Duration = Duration::from_millis(1500);
 /// Loads from the weight store that may begin within [`REMOTE_WINDOW`]; two planners in turn
@@ -105,17 +109,6 @@
     remote: VecDeque<Time>,
 }
 
-/// The view that one round of planning works on.
-struct Round<'a> {
-    service: &'a ServiceName,
-    engine: &'a Engine,
-    targets: Vec<&'a Arc<Target>>,
-    in_flight: HashMap<(TargetName, ModelName), u32>,
-    /// Requests that have waited longer can't be on time any more.
-    fresh_for: Duration,
-    now: Time,
-}
-
 impl Planner {
     /// Takes in that a task has ended.
     pub fn ended(&mut self, target: &TargetName, succeeded: bool, now: Time) {
@@ -136,11 +129,6 @@
         self.demand.clear();
     }
 
-    /// Tells whether a model or adapter is asked for and waits.
-    pub fn has_waiting(&self) -> bool {
-        self.demand.values().any(|d| d.waiting > 0)
-    }
-
     /// Decides what to order now.
     ///
     /// `usable` tells whether a target can be reached, as far as this daemon knows.
@@ -156,17 +144,11 @@
         let mut tasks = Vec::new();
         for service in catalog.services.values() {
             let Some(engine) = &service.engine else { continue };
-            let round = Round {
-                service: &service.name,
-                engine,
-                targets: targets
-                    .iter()
-                    .filter(|t| t.service == service.name && t.is_ready() && usable(&t.name))
-                    .collect(),
-                in_flight: self.in_flight_by_model(),
-                fresh_for: fresh_for(catalog, &service.name),
-                now,
-            };
+            let fresh_for = fresh_for(catalog, &service.name);
+            let scope = Scope { service: &service.name, engine, fresh_for, now };
+            let is_open =
+                |t: &&Arc<Target>| t.service == service.name && t.is_ready() && usable(&t.name);
+            let round = Round::new(self, scope, targets.iter().filter(is_open).collect());
             self.plan_models(&round, &mut tasks);
             self.plan_adapters(&round, &mut tasks);
         }
@@ -176,8 +158,8 @@
     /// Loads models that are asked for and have too few copies, the most urgent first.
     fn plan_models(&mut self, round: &Round<'_>, tasks: &mut Vec<Task>) {
         let mut wanted: Vec<(f64, ModelName)> = Vec::new();
-        for model in round.engine.models.keys() {
-            let lack = self.lack(round, model);
+        for (model, view) in round.models() {
+            let lack = self.lack(round, model, view);
             if lack > 0.0 {
                 wanted.push((lack, model.clone()));
             }
@@ -191,48 +173,33 @@
     }
 
     /// Returns how much a model lacks a copy: zero if it has enough.
-    fn lack(&self, round: &Round<'_>, model: &ModelName) -> f64 {
-        let key = (round.service.clone(), model.clone(), None);
-        let waiting = self.waiting(&key);
-        let rate = self.rate(&key, round.now);
-        let copies = self.copies(round, model);
+    fn lack(&self, round: &Round<'_>, model: &ModelName, view: &ModelView) -> f64 {
         let coming = self.pending.values().filter(|p| p.loads.contains(model)).count();
-        let all = copies + coming;
-        let waited = self.waited(round, model);
+        let all = view.copies + coming;
         if all == 0 {
             // Requests for an adapter wait for the model as well.
-            let waiting = waiting + self.adapters_waiting(round, model);
-            return if waiting > 0 { urgency(waiting, waited, round) } else { 0.0 };
+            let waiting = view.waiting + view.adapters_waiting;
+            return if waiting > 0 { urgency(waiting, view.waited, round) } else { 0.0 };
         }
         let is_new = self.settled.keys().any(|(_, m)| m == model);
-        if coming == 0 && waiting > 0 && waited > UNUSABLE_AFTER && !is_new {
+        if coming == 0 && view.waiting > 0 && view.waited > UNUSABLE_AFTER && !is_new {
             // There are copies, but those who wait can't use them.
-            return urgency(waiting, waited, round);
+            return urgency(view.waiting, view.waited, round);
         }
-        let in_flight = self.total_in_flight(round, model);
-        if coming > 0 || all >= needed_copies(rate, in_flight) {
+        if coming > 0 || all >= needed_copies(view) {
             return 0.0;
         }
-        let is_overloaded = f64::from(in_flight) > PER_COPY * all as f64;
-        if is_overloaded { OVERLOAD_LACK + rate } else { rate / all as f64 }
-    }
-
-    fn copies(&self, round: &Round<'_>, model: &ModelName) -> usize {
-        round.targets.iter().filter(|t| t.holds(model, None)).count()
-    }
-
-    fn total_in_flight(&self, round: &Round<'_>, model: &ModelName) -> u32 {
-        let of_model = round.in_flight.iter().filter(|((_, m), _)| m == model);
-        of_model.map(|(_, n)| *n).sum()
+        let is_overloaded = f64::from(view.in_flight) > PER_COPY * all as f64;
+        if is_overloaded { OVERLOAD_LACK + view.rate } else { view.rate / all as f64 }
     }
 
     /// Finds the target where a model is loaded soonest at the least loss.
     fn place(&self, round: &Round<'_>, model: &ModelName) -> Option<Task> {
-        let about = round.engine.models.get(model)?;
-        let is_extra = self.copies(round, model) > 0;
+        let about = round.scope.engine.models.get(model)?;
+        let is_extra = round.model(model).copies > 0;
         let mut best: Option<(f64, Option<Task>)> = None;
         for target in &round.targets {
-            if target.holds(model, None) || (is_extra && self.is_busy(round, target)) {
+            if target.holds(model, None) || (is_extra && is_busy(round, target)) {
                 continue;
             }
             let tier = Tier::of(target, model);
@@ -256,12 +223,6 @@
         best?.1
     }
 
-    fn is_busy(&self, round: &Round<'_>, target: &Target) -> bool {
-        let there = round.in_flight.iter().filter(|((t, _), _)| *t == target.name);
-        let sum: u32 = there.map(|(_, n)| *n).sum();
-        f64::from(sum) > BUSY_SHARE * f64::from(round.engine.slots)
-    }
-
     /// Chooses what makes way on `target` for `about`, and what that costs in seconds.
     fn make_way(
         &self,
@@ -269,7 +230,8 @@
         target: &Target,
         about: &Model,
     ) -> Option<(Vec<ModelName>, f64)> {
-        let mut free = round.engine.memory_mb - used_mb(round.engine, target);
+        let engine = round.scope.engine;
+        let mut free = engine.memory_mb - used_mb(engine, target);
         let mut victims = Vec::new();
         let mut loss = 0.0;
         let mut candidates: Vec<(f64, &ModelName)> = target
@@ -282,7 +244,7 @@
             if free >= about.memory_mb {
                 break;
             }
-            free += held_mb(round.engine, target, victim);
+            free += held_mb(engine, target, victim);
             loss += lost + EVICT_S;
             victims.push(victim.clone());
         }
@@ -291,29 +253,26 @@
 
     /// Returns what removing a model from a target costs in seconds; `None` if it must stay.
     fn loss(&self, round: &Round<'_>, target: &Target, model: &ModelName) -> Option<f64> {
-        let key = (round.service.clone(), model.clone(), None);
+        let view = round.model(model);
         let place = (target.name.clone(), model.clone());
-        let is_in_use = round.in_flight.get(&place).is_some_and(|n| *n > 0);
-        let copies = self.copies(round, model);
+        let is_in_use = round.in_flight(&target.name, model) > 0;
         if is_in_use || self.settled.contains_key(&place) {
             return None;
         }
-        if copies <= 1 && self.waiting(&key) > 0 {
+        if view.copies <= 1 && view.waiting > 0 {
             return None;
         }
-        let rate = self.rate(&key, round.now);
-        let needed = needed_copies(rate, self.total_in_flight(round, model));
-        let weight = if copies > needed { 0.1 } else { 1.0 };
-        Some(rate * RATE_WEIGHT_S * weight)
+        let weight = if view.copies > needed_copies(&view) { SPARE_COPY_WEIGHT } else { 1.0 };
+        Some(view.rate * RATE_WEIGHT_S * weight)
     }
 
     fn remote_allowed(&self, round: &Round<'_>) -> bool {
         if self.pending.values().filter(|p| p.is_remote).count() >= REMOTE_AT_ONCE {
             return false;
         }
-        let since = |at: &&Time| round.now.since(**at) < REMOTE_WINDOW;
+        let since = |at: &&Time| round.scope.now.since(**at) < REMOTE_WINDOW;
         let begun = self.remote.iter().filter(since).count();
-        let most = round.engine.loads_per_s * REMOTE_WINDOW.as_secs_f64() * REMOTE_SHARE;
+        let most = round.scope.engine.loads_per_s * REMOTE_WINDOW.as_secs_f64() * REMOTE_SHARE;
         (begun as f64) < most.floor().max(1.0)
     }
 
@@ -327,7 +286,7 @@
             }
         }
         let takes: Duration = task.steps.iter().map(|s| s.takes + STEP_SPAN).sum();
-        let (service, done_at) = (round.service.clone(), round.now + takes);
+        let (service, done_at) = (round.scope.service.clone(), round.scope.now + takes);
         let pending = Pending { service, loads, done_at, is_remote };
         self.pending.insert(task.target.name.clone(), pending);
         tasks.push(task);
@@ -359,7 +318,7 @@
 /// Returns how urgent a model is that requests wait for: those that can still be on time go
 /// before those that can't, and the longest wait goes first among them.
 fn urgency(waiting: u32, waited: Duration, round: &Round<'_>) -> f64 {
-    let is_fresh = waited < round.fresh_for;
+    let is_fresh = waited < round.scope.fresh_for;
     let base = if is_fresh { FRESH_LACK } else { LATE_LACK };
     base + f64::from(waiting) + waited.as_secs_f64()
 }
@@ -370,13 +329,19 @@
     objective.saturating_sub(Duration::from_secs_f64(TASK_SPAN_S))
 }
 
-fn needed_copies(rate: f64, in_flight: u32) -> usize {
-    let by_rate = match rate {
+/// Tells whether a target has so much to do that no copy is added there.
+fn is_busy(round: &Round<'_>, target: &Target) -> bool {
+    let most = BUSY_SHARE * f64::from(round.scope.engine.slots);
+    f64::from(round.in_flight_at(&target.name)) > most
+}
+
+fn needed_copies(view: &ModelView) -> usize {
+    let by_rate = match view.rate {
         r if r > THREE_COPIES_RATE => 3,
         r if r > TWO_COPIES_RATE => 2,
         _ => 1,
     };
-    let by_load = (f64::from(in_flight) / PER_COPY).ceil() as usize;
+    let by_load = (f64::from(view.in_flight) / PER_COPY).ceil() as usize;
     by_rate.max(by_load)
 }
 
--- a/crates/tansyknot-fleet/src/plan/adapters.rs
+++ b/crates/tansyknot-fleet/src/plan/adapters.rs
@@ -34,7 +34,7 @@
         let mut wanted: Vec<(u32, ModelName, AdapterName)> = Vec::new();
         for ((service, model, adapter), d) in &self.demand {
             let Some(adapter) = adapter else { continue };
-            if service != round.service || d.waiting == 0 {
+            if service != round.scope.service || d.waiting == 0 {
                 continue;
             }
             let is_held = round.targets.iter().any(|t| t.holds(model, Some(adapter)));
@@ -79,10 +79,10 @@
         adapter: &AdapterName,
         begun: usize,
     ) -> Option<Vec<Step>> {
-        let about = round.engine.models.get(model)?;
+        let about = round.scope.engine.models.get(model)?;
         let there: usize = target.models.iter().map(|h| h.adapters.len()).sum();
         let mut steps = Vec::new();
-        if there + begun >= round.engine.adapter_slots {
+        if there + begun >= round.scope.engine.adapter_slots {
             // One exchange in each task: what the one before removed is not known here.
             if begun > 0 {
                 return None;
@@ -91,7 +91,7 @@
             let action = Action::Remove { model: victim_model, adapter: Some(victim) };
             steps.push(Step { action, takes: Duration::ZERO });
         }
-        let free = round.engine.memory_mb - used_mb(round.engine, target);
+        let free = round.scope.engine.memory_mb - used_mb(round.scope.engine, target);
         if steps.is_empty() && free < about.adapter_mb * (begun + 1) as f64 {
             return None;
         }
@@ -107,8 +107,8 @@
     ) -> Option<(ModelName, AdapterName)> {
         let all = target.models.iter().flat_map(|h| h.adapters.iter().map(|a| (&h.model, a)));
         let rate = |(model, adapter): &(&ModelName, &AdapterName)| {
-            let key = (round.service.clone(), (*model).clone(), Some((*adapter).clone()));
-            self.rate(&key, round.now)
+            let key = (round.scope.service.clone(), (*model).clone(), Some((*adapter).clone()));
+            self.rate(&key, round.scope.now)
         };
         let least = all.min_by(|a, b| rate(a).total_cmp(&rate(b)))?;
         Some((least.0.clone(), least.1.clone()))
--- a/crates/tansyknot-fleet/src/plan/demand.rs
+++ b/crates/tansyknot-fleet/src/plan/demand.rs
@@ -7,7 +7,7 @@
     name::{ModelName, TargetName},
 };
 
-use super::{Key, Planner, Round};
+use super::{Key, Planner};
 use crate::peer::{InFlight, ModelUse};
 
 /// A daemon that has been silent this long no longer counts.
@@ -116,34 +116,6 @@
         all.map(|((target, model), count)| InFlight { target, model, count }).collect()
     }
 
-    pub(super) fn in_flight_by_model(&self) -> HashMap<(TargetName, ModelName), u32> {
-        let mut sums = HashMap::new();
-        for f in self.daemons.values().flat_map(|d| &d.in_flight) {
-            let Some(model) = &f.model else { continue };
-            *sums.entry((f.target.clone(), model.clone())).or_default() += u32::from(f.count);
-        }
-        sums
-    }
-
-    /// Returns how long requests for a model have waited without a break.
-    pub(super) fn waited(&self, round: &Round<'_>, model: &ModelName) -> Duration {
-        let of_model = self.demand.iter().filter(|((s, m, _), _)| s == round.service && m == model);
-        let since = of_model.filter_map(|(_, d)| d.waiting_since).min();
-        since.map_or(Duration::ZERO, |at| round.now.since(at))
-    }
-
-    pub(super) fn adapters_waiting(&self, round: &Round<'_>, model: &ModelName) -> u32 {
-        self.demand
-            .iter()
-            .filter(|((s, m, a), _)| s == round.service && m == model && a.is_some())
-            .map(|(_, d)| d.waiting)
-            .sum()
-    }
-
-    pub(super) fn waiting(&self, key: &Key) -> u32 {
-        self.demand.get(key).map_or(0, |d| d.waiting)
-    }
-
     pub(super) fn rate(&self, key: &Key, now: Time) -> f64 {
         self.demand.get(key).map_or(0.0, |d| d.rate_at(now))
     }
--- /dev/null
+++ b/crates/tansyknot-fleet/src/plan/round.rs
@@ -0,0 +1,102 @@
+//! The view that one round of planning works on, summed up once so that no model costs a pass.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use tansyknot_core::{
+    clock::Time,
+    name::{ModelName, ServiceName, TargetName},
+};
+
+use super::Planner;
+use crate::{catalog::Engine, target::Target};
+
+/// What is asked of one model, and where it is.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ModelView {
+    /// Requests that wait for the model alone.
+    pub(super) waiting: u32,
+    /// Requests that wait for one of its adapters.
+    pub(super) adapters_waiting: u32,
+    /// How long requests have waited without a break.
+    pub(super) waited: Duration,
+    /// Arrivals a second.
+    pub(super) rate: f64,
+    /// Requests at targets.
+    pub(super) in_flight: u32,
+    /// Targets that hold it.
+    pub(super) copies: usize,
+}
+
+/// What one round plans for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Scope<'a> {
+    pub(super) service: &'a ServiceName,
+    pub(super) engine: &'a Engine,
+    /// Requests that have waited longer can't be on time any more.
+    pub(super) fresh_for: Duration,
+    pub(super) now: Time,
+}
+
+/// The view that one round of planning works on.
+#[derive(Debug)]
+pub(super) struct Round<'a> {
+    pub(super) scope: Scope<'a>,
+    pub(super) targets: Vec<&'a Arc<Target>>,
+    models: HashMap<ModelName, ModelView>,
+    in_flight: HashMap<(TargetName, ModelName), u32>,
+    in_flight_at: HashMap<TargetName, u32>,
+}
+
+impl<'a> Round<'a> {
+    /// Sums up what the planner knows of the service's models and targets.
+    pub(super) fn new(planner: &Planner, scope: Scope<'a>, targets: Vec<&'a Arc<Target>>) -> Self {
+        let mut models: HashMap<ModelName, ModelView> = HashMap::new();
+        for ((service, model, adapter), demand) in &planner.demand {
+            if service != scope.service {
+                continue;
+            }
+            let view = models.entry(model.clone()).or_default();
+            if adapter.is_some() {
+                view.adapters_waiting += demand.waiting;
+            } else {
+                view.waiting += demand.waiting;
+                view.rate += demand.rate_at(scope.now);
+            }
+            let waited = demand.waiting_since.map(|at| scope.now.since(at));
+            view.waited = view.waited.max(waited.unwrap_or_default());
+        }
+        for held in targets.iter().flat_map(|t| &t.models) {
+            models.entry(held.model.clone()).or_default().copies += 1;
+        }
+        let mut in_flight: HashMap<(TargetName, ModelName), u32> = HashMap::new();
+        let mut in_flight_at: HashMap<TargetName, u32> = HashMap::new();
+        for f in planner.daemons.values().flat_map(|d| &d.in_flight) {
+            let Some(model) = &f.model else { continue };
+            let count = u32::from(f.count);
+            *in_flight.entry((f.target.clone(), model.clone())).or_default() += count;
+            *in_flight_at.entry(f.target.clone()).or_default() += count;
+            models.entry(model.clone()).or_default().in_flight += count;
+        }
+        Self { scope, targets, models, in_flight, in_flight_at }
+    }
+
+    /// Returns the models of the engine that are asked for or held.
+    pub(super) fn models(&self) -> impl Iterator<Item = (&ModelName, &ModelView)> {
+        self.models.iter().filter(|(model, _)| self.scope.engine.models.contains_key(*model))
+    }
+
+    /// Returns what is asked of a model; nothing if nobody asks for it.
+    pub(super) fn model(&self, model: &ModelName) -> ModelView {
+        self.models.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns the requests for a model at a target.
+    pub(super) fn in_flight(&self, target: &TargetName, model: &ModelName) -> u32 {
+        self.in_flight.get(&(target.clone(), model.clone())).copied().unwrap_or(0)
+    }
+
+    /// Returns the requests for models at a target.
+    pub(super) fn in_flight_at(&self, target: &TargetName) -> u32 {
+        self.in_flight_at.get(target).copied().unwrap_or(0)
+    }
+}
--- a/crates/tansyknot-fleet/src/relay.rs
+++ b/crates/tansyknot-fleet/src/relay.rs
@@ -7,7 +7,7 @@
 };
 
 use tansyknot_http::{
-    events,
+    events, head,
     respond::{self, After, Streamed, Whole},
 };
 
@@ -20,22 +20,9 @@
 /// Bytes read from a stream at once.
 const READ_SIZE: usize = 8 << 10;
 
-/// Headers of an answer that are the connection's or that the daemon sets itself.
-const NOT_RELAYED: &[&str] = &[
-    "connection",
-    "content-length",
-    "content-type",
-    "keep-alive",
-    "proxy-authenticate",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 fn headers(head: &AnswerHead) -> Vec<(String, String)> {
-    let passed = |(name, _): &&(String, String)| !NOT_RELAYED.contains(&name.as_str());
-    head.headers.iter().filter(passed).cloned().collect()
+    let is_passed = |(name, _): &&(String, String)| name != "content-type";
+    head::end_to_end(&head.headers).filter(is_passed).cloned().collect()
 }
 
 fn content_type(head: &AnswerHead) -> String {
--- a/crates/tansyknot-fleet/src/target.rs
+++ b/crates/tansyknot-fleet/src/target.rs
@@ -14,6 +14,16 @@
     Draining,
 }
 
+impl TargetState {
+    /// Returns the name that logs use.
+    pub fn name(self) -> &'static str {
+        match self {
+            TargetState::Ready => "ready",
+            TargetState::Draining => "draining",
+        }
+    }
+}
+
 /// A model on a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
--- a/crates/tansyknot-http/src/head.rs
+++ b/crates/tansyknot-http/src/head.rs
@@ -5,6 +5,31 @@
 /// Header lines in one head.
 const MAX_HEADERS: usize = 64;
 
+/// Lines that concern one connection only (RFC 9110, 7.6.1), beside those that `Connection` names.
+const OF_THE_CONNECTION: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns the lines that are passed on: those that don't concern one connection only, and the
+/// length of a body, which is written anew.
+pub fn end_to_end(headers: &[(String, String)]) -> impl Iterator<Item = &(String, String)> + Clone {
+    let named = headers.iter().filter(|(n, _)| n == "connection").flat_map(|(_, v)| v.split(','));
+    let named: Vec<String> = named.map(|name| name.trim().to_ascii_lowercase()).collect();
+    headers.iter().filter(move |(name, _)| {
+        name != "content-length"
+            && !OF_THE_CONNECTION.contains(&name.as_str())
+            && !named.contains(name)
+    })
+}
+
 /// How the body of a request is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -66,13 +66,18 @@
     state: Arc<State>,
     targets_known: Arc<AtomicBool>,
     lifecycle: Arc<Lifecycle>,
+    was_ready: AtomicBool,
 }
 
 impl ReadyPage {
     fn is_ready(&self) -> bool {
-        !self.lifecycle.is_draining()
-            && self.targets_known.load(Ordering::SeqCst)
-            && self.state.catalog().is_some()
+        let Some(catalog) = self.state.catalog() else { return false };
+        let is_ready = !self.lifecycle.is_draining() && self.targets_known.load(Ordering::SeqCst);
+        if is_ready && !self.was_ready.swap(true, Ordering::SeqCst) {
+            let targets = self.state.fleet().targets().count();
+            event::FLEET_READY.emit(&[("config", &catalog.version), ("targets", &targets)]);
+        }
+        is_ready
     }
 }
 
@@ -192,6 +197,7 @@
             state: Arc::clone(&state),
             targets_known: Arc::clone(&targets_known),
             lifecycle: Arc::clone(&lifecycle),
+            was_ready: AtomicBool::new(false),
         };
         let pages = Arc::new(Lifecycle::default());
         let ready = serve(settings.listen.ready, page_options(settings), Arc::new(ready), &pages)?;
--- a/crates/tansyknotd/src/logs.rs
+++ b/crates/tansyknotd/src/logs.rs
@@ -14,6 +14,7 @@
 
 use logforth::{Append, Diagnostic, Error, Layout, layout::JsonLayout, record};
 use tansyknot_config::{fleet::FleetTelemetry, settings::LogLevel};
+use tansyknot_core::event;
 
 /// Bytes that wait to be written; some seconds' worth at the highest rate.
 const BUFFER_MAX: usize = 256 << 10;
@@ -158,9 +159,11 @@
     // Nobody can be told that standard output is gone; requests go on.
     let _ = out.write_all(&bytes);
     if left_out > 0 {
+        // Not through the logger, which would count this line against the rate that left them out.
+        let event::Event { number, level, text } = event::FLEET_LOG_DROPPED;
         let _ = writeln!(
             out,
-            "{{\"level\":\"WARN\",\"message\":\"log lines were left out\",\"lines\":{left_out}}}"
+            "{{\"level\":\"{level}\",\"message\":\"{text}\",\"kvs\":{{\"event\":{number},\"lines\":{left_out}}}}}"
         );
     }
     let _ = out.flush();
