Pause longer between calls to a store that does not answer; count store calls

A line a call (trial, taken out again) shows 2,388 calls for the configuration, 2,382 for the list and 2,305 readings of the planner's row, nearly all from second 31 on, when the store answers 503 for 8.7 s: each of 81 daemons asked three times in 250 to 350 ms. Calm time costs 20 calls a second, 10 of them looks for loads that are due, 8 to name targets in the planner's row. A daemon whose calls for the list fail makes none while the planner's news are fresh. A new planner looks at once. The most is 1 s since entries that lapsed count for 2.3 s from the first answer on. counted.rs counts and times calls by kind for the metrics page.

--- /dev/null
+++ b/crates/tansyknot-fleet/src/counted.rs
@@ -0,0 +1,78 @@
+//! Counts and times the calls to the platform's store, by kind.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tansyknot_core::{Result, name::ServiceName, telemetry::Recorder};
+
+use crate::{
+    catalog::Catalog,
+    outside::{LeaseRow, Store, TargetNews, Written},
+    target::Target,
+};
+
+/// A store whose calls go into figures: how many, how many without an answer, how long they took.
+pub struct CountedStore {
+    store: Arc<dyn Store>,
+    recorder: Arc<dyn Recorder>,
+}
+
+impl CountedStore {
+    /// Counts the calls to `store`.
+    pub fn new(store: Arc<dyn Store>, recorder: Arc<dyn Recorder>) -> Self {
+        Self { store, recorder }
+    }
+
+    fn counted<T>(
+        &self,
+        kind: &'static str,
+        call: impl FnOnce(&dyn Store) -> Result<T>,
+    ) -> Result<T> {
+        let kind = ServiceName::from(kind);
+        let began = Instant::now();
+        let result = call(self.store.as_ref());
+        self.recorder.count("store_calls", &kind, 1);
+        self.recorder.time("store_call", &kind, began.elapsed());
+        if let Err(e) = &result {
+            log::debug!("a call to the store for {kind} failed: {e}");
+            self.recorder.count("store_calls_failed", &kind, 1);
+        }
+        result
+    }
+}
+
+impl Store for CountedStore {
+    fn targets(&self) -> Result<(Vec<Target>, u64)> {
+        self.counted("all_targets", |s| s.targets())
+    }
+
+    fn target_changes(&self, version: u64) -> Result<TargetNews> {
+        self.counted("target_changes", |s| s.target_changes(version))
+    }
+
+    fn catalog(&self) -> Result<(Option<Catalog>, u64)> {
+        self.counted("config", |s| s.catalog())
+    }
+
+    fn catalog_changes(
+        &self,
+        version: u64,
+        wait: Duration,
+    ) -> Result<Option<(Option<Catalog>, u64)>> {
+        self.counted("config_changes", |s| s.catalog_changes(version, wait))
+    }
+
+    fn lease(&self) -> Result<Option<LeaseRow>> {
+        self.counted("read_planner", |s| s.lease())
+    }
+
+    fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written> {
+        let written = self.counted("write_planner", |s| s.write_lease(expected, value))?;
+        if matches!(written, Written::Conflict(_)) {
+            self.recorder.count("store_conflicts", &ServiceName::from("write_planner"), 1);
+        }
+        Ok(written)
+    }
+}
--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -11,6 +11,7 @@
 use tansyknot_core::{Result, event};
 
 use crate::{
+    backoff::Backoff,
     outside::{Store, TargetNews},
     state::State,
 };
@@ -19,19 +20,30 @@
 pub const CONFIG_WAIT: Duration = Duration::from_millis(1000);
 /// An answer shows the store as it was at most this long before it arrived.
 const ANSWER_SPAN: Duration = Duration::from_millis(100);
-/// How often a store that does not answer is asked again.
-pub const RETRY: Duration = Duration::from_millis(250);
+/// The first pause after a call that the store did not answer.
+const RETRY_FIRST: Duration = Duration::from_millis(250);
+/// The longest one. Entries that lapsed with the store away count for 2.3 s from the first answer
+/// on, so the return must not be noticed much later than it comes.
+const RETRY_MOST: Duration = Duration::from_millis(1000);
 
 /// Tells once that the store is lost, and once that it is back.
 #[derive(Debug)]
 struct Contact {
     what: &'static str,
     lost: bool,
+    backoff: Backoff,
 }
 
 impl Contact {
+    fn new(what: &'static str) -> Self {
+        Self { what, lost: false, backoff: Backoff::new(RETRY_FIRST, RETRY_MOST) }
+    }
+
     /// Takes in how a call ended; tells whether the store has just come back.
     fn take<T>(&mut self, result: &Result<T>) -> bool {
+        if result.is_ok() {
+            self.backoff.succeeded();
+        }
         match result {
             Ok(_) if self.lost => {
                 self.lost = false;
@@ -59,8 +71,7 @@
 impl ConfigFollower {
     /// Makes a follower that has read nothing yet.
     pub fn new(state: Arc<State>, store: Arc<dyn Store>) -> Self {
-        let contact = Contact { what: "configuration", lost: false };
-        Self { state, store, version: None, contact }
+        Self { state, store, version: None, contact: Contact::new("configuration") }
     }
 
     /// Makes one call; tells how long to pause before the next.
@@ -70,7 +81,9 @@
             Some(version) => self.store.catalog_changes(version, CONFIG_WAIT),
             None => self.store.catalog().map(Some),
         };
-        self.contact.take(&result);
+        if self.contact.take(&result) {
+            self.state.store_returned();
+        }
         if matches!(result, Ok(Some(_))) {
             // A call that waits shows what was so until its end; its start is on the safe side.
             let ended = self.state.now();
@@ -82,7 +95,7 @@
                 self.version = Some(version);
                 let Some(catalog) = catalog else {
                     // Before the first configuration there is nothing to follow from.
-                    return if is_first { RETRY } else { Duration::ZERO };
+                    return if is_first { RETRY_FIRST } else { Duration::ZERO };
                 };
                 let number = catalog.version;
                 if self.state.set_catalog(catalog) {
@@ -97,7 +110,7 @@
                 Duration::ZERO
             }
             // The version stays: what changed meanwhile is told when the store is back.
-            Err(_) => RETRY,
+            Err(_) => self.contact.backoff.failed(&mut rand::rng()),
         }
     }
 }
@@ -114,8 +127,7 @@
 impl TargetFollower {
     /// Makes a follower that has read nothing yet; `known` is set once the list has been read.
     pub fn new(state: Arc<State>, store: Arc<dyn Store>, known: Arc<AtomicBool>) -> Self {
-        let contact = Contact { what: "targets", lost: false };
-        Self { state, store, version: None, contact, known }
+        Self { state, store, version: None, contact: Contact::new("targets"), known }
     }
 
     /// Has the next call read the whole list, with what news leave out.
@@ -123,6 +135,11 @@
         self.version = None;
     }
 
+    /// Returns how long to pause after a call that failed.
+    pub fn pause(&mut self) -> Duration {
+        self.contact.backoff.failed(&mut rand::rng())
+    }
+
     /// Makes a call, or two if the store has forgotten what came since the last one; tells
     /// whether the store answered.
     pub fn step(&mut self) -> bool {
@@ -145,6 +162,7 @@
         let now = self.state.now();
         if self.contact.take(&result) {
             self.state.fleet().store_returned(now);
+            self.state.store_returned();
         }
         let mut is_changed = self.version.is_some() && !self.known.swap(true, Ordering::SeqCst);
         match &result {
--- a/crates/tansyknot-fleet/src/keep.rs
+++ b/crates/tansyknot-fleet/src/keep.rs
@@ -9,6 +9,7 @@
 use tansyknot_core::{clock::Time, event, name::TargetName};
 
 use crate::{
+    backoff::Backoff,
     lease::{Claim, Holder, Lease, LeaseOptions, RENEW_EVERY},
     outside::{LeaseRow, PeerAddress, Store, Written},
     state::State,
@@ -18,6 +19,8 @@
 const SILENCE: Duration = Duration::from_millis(800);
 /// How often the row is read while the planner is silent.
 const LOOK_EVERY: Duration = Duration::from_millis(350);
+/// The longest pause between calls that the store does not answer.
+const PAUSE_MOST: Duration = Duration::from_millis(1000);
 /// How often the planner's messages are looked for.
 const IDLE: Duration = Duration::from_millis(200);
 /// How soon a renewal without an answer is tried again.
@@ -136,6 +139,9 @@
     reluctance: Reluctance,
     /// Since when the lease could be taken.
     free_since: Mutex<Option<Time>>,
+    /// Pauses between renewals, and between looks, that the store does not answer.
+    renewals: Mutex<Backoff>,
+    looks: Mutex<Backoff>,
     /// Held while the row is read or written, so that this daemon does one thing at a time to it.
     calling: Mutex<()>,
     /// Targets that the next write is to name.
@@ -160,6 +166,8 @@
             options,
             reluctance,
             free_since: Mutex::default(),
+            renewals: Mutex::new(Backoff::new(RETRY, PAUSE_MOST)),
+            looks: Mutex::new(Backoff::new(LOOK_EVERY, PAUSE_MOST)),
             calling: Mutex::default(),
             wanted: Mutex::default(),
         }
@@ -174,15 +182,17 @@
         let _calling = self.calling();
         if self.shared.is_mine() {
             let renewed = self.claim();
-            return if renewed { RENEW_EVERY } else { RETRY };
+            return pause(&self.renewals, renewed, RENEW_EVERY);
         }
-        if !self.look() {
-            return LOOK_EVERY;
+        let answered = self.look();
+        let pause = pause(&self.looks, answered, LOOK_EVERY);
+        if !answered {
+            return pause;
         }
         if self.is_willing() {
             self.claim();
         }
-        if self.shared.is_mine() { RENEW_EVERY } else { LOOK_EVERY }
+        if self.shared.is_mine() { RENEW_EVERY } else { pause }
     }
 
     /// Tells whether this daemon takes the lease if it may.
@@ -284,6 +294,7 @@
                 self.shared.lease().written(claim, version);
                 if !was_mine {
                     self.state.demand_changed.raise();
+                    self.state.call_due.raise();
                 }
                 true
             }
@@ -314,6 +325,16 @@
     }
 }
 
+/// Returns the pause after a call: `regular` if it had an answer.
+fn pause(backoff: &Mutex<Backoff>, answered: bool, regular: Duration) -> Duration {
+    let mut backoff = backoff.lock().expect("no holder of the lock panics");
+    if answered {
+        backoff.succeeded();
+        return regular;
+    }
+    backoff.failed(&mut rand::rng())
+}
+
 fn encode(holder: &Holder) -> Vec<u8> {
     serde_json::to_vec(holder).expect("a holder serializes without failure")
 }
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -3,9 +3,11 @@
 //! A request goes through route, pick, exchange and relay. Beside that, a daemon follows the
 //! store, tells the planner what is asked for, and one daemon at a time is the planner.
 
+pub mod backoff;
 pub mod budget;
 pub mod catalog;
 pub mod conduct;
+pub mod counted;
 pub mod exchange;
 pub mod fleet;
 pub mod follow;
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -57,6 +57,8 @@
     pub list_version: u64,
     /// For the configuration.
     pub config: Option<Time>,
+    /// When the store last answered again after calls that failed.
+    pub returned: Option<Time>,
 }
 
 /// What the threads of a daemon share.
@@ -67,7 +69,7 @@
     pub targets_changed: Signal,
     /// Raised when a request begins to wait for a load.
     pub demand_changed: Signal,
-    /// Raised when the planner has told that a call to the store is due.
+    /// Raised when a call to the store may be due: by the planner's news, or as it answers again.
     pub call_due: Signal,
     fleet: Mutex<Fleet>,
     followed: Mutex<Followed>,
@@ -126,6 +128,12 @@
         self.contacts.lock().expect("no holder of the lock panics")
     }
 
+    /// Takes in that the store answers again, so that calls that pause since a failure are made.
+    pub fn store_returned(&self) {
+        self.contacts().returned = Some(self.now());
+        self.call_due.raise();
+    }
+
     /// Returns the configuration in force.
     ///
     /// # Panics
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -23,6 +23,7 @@
 use tansyknot_fleet::{
     budget::BudgetOptions,
     conduct::Conductor,
+    counted::CountedStore,
     follow::{self, ConfigFollower, TargetFollower},
     keep::{Keeper, Reluctance, SharedLease},
     lease::{Holder, LeaseOptions},
@@ -143,7 +144,9 @@
             window: settings.bounds.retry_window.duration(),
         };
         let state = Arc::new(State::new(settings.availability_zone.clone(), budget, clock));
-        let store: Arc<dyn Store> = Arc::new(RowStore::new(settings.store, follow::CONFIG_WAIT));
+        let recorder = Arc::new(PageRecorder::default());
+        let store = Arc::new(RowStore::new(settings.store, follow::CONFIG_WAIT));
+        let store: Arc<dyn Store> = Arc::new(CountedStore::new(store, Arc::clone(&recorder) as _));
         let lease = Arc::new(SharedLease::default());
         let host = settings.listen.host;
         let socket = UdpSocket::bind(SocketAddr::new(host, settings.listen.peers_port))?;
@@ -169,7 +172,6 @@
             options,
             reluctance(settings),
         ));
-        let recorder = Arc::new(PageRecorder::default());
         let orders = Arc::new(Orders {
             state: Arc::clone(&state),
             keeper: Arc::clone(&keeper),
@@ -291,13 +293,29 @@
     let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
     spawn("config", move || {
         loop {
+            let began = state.now();
             let pause = follower.step();
-            thread::sleep(pause);
+            pause_calls(&state, began, pause);
             await_config_call(&state, &conductor);
         }
     });
 }
 
+/// Waits for the pause after a call that began at `began`, or until the store has answered
+/// another call since then.
+fn pause_calls(state: &State, began: Time, pause: Duration) {
+    let until = state.now() + pause;
+    loop {
+        let seen = state.call_due.count();
+        let left = until.since(state.now());
+        let has_returned = state.contacts().returned.is_some_and(|at| at > began);
+        if left.is_zero() || has_returned {
+            return;
+        }
+        state.call_due.wait(seen, left);
+    }
+}
+
 /// Waits as long as the planner's news of the configuration are fresh.
 fn await_config_call(state: &State, conductor: &Conductor) {
     loop {
@@ -321,13 +339,15 @@
                 follower.read_anew();
             }
             was_planner = is_planner;
-            let answered = follower.step();
-            if !answered {
-                thread::sleep(follow::RETRY);
+            let began = state.now();
+            if !follower.step() {
+                pause_calls(&state, began, follower.pause());
+                await_list_call(&state, &conductor, Duration::ZERO);
             } else if conductor.is_planner() {
                 pause_planner(&state, &conductor);
             } else {
-                await_list_call(&state, &conductor);
+                // Without fresh news the list is read at the pace of a planner.
+                await_list_call(&state, &conductor, FOLLOW_TARGETS);
             }
         }
     });
@@ -347,14 +367,13 @@
     }
 }
 
-/// Waits as long as the planner's news of the list are fresh.
-fn await_list_call(state: &State, conductor: &Conductor) {
-    let began = Instant::now();
+/// Waits at least for `least`, and as long as the planner's news of the list are fresh.
+fn await_list_call(state: &State, conductor: &Conductor, least: Duration) {
+    let until = state.now() + least;
     loop {
         let seen = state.call_due.count();
-        let fresh_for = state.followed().list_fresh_for(state.now());
-        // Without fresh news the list is read at the pace of a planner.
-        let left = fresh_for.max(FOLLOW_TARGETS.saturating_sub(began.elapsed()));
+        let now = state.now();
+        let left = state.followed().list_fresh_for(now).max(until.since(now));
         if conductor.is_planner() || left.is_zero() {
             return;
         }
