Work out how old views may become from the platform's bounds; one start of a fleet daemon in tests

Change: settings bounds.leave_within, config_within and heartbeat, filled in from the template; spans.rs works out from them when a view is fresh, how often a store is asked, and how long a planner's note goes before the list. The rest after an unreadable planner's row follows the platform's turn. The start of a daemon for tests stands once (tests/launch), used by fleet.rs and the soak.

--- a/crates/tansyknot-config/src/fleet.rs
+++ b/crates/tansyknot-config/src/fleet.rs
@@ -61,6 +61,12 @@
     pub retry_slack: f64,
     /// The window in which sends are counted.
     pub retry_window: Span,
+    /// A target that leaves must get nothing new this long after the list says so.
+    pub leave_within: Span,
+    /// A configuration must be in force this long after it was accepted.
+    pub config_within: Span,
+    /// How often a target renews its entry in the list.
+    pub heartbeat: Span,
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Span,
 }
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -20,6 +20,7 @@
     news::{ChangeLog, Entry, ListChange},
     outside::TargetChange,
     peer::{Coming, InFlight, ModelUse, TargetNote},
+    spans::Spans,
     target::Target,
 };
 
@@ -73,6 +74,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     zone: Option<ZoneName>,
+    spans: Spans,
     members: BTreeMap<TargetName, Member>,
     uses: BTreeMap<UseKey, Use>,
     /// When models that are being loaded should be there.
@@ -87,8 +89,8 @@
 
 impl Fleet {
     /// Makes the view of a daemon in `zone`.
-    pub fn new(zone: ZoneName) -> Self {
-        Self { zone: Some(zone), daemons: 1, ..Self::default() }
+    pub fn new(zone: ZoneName, spans: Spans) -> Self {
+        Self { zone: Some(zone), spans, daemons: 1, ..Self::default() }
     }
 
     /// Says that the store answers again after it was away.
@@ -184,8 +186,9 @@
 
     /// Takes in what the planner with `fence` has done to a target that this daemon knows too.
     pub fn note(&mut self, note: &TargetNote, fence: u64, now: Time) {
+        let until = now + self.spans.note;
         if let Some(m) = self.members.get_mut(&note.target) {
-            m.set_note(note, fence, now);
+            m.set_note(note, fence, until);
         }
     }
 
--- a/crates/tansyknot-fleet/src/fleet/member.rs
+++ b/crates/tansyknot-fleet/src/fleet/member.rs
@@ -15,8 +15,6 @@
 
 /// A target's word that it does not hold a model stands this long against an unchanged entry.
 const MISSING_SPAN: Duration = Duration::from_millis(1500);
-/// A note of the planner goes before the list this long: entries are up to two heartbeats old.
-const NOTE_SPAN: Duration = Duration::from_millis(2500);
 
 /// A target and this daemon's experience with it.
 #[derive(Clone, Debug)]
@@ -81,8 +79,8 @@
         self.replace(target);
     }
 
-    /// Takes in a note of the planner with `fence`.
-    pub(super) fn set_note(&mut self, note: &TargetNote, fence: u64, now: Time) {
+    /// Takes in a note of the planner with `fence`, which goes before the list until `until`.
+    pub(super) fn set_note(&mut self, note: &TargetNote, fence: u64, until: Time) {
         let is_older = |n: &Noted| (n.fence, n.note.revision) > (fence, note.revision);
         if self.note.as_ref().is_some_and(is_older) {
             return;
@@ -93,7 +91,7 @@
             // A target that leaves does not come back under this name.
             target.state = TargetState::Draining;
         }
-        self.note = Some(Noted { note: note.clone(), fence, until: now + NOTE_SPAN });
+        self.note = Some(Noted { note: note.clone(), fence, until });
         self.replace(target);
     }
 
--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -16,8 +16,6 @@
     state::State,
 };
 
-/// How long a call that follows the configuration waits for a change.
-pub const CONFIG_WAIT: Duration = Duration::from_millis(1000);
 /// An answer shows the store as it was at most this long before it arrived.
 const ANSWER_SPAN: Duration = Duration::from_millis(100);
 /// The first pause after a call that the store did not answer.
@@ -78,7 +76,7 @@
     pub fn step(&mut self) -> Duration {
         let began = self.state.now();
         let result = match self.version {
-            Some(version) => self.store.catalog_changes(version, CONFIG_WAIT),
+            Some(version) => self.store.catalog_changes(version, self.state.spans.config_wait),
             None => self.store.catalog().map(Some),
         };
         if self.contact.take(&result) {
--- a/crates/tansyknot-fleet/src/keep.rs
+++ b/crates/tansyknot-fleet/src/keep.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     backoff::Backoff,
-    lease::{Claim, Holder, Lease, LeaseOptions, RENEW_EVERY},
+    lease::{self, Claim, Holder, Lease, LeaseOptions, RENEW_EVERY},
     outside::{LeaseRow, PeerAddress, Store, Written},
     state::State,
 };
@@ -123,9 +123,6 @@
     Reluctant,
 }
 
-/// How long targets rest after a holder of whom nothing is known, in milliseconds: the longest
-/// turn that a platform has set, a renewal's validity and a margin.
-const UNKNOWN_REST: u64 = 8000;
 /// How long a reluctant daemon leaves the lease to others.
 const RELUCTANT_SPAN: Duration = Duration::from_millis(900);
 
@@ -263,7 +260,7 @@
     fn take_in(&self, row: Option<LeaseRow>, now: Time) {
         let before = self.shared.planner();
         let (holder, version) = match row {
-            Some(row) => (Some(decode(&row)), row.version),
+            Some(row) => (Some(decode(&row, self.options)), row.version),
             None => (None, 0),
         };
         self.shared.lease().read(holder, version, now, &self.me.incarnation);
@@ -342,7 +339,7 @@
 /// Decodes the row; one that can't be read counts as that of an unknown holder.
 ///
 /// Versions of the store rise with every write, and no token was ever above them.
-fn decode(row: &LeaseRow) -> Holder {
+fn decode(row: &LeaseRow, options: LeaseOptions) -> Holder {
     serde_json::from_slice(&row.value).unwrap_or_else(|e| {
         event::FLEET_BAD_ENTRY.emit(&[("error", &e)]);
         Holder {
@@ -354,7 +351,7 @@
             covers: BTreeMap::new(),
             rests: BTreeMap::new(),
             // Nobody knows what it has ordered, or when it can last.
-            all_rest: UNKNOWN_REST,
+            all_rest: lease::millis(options.unknown_rest()),
         }
     })
 }
--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -27,6 +27,15 @@
 /// Added to the span between orders of two holders, for what the network delays.
 const ORDER_MARGIN: Duration = Duration::from_millis(300);
 
+/// Added to the rest after a holder of whom nothing is known: a write to the store may be carried
+/// out seconds after it was sent.
+const UNKNOWN_MARGIN: Duration = Duration::from_millis(3400);
+
+/// Returns a span in whole milliseconds, as the row has it.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The value of the planner's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
@@ -65,6 +74,12 @@
     fn rest(self) -> Duration {
         self.turn + ORDER_MARGIN
     }
+
+    /// Returns how long targets are left alone after a holder of whom nothing is known: its row
+    /// may have been renewed by a write that is still under way.
+    pub fn unknown_rest(self) -> Duration {
+        self.rest() + VALID + UNKNOWN_MARGIN
+    }
 }
 
 /// What this daemon knows of the planner's row.
@@ -252,7 +267,6 @@
 
 /// Returns the row that tells what `me` holds.
 fn row(held: &Held, me: &Holder, now: Time) -> Holder {
-    let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
     let idle = |(target, last): (&TargetName, &Time)| (target.clone(), millis(now.since(*last)));
     let rest = |(target, from): (&TargetName, &Time)| (target.clone(), millis(from.since(now)));
     Holder {
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod plan;
 pub mod relay;
 pub mod serve;
+pub mod spans;
 pub mod state;
 pub mod target;
 pub mod task;
--- a/crates/tansyknot-fleet/src/news.rs
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -12,15 +12,13 @@
     name::{ServiceName, TargetName, ZoneName},
 };
 
-use crate::target::{Held, Target, TargetState};
+use crate::{
+    spans::Spans,
+    target::{Held, Target, TargetState},
+};
 
 /// Changes are repeated this long, as datagrams get lost: three beats.
 const CHANGE_SPAN: Duration = Duration::from_millis(950);
-/// A daemon whose view is older than this asks the store itself; a leaving target must get
-/// nothing new 2 s after its entry says so.
-pub const LIST_SPAN: Duration = Duration::from_millis(1300);
-/// The same for the configuration, which must be in force within 2 s.
-pub const CONFIG_SPAN: Duration = Duration::from_millis(1600);
 
 /// An entry of the list without what only the planner needs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -200,6 +198,7 @@
 /// What a daemon has from the planner in place of calls of its own.
 #[derive(Clone, Debug, Default)]
 pub struct Followed {
+    spans: Spans,
     fence: u64,
     /// Every change up to this number is known.
     number: Option<u64>,
@@ -212,10 +211,16 @@
 }
 
 impl Followed {
+    /// Makes a view that is fresh for `spans`, with no news yet.
+    pub fn new(spans: Spans) -> Self {
+        Self { spans, ..Self::default() }
+    }
+
     /// Takes in news of the list; returns the changes that are new, or none if one is missing.
     pub fn list(&mut self, fence: u64, news: ListNews, now: Time) -> Vec<ListChange> {
         if self.fence != fence {
-            *self = Self { fence, config_version: self.config_version, ..Self::default() };
+            let config_version = self.config_version;
+            *self = Self { fence, config_version, ..Self::new(self.spans) };
         }
         self.newest = self.newest.max(news.newest);
         let Some(number) = self.number.filter(|n| *n >= news.from) else { return Vec::new() };
@@ -258,12 +263,12 @@
     /// A change that is missing may still come: until then the view is as old as the last moment
     /// at which none was missing.
     pub fn list_fresh_for(&self, now: Time) -> Duration {
-        self.list_at.map_or(Duration::ZERO, |at| LIST_SPAN.saturating_sub(now.since(at)))
+        self.list_at.map_or(Duration::ZERO, |at| self.spans.list.saturating_sub(now.since(at)))
     }
 
     /// Returns how long version `mine` of the configuration is fresh enough without a call.
     pub fn config_fresh_for(&self, mine: u64, now: Time) -> Duration {
         let at = self.config_at.filter(|_| mine >= self.config_version);
-        at.map_or(Duration::ZERO, |at| CONFIG_SPAN.saturating_sub(now.since(at)))
+        at.map_or(Duration::ZERO, |at| self.spans.config.saturating_sub(now.since(at)))
     }
 }
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -16,6 +16,7 @@
     catalog::Catalog,
     fleet::Fleet,
     news::Followed,
+    spans::Spans,
 };
 
 /// A moment that other threads wait for.
@@ -77,22 +78,35 @@
     catalog: RwLock<Option<Arc<Catalog>>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     budget_options: BudgetOptions,
+    /// How old views may become.
+    pub spans: Spans,
+}
+
+/// Bounds that the threads keep together.
+#[derive(Clone, Copy, Debug)]
+pub struct StateOptions {
+    /// Bounds on second sends.
+    pub budget: BudgetOptions,
+    /// How old views may become.
+    pub spans: Spans,
 }
 
 impl State {
     /// Makes the state of a daemon in `zone` that knows nothing yet.
-    pub fn new(zone: ZoneName, budget_options: BudgetOptions, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(zone: ZoneName, options: StateOptions, clock: Arc<dyn Clock>) -> Self {
+        let StateOptions { budget, spans } = options;
         Self {
             clock,
             targets_changed: Signal::default(),
             demand_changed: Signal::default(),
             call_due: Signal::default(),
-            fleet: Mutex::new(Fleet::new(zone)),
-            followed: Mutex::default(),
+            fleet: Mutex::new(Fleet::new(zone, spans)),
+            followed: Mutex::new(Followed::new(spans)),
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
-            budget_options,
+            budget_options: budget,
+            spans,
         }
     }
 
--- a/crates/tansyknot-fleet/tests/news.rs
+++ b/crates/tansyknot-fleet/tests/news.rs
@@ -8,8 +8,9 @@
 use support::target;
 use tansyknot_core::clock::Time;
 use tansyknot_fleet::{
-    news::{ChangeLog, Entry, Followed, LIST_SPAN, ListChange, ListRead},
+    news::{ChangeLog, Entry, Followed, ListChange, ListRead},
     peer::{self, Message},
+    spans::Spans,
 };
 use yare::parameterized;
 
@@ -24,6 +25,11 @@
     ListChange::Put(Entry::of(&t))
 }
 
+/// Returns how long a view of the list is fresh.
+fn list_span() -> Duration {
+    Spans::default().list
+}
+
 #[test]
 fn follower_begins_with_a_call_of_its_own() {
     let mut log = ChangeLog::default();
@@ -39,7 +45,7 @@
     for part in log.news(0, FRESH, PART, now) {
         assert!(f.list(1, part, now).is_empty(), "the call has shown it already");
     }
-    assert_eq!(f.list_fresh_for(now), LIST_SPAN);
+    assert_eq!(f.list_fresh_for(now), list_span());
 }
 
 #[test]
@@ -63,9 +69,9 @@
     let fresh = log.news(0, FRESH, PART, now);
     f.list(1, fresh[0].clone(), now);
     f.after_call(f.before_call());
-    let stale = log.news(0, ListRead { age: LIST_SPAN, version: 5 }, PART, now);
+    let stale = log.news(0, ListRead { age: list_span(), version: 5 }, PART, now);
     f.list(1, stale[0].clone(), now);
-    assert!(f.list_fresh_for(now + LIST_SPAN).is_zero());
+    assert!(f.list_fresh_for(now + list_span()).is_zero());
 }
 
 #[test]
@@ -83,10 +89,10 @@
     assert_eq!(parts.len(), 3);
     f.list(1, parts[0].clone(), now + BEAT);
     f.list(1, parts[2].clone(), now + BEAT);
-    assert_eq!(f.list_fresh_for(now + BEAT), LIST_SPAN - BEAT);
+    assert_eq!(f.list_fresh_for(now + BEAT), list_span() - BEAT);
     let again: usize = parts.into_iter().map(|p| f.list(1, p, now + BEAT * 2).len()).sum();
     assert_eq!(again, 4, "the first part was known");
-    assert_eq!(f.list_fresh_for(now + BEAT * 2), LIST_SPAN);
+    assert_eq!(f.list_fresh_for(now + BEAT * 2), list_span());
 }
 
 #[test]
@@ -131,7 +137,7 @@
                 view.extend(f.list(1, part, now).iter().map(key));
             }
         }
-        if f.list_fresh_for(now) == LIST_SPAN {
+        if f.list_fresh_for(now) == list_span() {
             assert_eq!(view, truth, "round {round}");
         }
         if f.list_fresh_for(now) < BEAT {
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -21,7 +21,8 @@
     outside::{
         Action, LeaseRow, Order, Ordered, Store, TargetChange, TargetNews, Targets, Written,
     },
-    state::State,
+    spans::Spans,
+    state::{State, StateOptions},
     target::{Held, Report, Target, TargetState},
 };
 
@@ -260,7 +261,8 @@
 /// Makes the shared state of a daemon in zone `z1`.
 pub(crate) fn state(clock: &ManualClock) -> Arc<State> {
     let budget = BudgetOptions { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
-    Arc::new(State::new(ZoneName::from("z1"), budget, Arc::new(clock.clone())))
+    let options = StateOptions { budget, spans: Spans::default() };
+    Arc::new(State::new(ZoneName::from("z1"), options, Arc::new(clock.clone())))
 }
 
 /// Makes a ready target of service `s` with these models; all of `disk` lie on its disk.
--- a/crates/tansyknot-fleet/tests/view.rs
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -14,6 +14,7 @@
     fleet::{self, Fleet, Pick, Want},
     outside::TargetChange,
     peer::{InFlight, TargetNote},
+    spans::Spans,
     target::{Target, TargetState},
 };
 
@@ -43,7 +44,7 @@
 }
 
 fn fleet(targets: Vec<Target>) -> Fleet {
-    let mut fleet = Fleet::new(ZoneName::from("z1"));
+    let mut fleet = Fleet::new(ZoneName::from("z1"), Spans::default());
     fleet.set_all(targets, at(0));
     fleet
 }
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -24,12 +24,13 @@
     budget::BudgetOptions,
     conduct::Conductor,
     counted::CountedStore,
-    follow::{self, ConfigFollower, TargetFollower},
+    follow::{ConfigFollower, TargetFollower},
     keep::{Keeper, Reluctance, SharedLease},
     lease::{Holder, LeaseOptions},
     outside::Store,
     serve::Server,
-    state::State,
+    spans::{Bounds, Spans},
+    state::{State, StateOptions},
     task::Orders,
 };
 use tansyknot_http::{
@@ -39,9 +40,7 @@
 
 use crate::page::PageRecorder;
 
-/// How often the list of targets is followed; a leaving target must get no work after 2 s.
-const FOLLOW_TARGETS: Duration = Duration::from_millis(600);
-/// How often it is followed while a load should be done.
+/// How often the list of targets is followed while a load should be done.
 const FOLLOW_LOADS: Duration = Duration::from_millis(90);
 /// After the signal to stop, new connections come for this long: two missed checks at one a
 /// second, and the margin.
@@ -143,9 +142,11 @@
             slack: settings.bounds.retry_slack,
             window: settings.bounds.retry_window.duration(),
         };
-        let state = Arc::new(State::new(settings.availability_zone.clone(), budget, clock));
+        let spans = spans(settings);
+        let options = StateOptions { budget, spans };
+        let state = Arc::new(State::new(settings.availability_zone.clone(), options, clock));
         let recorder = Arc::new(PageRecorder::default());
-        let store = Arc::new(RowStore::new(settings.store, follow::CONFIG_WAIT));
+        let store = Arc::new(RowStore::new(settings.store, spans.config_wait));
         let store: Arc<dyn Store> = Arc::new(CountedStore::new(store, Arc::clone(&recorder) as _));
         let lease = Arc::new(SharedLease::default());
         let host = settings.listen.host;
@@ -248,6 +249,14 @@
     }
 }
 
+fn spans(settings: &FleetSettings) -> Spans {
+    Spans::of(&Bounds {
+        leave_within: settings.bounds.leave_within.duration(),
+        config_within: settings.bounds.config_within.duration(),
+        heartbeat: settings.bounds.heartbeat.duration(),
+    })
+}
+
 fn reluctance(settings: &FleetSettings) -> Reluctance {
     match settings.link_mbps {
         Some(mbps) if mbps < PLANNER_MBPS => Reluctance::Reluctant,
@@ -347,7 +356,7 @@
                 pause_planner(&state, &conductor);
             } else {
                 // Without fresh news the list is read at the pace of a planner.
-                await_list_call(&state, &conductor, FOLLOW_TARGETS);
+                await_list_call(&state, &conductor, state.spans.list_pace);
             }
         }
     });
@@ -358,7 +367,8 @@
     let began = Instant::now();
     let mut seen = state.demand_changed.count();
     loop {
-        let span = if conductor.awaits_load() { FOLLOW_LOADS } else { FOLLOW_TARGETS };
+        let pace = state.spans.list_pace;
+        let span = if conductor.awaits_load() { pace.min(FOLLOW_LOADS) } else { pace };
         let left = span.saturating_sub(began.elapsed());
         if left.is_zero() {
             return;
--- a/crates/tansyknotd/tests/fleet.rs
+++ b/crates/tansyknotd/tests/fleet.rs
@@ -1,18 +1,18 @@
 //! Daemons that serve a fleet, as processes over stand-ins of the platform.
 #![cfg(feature = "services")]
 
+mod launch;
+
 use std::{
-    io::{BufRead, BufReader, Read, Write},
+    io::{Read, Write},
     net::{SocketAddr, TcpStream},
     path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::mpsc,
+    process::Child,
     thread,
     time::{Duration, Instant},
 };
 
 use rustix::process::{Pid, Signal};
-use serde_json::Value;
 use tansyknot_adapter_standins::{
     caller::Request,
     operator::{Configuration, MODELS},
@@ -32,41 +32,8 @@
 
 impl Daemon {
     fn start(name: &str, store: SocketAddr) -> Self {
-        let file = format!("tansyknot-fleet-{name}-{}.yaml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        let text = format!(
-            "name: {name}\navailability_zone: z1\nlisten:\n  callers: 127.0.0.1:0\n  \
-             ready: 127.0.0.1:0\n  host: 127.0.0.1\n  peers_port: 0\nstore: {store}\nbounds:\n  \
-             order_turn: 3000ms\n  retry_ratio: 0.2\n  retry_slack: 50\n  retry_window: 10s\n  \
-             stop_grace: 8s\n"
-        );
-        std::fs::write(&settings, text).expect("the temporary directory takes files");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_tansyknotd"))
-            .args(["--serves", "fleet", "--settings"])
-            .arg(&settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the daemon starts");
-        let stdout = child.stdout.take().expect("it was piped");
-        let (tx, rx) = mpsc::channel();
-        thread::spawn(move || {
-            // Lines are read to the end, so that the daemon never finds the pipe full.
-            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
-                let _ = tx.send(line);
-            }
-        });
-        let started = loop {
-            let line = rx.recv_timeout(PATIENCE).expect("the daemon says that it has started");
-            let doc: Value = serde_json::from_str(&line).unwrap_or_default();
-            if doc["kvs"]["event"] == 1001 {
-                break doc;
-            }
-        };
-        let address = |name: &str| {
-            let text = started["kvs"][name].as_str().expect("the line has the address");
-            text.parse().expect("an address")
-        };
-        let (callers, ready) = (address("callers"), address("ready"));
+        let settings = launch::settings(name, store);
+        let launch::Started { child, callers, ready } = launch::spawn(&settings);
         let daemon = Self { child, callers, ready, settings };
         await_that(|| {
             ask(daemon.ready, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").contains("200")
--- /dev/null
+++ b/crates/tansyknotd/tests/launch/mod.rs
@@ -0,0 +1,76 @@
+//! Starting a daemon that serves a fleet as a process of its own.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::mpsc,
+    thread,
+    time::Duration,
+};
+
+use serde_json::Value;
+
+/// A daemon that does not say within this long that it has started has failed.
+const START: Duration = Duration::from_secs(30);
+
+/// A daemon that has said where it listens.
+pub(crate) struct Started {
+    pub(crate) child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+}
+
+/// Writes the settings file of a daemon on loopback; the caller removes it.
+pub(crate) fn settings(name: &str, store: SocketAddr) -> PathBuf {
+    let file = format!("tansyknot-fleet-{name}-{}.yaml", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    let text = format!(
+        "name: {name}\navailability_zone: z1\nlisten:\n  callers: 127.0.0.1:0\n  \
+         ready: 127.0.0.1:0\n  host: 127.0.0.1\n  peers_port: 0\nstore: {store}\nbounds:\n  \
+         order_turn: 3000ms\n  retry_ratio: 0.2\n  retry_slack: 200\n  retry_window: 10s\n  \
+         leave_within: 2s\n  config_within: 2s\n  heartbeat: 1200ms\n  stop_grace: 8s\n"
+    );
+    std::fs::write(&path, text).expect("the temporary directory takes files");
+    path
+}
+
+/// Starts a daemon and waits until it says where it listens. With `SOAK_LOGS` set, its lines go on
+/// to standard error.
+pub(crate) fn spawn(settings: &Path) -> Started {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tansyknotd"))
+        .args(["--serves", "fleet", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the daemon starts");
+    let stdout = child.stdout.take().expect("it was piped");
+    let (tx, rx) = mpsc::channel();
+    let keep = std::env::var("SOAK_LOGS").is_ok();
+    thread::spawn(move || {
+        // Lines are read to the end, so that the daemon never finds the pipe full.
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            if keep {
+                eprintln!("{line}");
+            }
+            // Nobody waits for lines once the daemon has started.
+            let _ = tx.send(line);
+        }
+    });
+    let (callers, ready) = addresses(&rx);
+    Started { child, callers, ready }
+}
+
+/// Waits for the line that says where a daemon listens.
+fn addresses(rx: &mpsc::Receiver<String>) -> (SocketAddr, SocketAddr) {
+    loop {
+        let line = rx.recv_timeout(START).expect("the daemon says that it has started");
+        let doc: Value = serde_json::from_str(&line).unwrap_or_default();
+        let address = |name: &str| doc["kvs"][name].as_str().and_then(|text| text.parse().ok());
+        if let (Some(callers), Some(ready)) = (address("callers"), address("ready")) {
+            return (callers, ready);
+        }
+    }
+}
--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -7,6 +7,8 @@
 
 mod check;
 mod client;
+#[path = "../launch/mod.rs"]
+mod launch;
 mod proxy;
 mod world;
 
--- a/crates/tansyknotd/tests/soak/world.rs
+++ b/crates/tansyknotd/tests/soak/world.rs
@@ -1,14 +1,12 @@
 //! Daemons as processes, and the stand-ins and paths around them.
 
 use std::{
-    io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::Child,
     sync::{
         Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
-        mpsc,
     },
     thread,
     time::{Duration, Instant},
@@ -16,17 +14,17 @@
 
 use rand::{Rng, rngs::StdRng};
 use rustix::process::{Pid, Signal};
-use serde_json::Value;
 use tansyknot_adapter_standins::{
     operator::{Configuration, MODELS, PLAIN},
     runner::{Fault, Runner},
     store::{Door, Mood, Store},
 };
 
-use crate::proxy::{Path, Weather};
+use crate::{
+    launch,
+    proxy::{Path, Weather},
+};
 
-/// A daemon that does not say within this long that it has started has failed.
-const START: Duration = Duration::from_secs(20);
 /// Daemons in a world.
 const DAEMONS: u64 = 3;
 /// Models that an engine holds at once.
@@ -133,22 +131,13 @@
     fn start(store: &Store, seed: u64, n: u64) -> Self {
         let door = store.door();
         let store_path = Path::open(door.address);
-        let file = format!("tansyknot-soak-{}-{seed}-{n}.yaml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        let text = format!(
-            "name: d{n}\navailability_zone: z1\nlisten:\n  callers: 127.0.0.1:0\n  \
-             ready: 127.0.0.1:0\n  host: 127.0.0.1\n  peers_port: 0\nstore: {}\nbounds:\n  \
-             order_turn: 3000ms\n  retry_ratio: 0.2\n  retry_slack: 200\n  retry_window: 10s\n  \
-             stop_grace: 8s\n",
-            store_path.address
-        );
-        std::fs::write(&settings, text).expect("the temporary directory takes files");
-        let (child, callers) = spawn(&settings);
+        let settings = launch::settings(&format!("{seed}-d{n}"), store_path.address);
+        let started = launch::spawn(&settings);
         Self {
             door,
             store_path,
-            process: Mutex::new(child),
-            callers: Mutex::new(callers),
+            process: Mutex::new(started.child),
+            callers: Mutex::new(started.callers),
             settings,
             thawed: Mutex::default(),
         }
@@ -193,9 +182,9 @@
         end(self);
         let mut child = self.process.lock().expect("no holder of the lock panics");
         child.wait().expect("it ends");
-        let (next, callers) = spawn(&self.settings);
-        *child = next;
-        *self.callers.lock().expect("no holder of the lock panics") = callers;
+        let next = launch::spawn(&self.settings);
+        *child = next.child;
+        *self.callers.lock().expect("no holder of the lock panics") = next.callers;
     }
 }
 
@@ -209,40 +198,6 @@
     }
 }
 
-fn spawn(settings: &std::path::Path) -> (Child, SocketAddr) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_tansyknotd"))
-        .args(["--serves", "fleet", "--settings"])
-        .arg(settings)
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the daemon starts");
-    let stdout = child.stdout.take().expect("it was piped");
-    let (tx, rx) = mpsc::channel();
-    let keep = std::env::var("SOAK_LOGS").is_ok();
-    thread::spawn(move || {
-        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
-            if keep {
-                eprintln!("{line}");
-            }
-            // Nobody waits for lines once the daemon has started.
-            let _ = tx.send(line);
-        }
-    });
-    let callers = callers_of(&rx);
-    (child, callers)
-}
-
-/// Waits for the line that says where a daemon takes callers.
-fn callers_of(rx: &mpsc::Receiver<String>) -> SocketAddr {
-    loop {
-        let line = rx.recv_timeout(START).expect("the daemon says that it has started");
-        let doc: Value = serde_json::from_str(&line).unwrap_or_default();
-        if let Some(callers) = doc["kvs"]["callers"].as_str() {
-            return callers.parse().expect("an address");
-        }
-    }
-}
-
 pub(crate) fn mood(rng: &mut StdRng) -> Mood {
     [Mood::Fine, Mood::Fine, Mood::Busy, Mood::TooMany, Mood::Closing, Mood::LosesAnswers]
         [rng.random_range(0..6)]
