--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod serve;
 pub mod spans;
 pub mod state;
+pub mod stop;
 pub mod target;
 pub mod task;
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/stop.rs
@@ -0,0 +1,21 @@
+//! What a planned stop does when.
+
+use std::time::Duration;
+
+use tansyknot_fleet::stop::StopPlan;
+use yare::parameterized;
+
+#[parameterized(
+    very_short = { 2_000 },
+    short = { 4_000 },
+    both_sites = { 8_000 },
+    long = { 30_000 },
+)]
+fn requests_are_cut_in_the_last_sixth_of_the_grace_and_refused_well_before(grace_ms: u64) {
+    let grace = Duration::from_millis(grace_ms);
+    let plan = StopPlan::of(grace);
+    assert!(plan.cut_after >= grace * 5 / 6, "{plan:?}");
+    assert!(plan.cut_after + Duration::from_millis(150) <= grace, "{plan:?}");
+    assert!(plan.refuse_after + Duration::from_millis(500) <= plan.cut_after, "{plan:?}");
+    assert!(plan.refuse_after <= Duration::from_secs(3), "callers go elsewhere by then");
+}
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -31,6 +31,7 @@
     serve::Server,
     spans::{Bounds, Spans},
     state::{State, StateOptions},
+    stop::StopPlan,
     task::Orders,
 };
 use tansyknot_http::{
@@ -42,11 +43,6 @@
 
 /// How often the list of targets is followed while a load should be done.
 const FOLLOW_LOADS: Duration = Duration::from_millis(90);
-/// After the signal to stop, new connections come for this long: two missed checks at one a
-/// second, and the margin.
-const STOP_LINGER: Duration = Duration::from_millis(2800);
-/// Time kept back from the grace, for the end itself.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// How often the stop looks whether requests are under way.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 /// A planner with 70 daemons sends some 25 Mbit/s while many targets change (docs/ROUNDS.md).
@@ -232,13 +228,13 @@
         self.lifecycle.drain();
         event::DRAIN_BEGUN.emit(&[("busy", &self.lifecycle.busy())]);
         self.keeper.release();
-        let until = began + self.grace.saturating_sub(STOP_MARGIN);
-        while Instant::now() < until {
-            let lingered = began.elapsed() >= STOP_LINGER;
-            if lingered {
+        let plan = StopPlan::of(self.grace);
+        while began.elapsed() < plan.cut_after {
+            let refuses = began.elapsed() >= plan.refuse_after;
+            if refuses {
                 self.lifecycle.end();
             }
-            if lingered && self.lifecycle.busy() == 0 {
+            if refuses && self.lifecycle.busy() == 0 {
                 break;
             }
             thread::sleep(STOP_LOOK);
