Tell the requests at all targets and all models that come; split messages by their size

Cause: news had the 24 largest numbers of requests at (target, model) and 12 models that are being loaded. On the grown sites, with 90 targets and some 25 loads under way, a daemon took most targets for empty of others' requests, and a request whose load was not told waited half of its time and was refused. A message with longer names than the sites have would have been dropped as too long. Change: news have the sum of requests for each target and every coming model; demand and news carry a number, parts with the same number make a whole, older parts are dropped. peer::datagrams halves a message until each part fits. What cut lists by counts is gone, and milliseconds in messages are made in one place. Tests: long demand and long news in datagrams (200 models, 300 targets) that are taken in whole; loads in parts; thirty coming models (12 were told before). The tests of the planner's changes stand as they were, over ListNews::split_off.

--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -13,9 +13,10 @@
 use tansyknot_core::{clock::Time, event, name::TargetName};
 
 use crate::{
+    fleet::Whole,
     keep::SharedLease,
     outside::Action,
-    peer::{self, InFlight, MAX_BYTES, Message, ModelUse, News},
+    peer::{self, Demand, MAX_BYTES, Message, News},
     plan::{Planner, Task, Tier},
     state::State,
     target::Target,
@@ -96,10 +97,10 @@
             return;
         };
         match message {
-            Message::Demand { daemon, incarnation, models, in_flight } => {
+            Message::Demand(demand) => {
                 self.told().peers.insert(from, now);
-                let is_urgent = models.iter().any(|u| u.waiting > 0);
-                self.planner().hear(&daemon, &incarnation, &models, in_flight, now);
+                let is_urgent = demand.models.iter().any(|u| u.waiting > 0);
+                self.planner().hear(demand, now);
                 if is_urgent {
                     self.state.demand_changed.raise();
                 }
@@ -136,12 +137,8 @@
         for note in &news.targets {
             fleet.note(note, news.fence, now);
         }
-        if let Some(in_flight) = &news.in_flight {
-            fleet.note_in_flight(in_flight);
-        }
-        if let Some(coming) = &news.coming {
-            fleet.note_coming(coming, now);
-        }
+        let whole = Whole { fence: news.fence, beat: news.beat };
+        fleet.note_loads(whole, &news.loads, &news.coming, now);
         drop(fleet);
         if is_changed {
             self.state.targets_changed.raise();
@@ -173,40 +170,37 @@
     /// Does once what is due: demand to the planner, or planning and news.
     pub fn step(self: &Arc<Self>, is_due: bool) {
         let now = self.state.now();
-        let (uses, in_flight) = {
-            let mut fleet = self.state.fleet();
-            fleet.expire(now);
-            (fleet.uses(now), fleet.in_flight())
-        };
+        let demand = self.demand(now);
         if self.lease.is_valid(now) {
-            self.lead(uses, in_flight, is_due, now);
+            self.lead(demand, is_due, now);
         } else {
             self.told().was_planner = false;
-            self.send_demand(&uses, &in_flight);
+            self.send_demand(demand);
         }
     }
 
-    fn send_demand(&self, uses: &[ModelUse], in_flight: &[InFlight]) {
-        let Some((daemon, address)) = self.lease.planner() else { return };
-        if daemon == self.daemon {
-            return;
-        }
-        let message = |models: &[ModelUse], in_flight: &[InFlight]| Message::Demand {
+    /// Returns what this daemon asks for.
+    fn demand(&self, now: Time) -> Demand {
+        let beat = self.told().next_beat();
+        let mut fleet = self.state.fleet();
+        fleet.expire(now);
+        Demand {
             daemon: Arc::clone(&self.daemon),
             incarnation: Arc::clone(&self.incarnation),
-            models: models.to_vec(),
-            in_flight: in_flight.to_vec(),
-        };
-        self.send(&message(uses, in_flight), address);
+            beat,
+            models: fleet.uses(now),
+            in_flight: fleet.in_flight(),
+        }
+    }
+
+    fn send_demand(&self, demand: Demand) {
+        let Some((daemon, address)) = self.lease.planner() else { return };
+        if daemon != self.daemon {
+            self.send(Message::Demand(demand), &[address]);
+        }
     }
 
-    fn lead(
-        self: &Arc<Self>,
-        uses: Vec<ModelUse>,
-        in_flight: Vec<InFlight>,
-        is_due: bool,
-        now: Time,
-    ) {
+    fn lead(self: &Arc<Self>, demand: Demand, is_due: bool, now: Time) {
         {
             let mut told = self.told();
             if !told.was_planner {
@@ -214,7 +208,7 @@
                 self.planner().reset();
             }
         }
-        self.planner().hear(&self.daemon, &self.incarnation, &uses, in_flight, now);
+        self.planner().hear(demand, now);
         self.plan(now);
         self.send_news(is_due, now);
     }
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -19,7 +19,7 @@
 use crate::{
     news::{ChangeLog, Entry, ListChange},
     outside::TargetChange,
-    peer::{Coming, InFlight, ModelUse, TargetNote},
+    peer::{Coming, InFlight, ModelUse, TargetLoad, TargetNote},
     spans::Spans,
     target::Target,
 };
@@ -60,6 +60,15 @@
     NoTarget,
 }
 
+/// The parts of news that make a whole, the newest last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Whole {
+    /// The planner's fencing token.
+    pub fence: u64,
+    /// The number of the news.
+    pub beat: u32,
+}
+
 /// Requests for a model.
 #[derive(Clone, Debug, Default)]
 struct Use {
@@ -77,6 +86,8 @@
     spans: Spans,
     members: BTreeMap<TargetName, Member>,
     uses: BTreeMap<UseKey, Use>,
+    /// The planner's news that loads and coming models were taken from last.
+    whole: Whole,
     /// When models that are being loaded should be there.
     coming: HashMap<(ServiceName, ModelName), Time>,
     /// Daemons that the planner counts.
@@ -207,21 +218,27 @@
         self.members.get(target).is_some_and(|m| m.listed.iter().any(|h| h.model == *model))
     }
 
-    /// Takes in all daemons' requests at targets; `own` is not part of what others have there.
-    pub fn note_in_flight(&mut self, all: &[InFlight]) {
-        for m in self.members.values_mut() {
-            let name = &m.target.name;
-            let total: u32 =
-                all.iter().filter(|f| f.target == *name).map(|f| u32::from(f.count)).sum();
-            m.others = total.saturating_sub(m.own());
+    /// Takes in all daemons' requests at targets and which models are being loaded: a whole that
+    /// is newer than what is known, or one more part of the newest.
+    pub fn note_loads(&mut self, whole: Whole, loads: &[TargetLoad], coming: &[Coming], now: Time) {
+        if whole < self.whole {
+            return;
+        }
+        if whole > self.whole {
+            self.whole = whole;
+            self.coming.clear();
+            self.members.values_mut().for_each(|m| m.others = 0);
+        }
+        for load in loads {
+            if let Some(m) = self.members.get_mut(&load.target) {
+                // This daemon's own requests are not part of what others have there.
+                m.others = u32::from(load.requests).saturating_sub(m.own());
+            }
+        }
+        for c in coming {
+            let at = now + Duration::from_millis(c.in_ms.into());
+            self.coming.insert((c.service.clone(), c.model.clone()), at);
         }
-    }
-
-    /// Takes in which models are being loaded.
-    pub fn note_coming(&mut self, coming: &[Coming], now: Time) {
-        let at = |c: &Coming| now + Duration::from_millis(c.in_ms.into());
-        let entry = |c: &Coming| ((c.service.clone(), c.model.clone()), at(c));
-        self.coming = coming.iter().map(entry).collect();
     }
 
     /// Returns when the model of a request should be there, if it is being loaded.
--- a/crates/tansyknot-fleet/src/news.rs
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    peer,
     spans::Spans,
     target::{Held, Target, TargetState},
 };
@@ -115,6 +116,18 @@
     pub changes: Vec<(u64, ListChange)>,
 }
 
+impl ListNews {
+    /// Takes the changes but the first `count` off, as news that go on from those.
+    pub fn split_off(&mut self, count: usize) -> Self {
+        let rest = self.changes.split_off(count.min(self.changes.len()));
+        let to = self.to;
+        if !rest.is_empty() {
+            self.to = self.changes.last().map_or(self.from, |(number, _)| *number);
+        }
+        Self { from: self.to, to, changes: rest, ..self.clone() }
+    }
+}
+
 /// The planner's last reading of the list.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ListRead {
@@ -164,11 +177,10 @@
         self.last
     }
 
-    /// Returns the changes after number `after` that are still repeated, in parts of at most
-    /// `most` changes.
-    pub fn news(&mut self, after: u64, read: ListRead, most: usize, now: Time) -> Vec<ListNews> {
+    /// Returns the changes after number `after` that are still repeated.
+    pub fn news(&mut self, after: u64, read: ListRead, now: Time) -> ListNews {
         self.forget(now);
-        let age_ms = u32::try_from(read.age.as_millis()).unwrap_or(u32::MAX);
+        let age_ms = peer::millis(read.age);
         let changes: Vec<(u64, ListChange)> = self
             .kept
             .iter()
@@ -176,22 +188,9 @@
             .map(|(number, _, change)| (*number, change.clone()))
             .collect();
         let newest = self.last;
-        if changes.is_empty() {
-            let (from, to) = (newest, newest);
-            let version = read.version;
-            return vec![ListNews { from, to, newest, age_ms, version, changes: Vec::new() }];
-        }
         // Numbers that were left out before the oldest change kept are unknown to who lacks them.
-        let mut from = after.max(self.floor);
-        let mut parts = Vec::new();
-        for part in changes.chunks(most) {
-            let to = part[part.len() - 1].0;
-            let version = read.version;
-            let changes = part.to_vec();
-            parts.push(ListNews { from, to, newest, age_ms, version, changes });
-            from = to;
-        }
-        parts
+        let from = if changes.is_empty() { newest } else { after.max(self.floor) };
+        ListNews { from, to: newest, newest, age_ms, version: read.version, changes }
     }
 }
 
--- a/crates/tansyknot-fleet/src/peer.rs
+++ b/crates/tansyknot-fleet/src/peer.rs
@@ -3,7 +3,7 @@
 //! Each is one datagram. Any of them may be lost and none carries authority: orders rest on the
 //! store's row, and the list of targets corrects every view.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tansyknot_core::name::{AdapterName, ModelName, ServiceName, TargetName};
@@ -14,7 +14,7 @@
 };
 
 /// The first byte of each datagram; it changes with the format.
-const FORMAT: u8 = 0xA4;
+const FORMAT: u8 = 0xA5;
 /// Longer datagrams are not sent: they would be split on the way.
 pub const MAX_BYTES: usize = 1200;
 
@@ -57,22 +57,28 @@
     pub models: Vec<Held>,
 }
 
-/// A message.
+/// Requests of all daemons that a target has now.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// From a daemon to the planner.
-    Demand {
-        /// The daemon.
-        daemon: Arc<str>,
-        /// This run of it.
-        incarnation: Arc<str>,
-        /// Models in use.
-        models: Vec<ModelUse>,
-        /// Requests at targets.
-        in_flight: Vec<InFlight>,
-    },
-    /// From the planner to every daemon.
-    News(News),
+pub struct TargetLoad {
+    /// The target.
+    pub target: TargetName,
+    /// The requests.
+    pub requests: u16,
+}
+
+/// What a daemon tells the planner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The daemon.
+    pub daemon: Arc<str>,
+    /// This run of it.
+    pub incarnation: Arc<str>,
+    /// Rises with each demand that the daemon tells. Parts with the same number make a whole.
+    pub beat: u32,
+    /// Models in use.
+    pub models: Vec<ModelUse>,
+    /// Requests at targets.
+    pub in_flight: Vec<InFlight>,
 }
 
 /// A model that is being loaded.
@@ -91,6 +97,8 @@
 pub struct News {
     /// The planner's fencing token.
     pub fence: u64,
+    /// Rises with each news of a planner. Parts with the same number make a whole.
+    pub beat: u32,
     /// The version of the planner's row that it wrote last.
     pub lease_version: u64,
     /// How long ago that write was sent, in milliseconds.
@@ -105,10 +113,94 @@
     pub list: ListNews,
     /// Targets that the planner has changed lately.
     pub targets: Vec<TargetNote>,
-    /// Models that are being loaded; `None` if another part of the news has them.
-    pub coming: Option<Vec<Coming>>,
-    /// Requests at targets, from all daemons; `None` if another part of the news has them.
-    pub in_flight: Option<Vec<InFlight>>,
+    /// Models that are being loaded.
+    pub coming: Vec<Coming>,
+    /// Targets that have requests.
+    pub loads: Vec<TargetLoad>,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// From a daemon to the planner.
+    Demand(Demand),
+    /// From the planner to every daemon.
+    News(News),
+}
+
+impl Message {
+    /// Splits a message in two that say the same together; `None` if it has but one item.
+    fn split(self) -> Option<(Self, Self)> {
+        match self {
+            Message::Demand(demand) => {
+                let (first, rest) = demand.split()?;
+                Some((Message::Demand(first), Message::Demand(rest)))
+            }
+            Message::News(news) => {
+                let (first, rest) = news.split()?;
+                Some((Message::News(first), Message::News(rest)))
+            }
+        }
+    }
+}
+
+impl Demand {
+    fn split(mut self) -> Option<(Self, Self)> {
+        let items = self.models.len() + self.in_flight.len();
+        if items < 2 {
+            return None;
+        }
+        let mut left = items / 2;
+        let models = split_off(&mut self.models, &mut left);
+        let in_flight = split_off(&mut self.in_flight, &mut left);
+        let rest = Self { models, in_flight, ..self.clone() };
+        Some((self, rest))
+    }
+}
+
+impl News {
+    fn split(mut self) -> Option<(Self, Self)> {
+        let changes = self.list.changes.len();
+        let items = changes + self.targets.len() + self.coming.len() + self.loads.len();
+        if items < 2 {
+            return None;
+        }
+        let mut left = items / 2;
+        let list = self.list.split_off(left);
+        left -= self.list.changes.len();
+        let targets = split_off(&mut self.targets, &mut left);
+        let coming = split_off(&mut self.coming, &mut left);
+        let loads = split_off(&mut self.loads, &mut left);
+        let rest = Self { list, targets, coming, loads, ..self.clone() };
+        Some((self, rest))
+    }
+}
+
+/// Takes the items but the first `left` off; `left` is how many more may stay elsewhere then.
+fn split_off<T>(items: &mut Vec<T>, left: &mut usize) -> Vec<T> {
+    let stay = items.len().min(*left);
+    *left -= stay;
+    items.split_off(stay)
+}
+
+/// Returns a span in whole milliseconds, as messages have it.
+pub fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Encodes a message in as many datagrams as it takes. An item that fits none is left out and
+/// logged.
+pub fn datagrams(message: Message) -> Vec<Vec<u8>> {
+    if let Some(bytes) = encode(&message) {
+        return vec![bytes];
+    }
+    let Some((first, rest)) = message.split() else {
+        log::warn!("an item of a message is longer than a datagram");
+        return Vec::new();
+    };
+    let mut all = datagrams(first);
+    all.extend(datagrams(rest));
+    all
 }
 
 /// Encodes a message; `None` if it is too long for a datagram.
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -19,7 +19,7 @@
 use crate::{
     catalog::{Catalog, Engine, Model},
     outside::Action,
-    peer::Coming,
+    peer::{self, Coming},
     target::Target,
 };
 
@@ -297,7 +297,7 @@
         let mut coming = Vec::new();
         for p in self.pending.values() {
             let span = p.done_at.since(now).max(STEP_SPAN);
-            let in_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+            let in_ms = peer::millis(span);
             let of = |model: &ModelName| Coming {
                 service: p.service.clone(),
                 model: model.clone(),
--- a/crates/tansyknot-fleet/src/plan/demand.rs
+++ b/crates/tansyknot-fleet/src/plan/demand.rs
@@ -2,13 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use tansyknot_core::{
-    clock::Time,
-    name::{ModelName, TargetName},
-};
+use tansyknot_core::{clock::Time, name::TargetName};
 
 use super::{Key, Planner};
-use crate::peer::{InFlight, ModelUse};
+use crate::peer::{Demand as Told, InFlight, TargetLoad};
 
 /// A daemon that has been silent this long no longer counts.
 pub const DAEMON_SPAN: Duration = Duration::from_secs(2);
@@ -45,31 +42,35 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Daemon {
     incarnation: Arc<str>,
+    beat: u32,
     heard: Time,
     arrived: HashMap<Key, u32>,
     pub(super) waiting: HashMap<Key, (u16, Time)>,
     pub(super) in_flight: Vec<InFlight>,
 }
 
+impl Daemon {
+    /// Takes in requests at targets: a whole that is newer, or one more part of the newest.
+    fn take_in_flight(&mut self, beat: u32, in_flight: Vec<InFlight>) {
+        if beat == self.beat {
+            self.in_flight.extend(in_flight);
+        } else if beat > self.beat {
+            self.beat = beat;
+            self.in_flight = in_flight;
+        }
+    }
+}
+
 impl Planner {
-    /// Takes in what a daemon asks for.
-    pub fn hear(
-        &mut self,
-        daemon: &Arc<str>,
-        incarnation: &Arc<str>,
-        uses: &[ModelUse],
-        in_flight: Vec<InFlight>,
-        now: Time,
-    ) {
-        let known = self.daemons.entry(Arc::clone(daemon)).or_default();
-        let is_first = known.incarnation != *incarnation;
-        if is_first {
-            *known =
-                Daemon { incarnation: Arc::clone(incarnation), heard: now, ..Daemon::default() };
+    /// Takes in what a daemon asks for, or a part of that.
+    pub fn hear(&mut self, demand: Told, now: Time) {
+        let known = self.daemons.entry(demand.daemon).or_default();
+        if known.incarnation != demand.incarnation {
+            *known = Daemon { incarnation: demand.incarnation, heard: now, ..Daemon::default() };
         }
         known.heard = now;
-        known.in_flight = in_flight;
-        for u in uses {
+        known.take_in_flight(demand.beat, demand.in_flight);
+        for u in &demand.models {
             let key = (u.service.clone(), u.model.clone(), u.adapter.clone());
             let before = known.arrived.insert(key.clone(), u.arrived);
             // What a daemon counted before this planner heard of it came at an unknown time.
@@ -107,13 +108,13 @@
     }
 
     /// Returns all daemons' requests at targets.
-    pub fn in_flight(&self) -> Vec<InFlight> {
-        let mut sums: HashMap<(TargetName, Option<ModelName>), u16> = HashMap::new();
+    pub fn loads(&self) -> Vec<TargetLoad> {
+        let mut sums: HashMap<TargetName, u16> = HashMap::new();
         for f in self.daemons.values().flat_map(|d| &d.in_flight) {
-            *sums.entry((f.target.clone(), f.model.clone())).or_default() += f.count;
+            let sum = sums.entry(f.target.clone()).or_default();
+            *sum = sum.saturating_add(f.count);
         }
-        let all = sums.into_iter();
-        all.map(|((target, model), count)| InFlight { target, model, count }).collect()
+        sums.into_iter().map(|(target, requests)| TargetLoad { target, requests }).collect()
     }
 
     pub(super) fn rate(&self, key: &Key, now: Time) -> f64 {
--- a/crates/tansyknot-fleet/tests/follow.rs
+++ b/crates/tansyknot-fleet/tests/follow.rs
@@ -42,9 +42,9 @@
     assert!(follower.step());
     let now = state.now();
     let read = ListRead { age: Duration::ZERO, version: 77 };
-    let news = ChangeLog::default().news(0, read, 4, now);
+    let news = ChangeLog::default().news(0, read, now);
     for _ in 0..2 {
-        state.followed().list(1, news[0].clone(), now);
+        state.followed().list(1, news.clone(), now);
         let mark = state.followed().before_call();
         state.followed().after_call(mark);
     }
--- a/crates/tansyknot-fleet/tests/news.rs
+++ b/crates/tansyknot-fleet/tests/news.rs
@@ -8,8 +8,8 @@
 use support::target;
 use tansyknot_core::clock::Time;
 use tansyknot_fleet::{
-    news::{ChangeLog, Entry, Followed, ListChange, ListRead},
-    peer::{self, Message},
+    news::{ChangeLog, Entry, Followed, ListChange, ListNews, ListRead},
+    peer::{self, Demand, InFlight, Message, ModelUse, News, TargetLoad},
     spans::Spans,
 };
 use yare::parameterized;
@@ -25,6 +25,18 @@
     ListChange::Put(Entry::of(&t))
 }
 
+/// Returns the planner's news in parts of at most `most` changes, as datagrams have them.
+fn parts(log: &mut ChangeLog, read: ListRead, most: usize, now: Time) -> Vec<ListNews> {
+    let mut rest = log.news(0, read, now);
+    let mut parts = Vec::new();
+    while rest.changes.len() > most {
+        let next = rest.split_off(most);
+        parts.push(std::mem::replace(&mut rest, next));
+    }
+    parts.push(rest);
+    parts
+}
+
 /// Returns how long a view of the list is fresh.
 fn list_span() -> Duration {
     Spans::default().list
@@ -36,13 +48,13 @@
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
     log.add(put(1), now);
-    for part in log.news(0, FRESH, PART, now) {
+    for part in parts(&mut log, FRESH, PART, now) {
         assert!(f.list(1, part, now).is_empty());
     }
     assert!(f.list_fresh_for(now).is_zero());
     let mark = f.before_call();
     f.after_call(mark);
-    for part in log.news(0, FRESH, PART, now) {
+    for part in parts(&mut log, FRESH, PART, now) {
         assert!(f.list(1, part, now).is_empty(), "the call has shown it already");
     }
     assert_eq!(f.list_fresh_for(now), list_span());
@@ -53,7 +65,7 @@
     let mut log = ChangeLog::default();
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
-    let news = log.news(0, FRESH, PART, now);
+    let news = parts(&mut log, FRESH, PART, now);
     f.list(1, news[0].clone(), now);
     let mark = f.before_call();
     f.list(2, news[0].clone(), now);
@@ -66,10 +78,10 @@
     let mut log = ChangeLog::default();
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
-    let fresh = log.news(0, FRESH, PART, now);
+    let fresh = parts(&mut log, FRESH, PART, now);
     f.list(1, fresh[0].clone(), now);
     f.after_call(f.before_call());
-    let stale = log.news(0, ListRead { age: list_span(), version: 5 }, PART, now);
+    let stale = parts(&mut log, ListRead { age: list_span(), version: 5 }, PART, now);
     f.list(1, stale[0].clone(), now);
     assert!(f.list_fresh_for(now + list_span()).is_zero());
 }
@@ -79,18 +91,18 @@
     let mut log = ChangeLog::default();
     let mut f = Followed::default();
     let now = Time::from_millis(10_000);
-    f.list(1, log.news(0, FRESH, PART, now)[0].clone(), now);
+    f.list(1, parts(&mut log, FRESH, PART, now)[0].clone(), now);
     f.after_call(f.before_call());
-    f.list(1, log.news(0, FRESH, PART, now)[0].clone(), now);
+    f.list(1, parts(&mut log, FRESH, PART, now)[0].clone(), now);
     for n in 1..=7 {
         log.add(put(n), now);
     }
-    let parts = log.news(0, FRESH, 3, now);
-    assert_eq!(parts.len(), 3);
-    f.list(1, parts[0].clone(), now + BEAT);
-    f.list(1, parts[2].clone(), now + BEAT);
+    let told = parts(&mut log, FRESH, 3, now);
+    assert_eq!(told.len(), 3);
+    f.list(1, told[0].clone(), now + BEAT);
+    f.list(1, told[2].clone(), now + BEAT);
     assert_eq!(f.list_fresh_for(now + BEAT), list_span() - BEAT);
-    let again: usize = parts.into_iter().map(|p| f.list(1, p, now + BEAT * 2).len()).sum();
+    let again: usize = told.into_iter().map(|p| f.list(1, p, now + BEAT * 2).len()).sum();
     assert_eq!(again, 4, "the first part was known");
     assert_eq!(f.list_fresh_for(now + BEAT * 2), list_span());
 }
@@ -102,8 +114,8 @@
     for n in 1..=6 {
         log.add(put(n), now);
     }
-    let parts = log.news(5, FRESH, PART, now);
-    assert_eq!((parts.len(), parts[0].from, parts[0].to), (1, 5, 6));
+    let news = log.news(5, FRESH, now);
+    assert_eq!((news.changes.len(), news.from, news.to), (1, 5, 6));
 }
 
 #[parameterized(
@@ -132,7 +144,7 @@
         if rng.random_bool(0.01) {
             log.skip();
         }
-        for part in log.news(0, FRESH, PART, now) {
+        for part in parts(&mut log, FRESH, PART, now) {
             if !rng.random_bool(loss) {
                 view.extend(f.list(1, part, now).iter().map(key));
             }
@@ -151,14 +163,87 @@
     assert!(loss > 0.0 || calls < 60, "{calls} calls");
 }
 
-#[test]
-fn datagrams_of_other_formats_are_dropped() {
-    let demand = Message::Demand {
+fn demand(models: usize, in_flight: usize) -> Demand {
+    let name = |n: usize| format!("a-name-of-ordinary-length-{n}");
+    let model = |n| ModelUse {
+        service: "service".into(),
+        model: name(n).as_str().into(),
+        adapter: None,
+        waiting: 1,
+        arrived: 300,
+    };
+    let one = |n| InFlight { target: name(n).as_str().into(), model: None, count: 2 };
+    Demand {
         daemon: "d".into(),
         incarnation: "r".into(),
-        models: Vec::new(),
-        in_flight: Vec::new(),
+        beat: 7,
+        models: (0..models).map(model).collect(),
+        in_flight: (0..in_flight).map(one).collect(),
+    }
+}
+
+#[parameterized(
+    nothing = { 0, 0 },
+    short = { 3, 3 },
+    many_models = { 200, 0 },
+    many_targets = { 0, 300 },
+    both = { 90, 120 },
+)]
+fn long_demand_comes_in_datagrams_that_make_the_whole(models: usize, in_flight: usize) {
+    let whole = demand(models, in_flight);
+    let parts = peer::datagrams(Message::Demand(whole.clone()));
+    let mut got = demand(0, 0);
+    for bytes in &parts {
+        assert!(bytes.len() <= peer::MAX_BYTES);
+        let Some(Message::Demand(part)) = peer::decode(bytes) else { panic!("it is no demand") };
+        assert_eq!(part.beat, whole.beat);
+        got.models.extend(part.models);
+        got.in_flight.extend(part.in_flight);
+    }
+    assert_eq!(got, whole);
+    assert!(parts.len() <= 1 + (models + in_flight) / 10, "{} datagrams", parts.len());
+}
+
+#[test]
+fn long_news_come_in_datagrams_that_are_followed_to_the_end() {
+    let mut log = ChangeLog::default();
+    let mut f = Followed::default();
+    let now = Time::from_millis(10_000);
+    f.list(1, log.news(0, FRESH, now), now);
+    f.after_call(f.before_call());
+    for n in 1..=200 {
+        let mut t = target(&format!("target-{n}"), &["m0"], &[]);
+        t.version = n;
+        log.add(ListChange::Put(Entry::of(&t)), now);
+    }
+    let load = |n: u16| TargetLoad { target: format!("target-{n}").as_str().into(), requests: n };
+    let news = News {
+        fence: 1,
+        beat: 9,
+        lease_version: 1,
+        lease_age_ms: 0,
+        daemons: 1,
+        config: 1,
+        config_age_ms: 0,
+        list: log.news(0, FRESH, now),
+        targets: Vec::new(),
+        coming: Vec::new(),
+        loads: (1..=200).map(load).collect(),
     };
+    let (mut changes, mut loads) = (0, 0);
+    for bytes in peer::datagrams(Message::News(news)) {
+        assert!(bytes.len() <= peer::MAX_BYTES);
+        let Some(Message::News(part)) = peer::decode(&bytes) else { panic!("it is no news") };
+        loads += part.loads.len();
+        changes += f.list(part.fence, part.list, now).len();
+    }
+    assert_eq!((changes, loads), (200, 200));
+    assert_eq!(f.list_fresh_for(now), list_span());
+}
+
+#[test]
+fn datagrams_of_other_formats_are_dropped() {
+    let demand = Message::Demand(demand(0, 0));
     let bytes = peer::encode(&demand).expect("it is short");
     assert_eq!(peer::decode(&bytes), Some(demand));
     assert_eq!(peer::decode(&[]), None);
--- a/crates/tansyknot-fleet/tests/plan.rs
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -11,7 +11,7 @@
 };
 use tansyknot_fleet::{
     outside::Action,
-    peer::{InFlight, ModelUse},
+    peer::{Demand, InFlight, ModelUse},
     plan::{Planner, Task, used_mb},
     target::{Target, TargetState},
 };
@@ -35,16 +35,29 @@
     planner: Planner,
     targets: Vec<Arc<Target>>,
     now: Time,
+    beat: u32,
 }
 
 impl Rig {
     fn new(targets: Vec<Target>) -> Self {
         let targets = targets.into_iter().map(Arc::new).collect();
-        Self { planner: Planner::default(), targets, now: Time::from_millis(100_000) }
+        Self { planner: Planner::default(), targets, now: Time::from_millis(100_000), beat: 0 }
     }
 
     fn hear(&mut self, uses: &[ModelUse], in_flight: Vec<InFlight>) {
-        self.planner.hear(&"d".into(), &"run-1".into(), uses, in_flight, self.now);
+        self.hear_of("d", uses, in_flight);
+    }
+
+    fn hear_of(&mut self, daemon: &str, uses: &[ModelUse], in_flight: Vec<InFlight>) {
+        self.beat += 1;
+        let demand = Demand {
+            daemon: daemon.into(),
+            incarnation: "run-1".into(),
+            beat: self.beat,
+            models: uses.to_vec(),
+            in_flight,
+        };
+        self.planner.hear(demand, self.now);
     }
 
     fn plan(&mut self) -> Vec<Task> {
@@ -127,7 +140,7 @@
     let mut rig = Rig::new(vec![target("t1", &[], &["m5"]), target("t2", &[], &["m5"])]);
     for daemon in ["a", "b", "c", "d"] {
         let uses = [wants("m5", None, 3, 3)];
-        rig.planner.hear(&daemon.into(), &"run".into(), &uses, Vec::new(), rig.now);
+        rig.hear_of(daemon, &uses, Vec::new());
     }
     assert_eq!(rig.plan().len(), 1);
     assert!(rig.plan().is_empty(), "the load is on its way");
@@ -229,8 +242,8 @@
     let mut rig = Rig::new(vec![target("t1", &[], &["m5"])]);
     rig.hear(&[wants("m5", None, 1, 1)], vec![busy("t1", "m0", 4)]);
     rig.now = rig.now + tansyknot_fleet::plan::DAEMON_SPAN;
-    rig.planner.hear(&"other".into(), &"run".into(), &[], Vec::new(), rig.now);
+    rig.hear_of("other", &[], Vec::new());
     assert_eq!(rig.planner.daemons(), 1);
     assert!(rig.plan().is_empty());
-    assert!(rig.planner.in_flight().is_empty());
+    assert!(rig.planner.loads().is_empty());
 }
--- a/crates/tansyknot-fleet/tests/view.rs
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -11,9 +11,9 @@
     name::{AdapterName, ModelName, ServiceName, TargetName, ZoneName},
 };
 use tansyknot_fleet::{
-    fleet::{self, Fleet, Pick, Want},
+    fleet::{self, Fleet, Pick, Want, Whole},
     outside::TargetChange,
-    peer::{InFlight, TargetNote},
+    peer::{Coming, TargetLoad, TargetNote},
     spans::Spans,
     target::{Target, TargetState},
 };
@@ -180,17 +180,53 @@
     assert_eq!(pick(&mut f, &want, &[], at(0)), "t1");
 }
 
+fn news(beat: u32) -> Whole {
+    Whole { fence: 1, beat }
+}
+
+fn load(target: &str, requests: u16) -> TargetLoad {
+    TargetLoad { target: TargetName::from(target), requests }
+}
+
 #[test]
 fn requests_of_other_daemons_count() {
     let mut f = fleet(vec![target("t1", &["m0"], &[]), target("t2", &["m0"], &[])]);
-    let busy =
-        InFlight { target: TargetName::from("t1"), model: Some(ModelName::from("m0")), count: 6 };
-    f.note_in_flight(&[busy]);
+    f.note_loads(news(1), &[load("t1", 6)], &[], at(0));
     for _ in 0..5 {
         assert_eq!(pick(&mut f, &wants("m0"), &[], at(0)), "t2");
     }
 }
 
+#[test]
+fn loads_in_parts_make_a_whole_and_older_parts_are_dropped() {
+    let mut f = fleet(vec![target("t1", &["m0"], &[]), target("t2", &["m0"], &[])]);
+    f.note_loads(news(2), &[load("t1", 6)], &[], at(0));
+    f.note_loads(news(2), &[load("t2", 9)], &[], at(0));
+    f.note_loads(news(1), &[load("t1", 16)], &[], at(0));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(0)), "t1");
+    f.note_loads(news(3), &[load("t1", 4)], &[], at(0));
+    assert_eq!(pick(&mut f, &wants("m0"), &[], at(0)), "t2", "nothing is left at it");
+}
+
+#[test]
+fn every_model_that_comes_is_known() {
+    let mut f = fleet(vec![]);
+    let coming = |n: u32| Coming {
+        service: wants("m0").service.clone(),
+        model: ModelName::from(format!("m{n}").as_str()),
+        in_ms: 500,
+    };
+    let all: Vec<Coming> = (0..30).map(coming).collect();
+    f.note_loads(news(1), &[], &all[..20], at(0));
+    f.note_loads(news(1), &[], &all[20..], at(0));
+    for n in 0..30 {
+        let want = wants(&format!("m{n}"));
+        assert_eq!(f.expected(&want.get()), Some(at(500)));
+    }
+    f.note_loads(news(2), &[], &[], at(100));
+    assert_eq!(f.expected(&wants("m0").get()), None);
+}
+
 #[test]
 fn uses_are_told_while_they_are_new_or_wait() {
     let mut f = fleet(vec![]);
