Ask callers to come back later while the store is away

Ruled out: a slow return (from the store's answer on, 82 of 82 were on time). Change: while the store does not answer, or has not within 0.5 s of a start, a request that has not run is told to come back in 1.5 to 2.5 s, drawn, so that callers don't return all at once. A refusal is as immediate as before. Test: daemon_without_a_store_asks_callers_to_come_back_later (failed first).

--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -38,7 +38,7 @@
     }
 
     /// Takes in how a call ended; tells whether the store has just come back.
-    fn take<T>(&mut self, result: &Result<T>) -> bool {
+    fn take<T>(&mut self, result: &Result<T>, state: &State) -> bool {
         if result.is_ok() {
             self.backoff.succeeded();
         }
@@ -46,11 +46,13 @@
             Ok(_) if self.lost => {
                 self.lost = false;
                 event::FLEET_STORE_BACK.emit(&[("for", &self.what)]);
+                state.store_returned();
                 true
             }
             Err(e) if !self.lost => {
                 self.lost = true;
                 event::FLEET_STORE_LOST.emit(&[("for", &self.what), ("error", e)]);
+                state.store_lost();
                 false
             }
             _ => false,
@@ -79,9 +81,7 @@
             Some(version) => self.store.catalog_changes(version, self.state.spans.config_wait),
             None => self.store.catalog().map(Some),
         };
-        if self.contact.take(&result) {
-            self.state.store_returned();
-        }
+        self.contact.take(&result, &self.state);
         if matches!(result, Ok(Some(_))) {
             // A call that waits shows what was so until its end; its start is on the safe side.
             let ended = self.state.now();
@@ -158,9 +158,8 @@
             }),
         };
         let now = self.state.now();
-        if self.contact.take(&result) {
+        if self.contact.take(&result, &self.state) {
             self.state.fleet().store_returned(now);
-            self.state.store_returned();
         }
         let mut is_changed = self.version.is_some() && !self.known.swap(true, Ordering::SeqCst);
         match &result {
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -228,7 +228,8 @@
         stream: &mut TcpStream,
         after: After,
     ) -> io::Result<After> {
-        let headers = self.dialect.refusal(id, come_back.or(reason.retry_after()));
+        let come_back = come_back.or_else(|| reason.retry_after(self.state.store_is_away()));
+        let headers = self.dialect.refusal(id, come_back);
         let body = format!("{{\"reason\":\"{}\"}}", reason.name()).into_bytes();
         let content_type = "application/json".to_owned();
         let whole = Whole { status: reason.status(), content_type, headers, body };
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt::Write as _,
+    ops::RangeInclusive,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -35,6 +36,9 @@
 const RETRY_LATER: Duration = Duration::from_millis(500);
 /// When to come back to a daemon that has no configuration yet.
 const RETRY_START: Duration = Duration::from_millis(300);
+/// When to come back while the store is away, in milliseconds: its outages last some seconds, and
+/// those who come back before its return are refused again. They don't come back all at once.
+const RETRY_STORE_MS: RangeInclusive<u64> = 1500..=2500;
 
 /// Why a request ends without a target's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,8 +91,12 @@
         }
     }
 
-    pub(super) fn retry_after(self) -> Option<Duration> {
+    /// Returns when to come back, if the request has not run.
+    pub(super) fn retry_after(self, store_is_away: bool) -> Option<Duration> {
         match self {
+            Reason::NoConfiguration | Reason::NoTargetInTime if store_is_away => {
+                Some(Duration::from_millis(rand::random_range(RETRY_STORE_MS)))
+            }
             Reason::NoConfiguration => Some(RETRY_START),
             Reason::Stopping => Some(Duration::ZERO),
             Reason::NoTargetInTime | Reason::RefusedByTargets => Some(RETRY_LATER),
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -19,6 +19,10 @@
     spans::Spans,
 };
 
+/// A daemon has read the configuration this long after its start, if the store answers: some
+/// 100 ms on the users' hosts.
+const START_USUAL: Duration = Duration::from_millis(500);
+
 /// A moment that other threads wait for.
 #[derive(Debug, Default)]
 pub struct Signal {
@@ -58,6 +62,8 @@
     pub list_version: u64,
     /// For the configuration.
     pub config: Option<Time>,
+    /// Whether the last call that followed the store had no answer.
+    pub is_lost: bool,
     /// When the store last answered again after calls that failed.
     pub returned: Option<Time>,
 }
@@ -80,6 +86,7 @@
     budget_options: BudgetOptions,
     /// How old views may become.
     pub spans: Spans,
+    started: Time,
 }
 
 /// Bounds that the threads keep together.
@@ -95,6 +102,7 @@
     /// Makes the state of a daemon in `zone` that knows nothing yet.
     pub fn new(zone: ZoneName, options: StateOptions, clock: Arc<dyn Clock>) -> Self {
         let StateOptions { budget, spans } = options;
+        let started = clock.now();
         Self {
             clock,
             targets_changed: Signal::default(),
@@ -107,6 +115,7 @@
             budgets: Mutex::default(),
             budget_options: budget,
             spans,
+            started,
         }
     }
 
@@ -142,12 +151,27 @@
         self.contacts.lock().expect("no holder of the lock panics")
     }
 
+    /// Takes in that the store does not answer.
+    pub fn store_lost(&self) {
+        self.contacts().is_lost = true;
+    }
+
     /// Takes in that the store answers again, so that calls that pause since a failure are made.
     pub fn store_returned(&self) {
-        self.contacts().returned = Some(self.now());
+        {
+            let mut contacts = self.contacts();
+            contacts.is_lost = false;
+            contacts.returned = Some(self.now());
+        }
         self.call_due.raise();
     }
 
+    /// Tells whether the store does not answer, or has not within a usual start.
+    pub fn store_is_away(&self) -> bool {
+        let starts = self.catalog().is_none() && self.now().since(self.started) > START_USUAL;
+        starts || self.contacts().is_lost
+    }
+
     /// Returns the configuration in force.
     ///
     /// # Panics
