Explain a request from log files; find lines; say whose line it is and when settings are read again

Cause: the on-call engineer has only logs, and had to grep for an id and then guess which other lines matter. Lines did not say whose they were, and a hang-up left no line.

--- a/crates/tansyknot-cli/src/args.rs
+++ b/crates/tansyknot-cli/src/args.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args as ClapArgs, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
+use jiff::Timestamp;
 
 /// Operates and calls tansyknot.
 #[derive(Debug, Parser)]
@@ -64,8 +65,15 @@
     #[command(after_help = "Example:\n  tansyknot status --output json")]
     Status(StatusArgs),
     /// Show which decisions were taken for a request, and by whom
-    #[command(after_help = "Example:\n  tansyknot explain 4f1c…  (the x-request-id of an answer)")]
+    #[command(
+        after_help = "Examples:\n  tansyknot explain 4f1c…  (the x-request-id of an answer)\n  \
+        tansyknot explain 9c41d07be2a35f68 --logs daemon-*.log"
+    )]
     Explain(ExplainArgs),
+    /// Show lines of daemons' logs
+    #[command(after_help = "Examples:\n  tansyknot logs daemon-*.log --event 1621,1622\n  \
+        tansyknot logs daemon-*.log --about i-b94f5f7988 --output json")]
+    Logs(LogsArgs),
     /// Work on settings files
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -141,8 +149,37 @@
 /// Arguments of `explain`.
 #[derive(Debug, ClapArgs)]
 pub(crate) struct ExplainArgs {
-    /// The `x-request-id` of the answer.
+    /// The `x-request-id` of the answer, or the caller's id on the users' platform.
     pub(crate) request: String,
+    /// Explain from these log files instead of asking the daemons.
+    #[arg(long, value_name = "FILE", num_args = 1..)]
+    pub(crate) logs: Vec<PathBuf>,
+}
+
+/// Arguments of `logs`.
+#[derive(Debug, ClapArgs)]
+pub(crate) struct LogsArgs {
+    /// Files that collect the daemons' standard output.
+    #[arg(required = true, value_name = "FILE")]
+    pub(crate) files: Vec<PathBuf>,
+    /// Only lines of this request.
+    #[arg(long, value_name = "ID")]
+    pub(crate) request: Option<String>,
+    /// Only lines of this daemon.
+    #[arg(long, value_name = "NAME")]
+    pub(crate) daemon: Option<String>,
+    /// Only these events (docs/EVENTS.md).
+    #[arg(long, value_name = "NUMBER", value_delimiter = ',')]
+    pub(crate) event: Vec<u16>,
+    /// Only lines with this word in a field: a target, a model, a reason.
+    #[arg(long, value_name = "WORD")]
+    pub(crate) about: Option<String>,
+    /// Only lines from this time on, as RFC 3339 has it.
+    #[arg(long, value_name = "TIME")]
+    pub(crate) from: Option<Timestamp>,
+    /// Only lines up to this time.
+    #[arg(long, value_name = "TIME")]
+    pub(crate) to: Option<Timestamp>,
 }
 
 /// What to do with settings files.
--- a/crates/tansyknot-cli/src/command.rs
+++ b/crates/tansyknot-cli/src/command.rs
@@ -2,11 +2,13 @@
 
 pub(crate) mod apply;
 pub(crate) mod ask;
+pub(crate) mod cause;
 pub(crate) mod completions;
 pub(crate) mod daemons;
 pub(crate) mod explain;
 pub(crate) mod get;
 pub(crate) mod history;
 pub(crate) mod key;
+pub(crate) mod logs;
 pub(crate) mod settings;
 pub(crate) mod status;
--- a/crates/tansyknot-cli/src/command/settings.rs
+++ b/crates/tansyknot-cli/src/command/settings.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use miette::{IntoDiagnostic, WrapErr};
-use tansyknot_config::{document, settings};
+use tansyknot_config::{document, fleet, settings};
 
 use crate::args::CheckArgs;
 
@@ -17,6 +17,9 @@
         if is_document(&text) {
             let objects = document::read(&text, &name)?;
             println!("{name}: ok, {} objects", objects.len());
+        } else if is_of_fleet(&text) {
+            fleet::read(&text, &name)?;
+            println!("{name}: ok, settings of a daemon that serves a fleet");
         } else {
             settings::read(&text, &name)?;
             println!("{name}: ok, settings of a daemon");
@@ -25,6 +28,11 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Tells whether the settings have what only a daemon that serves a fleet has.
+fn is_of_fleet(text: &str) -> bool {
+    text.lines().any(|line| line.starts_with("bounds:"))
+}
+
 fn is_document(text: &str) -> bool {
     text.lines().any(|line| line.starts_with("kind:"))
 }
--- a/crates/tansyknot-cli/src/exit.rs
+++ b/crates/tansyknot-cli/src/exit.rs
@@ -39,6 +39,15 @@
         /// The request.
         request: String,
     },
+    /// No line of the log files has a request.
+    #[error("none of {lines} log lines has request {request}")]
+    #[diagnostic(help("give the files of all daemons; lines beyond the rate are left out (1651)"))]
+    NotLogged {
+        /// The request.
+        request: String,
+        /// The lines that were read.
+        lines: usize,
+    },
     /// An object is named in another way than `kind/name`.
     #[error("{key:?} does not name an object")]
     #[diagnostic(help("write kind/name, for instance service/permit-assistant"))]
--- a/crates/tansyknot-cli/src/main.rs
+++ b/crates/tansyknot-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod command;
 mod exit;
+mod line;
 mod output;
 
 use std::process::ExitCode;
@@ -31,7 +32,9 @@
         Command::Get(a) => command::get::run(shared, a),
         Command::History(a) => command::history::run(shared, a),
         Command::Status(a) => command::status::run(shared, a),
-        Command::Explain(a) => command::explain::run(shared, a),
+        Command::Explain(a) if a.logs.is_empty() => command::explain::run(shared, a),
+        Command::Explain(a) => command::cause::run(shared, &a.request, &a.logs),
+        Command::Logs(a) => command::logs::run(shared, a),
         Command::Settings(SettingsCommand::Check(a)) => command::settings::check(a),
         Command::Key => command::key::run(),
         Command::Ask(a) => command::ask::run(a),
--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -63,6 +63,8 @@
     DRAIN_BEGUN = 1002, Info, "The daemon has stopped accepting work and finishes what is in flight.";
     STOPPED = 1003, Info, "The daemon has stopped.";
     DRAIN_CUT = 1004, Warn, "The drain was ended with requests still in flight.";
+    SETTINGS_READ = 1005, Info, "The settings were read again after a hang-up; a change takes effect with a new start.";
+    SETTINGS_BAD = 1006, Warn, "The settings could not be read again after a hang-up.";
     CONFIG_APPLIED = 1101, Info, "A configuration version is in force.";
     CONFIG_OLDER_IGNORED = 1102, Warn, "An older configuration version was read and ignored.";
     CONFIG_RELOADED = 1103, Warn, "The configuration differed from its digest and was read anew.";
--- a/crates/tansyknotd/src/logs.rs
+++ b/crates/tansyknotd/src/logs.rs
@@ -12,9 +12,11 @@
     time::{Duration, Instant},
 };
 
-use logforth::{Append, Diagnostic, Error, Layout, layout::JsonLayout, record};
+use logforth::{
+    Append, Diagnostic, Error, Layout, diagnostic::StaticDiagnostic, layout::JsonLayout, record,
+};
 use tansyknot_config::{fleet::FleetTelemetry, settings::LogLevel};
-use tansyknot_core::event;
+use tansyknot_core::{event, name::DaemonName};
 
 /// Bytes that wait to be written; some seconds' worth at the highest rate.
 const BUFFER_MAX: usize = 256 << 10;
@@ -28,9 +30,14 @@
 /// # Errors
 ///
 /// Fails if a logger has been set before.
-pub fn start(telemetry: &FleetTelemetry) -> Result<(), logforth::Error> {
+pub fn start(telemetry: &FleetTelemetry, daemon: &DaemonName) -> Result<(), logforth::Error> {
     let stdout = BoundedStdout::start(telemetry.log_lines_per_s);
-    logforth::starter_log::builder().dispatch(|d| d.append(stdout)).try_apply()?;
+    // Lines of all daemons are collected in one place: each says whose it is.
+    let mut of_daemon = StaticDiagnostic::default();
+    of_daemon.insert("daemon", daemon.as_str());
+    logforth::starter_log::builder()
+        .dispatch(|d| d.diagnostic(of_daemon).append(stdout))
+        .try_apply()?;
     log::set_max_level(level(telemetry.log_level));
     Ok(())
 }
--- a/crates/tansyknotd/src/main.rs
+++ b/crates/tansyknotd/src/main.rs
@@ -8,8 +8,10 @@
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
+use tansyknot_config::fleet::FleetSettings;
 #[cfg(feature = "services")]
 use tansyknot_config::settings;
+use tansyknot_core::event;
 #[cfg(feature = "services")]
 use tansyknotd::{
     daemon::{Daemon, Stopped},
@@ -71,18 +73,33 @@
         println!("{file}: ok");
         return Ok(ExitCode::SUCCESS);
     }
-    logs::start(&settings.telemetry).into_diagnostic()?;
+    logs::start(&settings.telemetry, &settings.name).into_diagnostic()?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).into_diagnostic()?;
     let daemon =
         FleetDaemon::start(&settings).into_diagnostic().wrap_err("the daemon can't start")?;
-    // No setting changes while a daemon runs but by a new start, so a hang-up changes nothing.
-    let is_stop = |signal: &i32| *signal != SIGHUP;
-    signals.forever().find(is_stop);
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        read_again(file, &settings);
+    }
     let cut = daemon.stop();
     log::logger().flush();
     Ok(if cut == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) })
 }
 
+/// Reads the settings again after a hang-up. No setting changes while a daemon runs but by a new
+/// start, so this only says whether one is due.
+fn read_again(file: &str, current: &FleetSettings) {
+    let read = std::fs::read_to_string(file)
+        .into_diagnostic()
+        .and_then(|text| tansyknot_config::fleet::read(&text, file));
+    match read {
+        Ok(new) => event::SETTINGS_READ.emit(&[("changed", &(new != *current))]),
+        Err(e) => event::SETTINGS_BAD.emit(&[("error", &e)]),
+    }
+}
+
 #[cfg(feature = "services")]
 fn serve_services(text: &str, file: &str, check: bool) -> miette::Result<ExitCode> {
     let settings = settings::read(text, file)?;
