List every figure once, on docs/METRICS.md and in the code; count refusals, waits, pauses and second sends

Cause: names of figures stood as literals in six files, the page of operations listed some of them, and requests refused on arrival, waits, pauses between events and second sends were not counted. Change: tansyknot-core::metric is the catalogue; the page, the counters and the outcomes of requests take their names from it. docs/METRICS.md lists all. Tests: the page against the catalogue; the figures of a running daemon against it (one unknown name or a missing one fails).

--- a/crates/tansyknot-core/src/lib.rs
+++ b/crates/tansyknot-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod host;
 pub mod label;
+pub mod metric;
 pub mod name;
 pub mod peer;
 pub mod refusal;
--- /dev/null
+++ b/crates/tansyknot-core/src/metric.rs
@@ -0,0 +1,81 @@
+//! The figures of a daemon that serves a fleet, as docs/METRICS.md lists them.
+
+/// One kind of figure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Metric {
+    /// Its name; the page puts `tansyknot_` before it and the unit behind it.
+    pub name: &'static str,
+    /// How it is written on the page.
+    pub kind: Kind,
+    /// What the label `of` holds.
+    pub of: &'static str,
+    /// What it says.
+    pub text: &'static str,
+}
+
+/// How a figure is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A sum that only rises; its name ends with `_total`.
+    Counter,
+    /// A value of this moment.
+    Gauge,
+    /// Quantiles and a count of spans; its name ends with `_seconds`.
+    Spans,
+}
+
+impl Metric {
+    /// Returns the name of its series on the page.
+    pub fn series(&self) -> String {
+        let Self { name, kind, .. } = self;
+        match kind {
+            Kind::Counter => format!("tansyknot_{name}_total"),
+            Kind::Gauge => format!("tansyknot_{name}"),
+            Kind::Spans => format!("tansyknot_{name}_seconds"),
+        }
+    }
+}
+
+macro_rules! metrics {
+    ($($constant:ident = $name:literal, $kind:ident, $of:literal, $text:literal;)*) => {
+        $(
+            #[doc = $text]
+            pub const $constant: Metric =
+                Metric { name: $name, kind: Kind::$kind, of: $of, text: $text };
+        )*
+
+        /// Every figure.
+        pub const ALL: &[Metric] = &[$($constant,)*];
+    };
+}
+
+metrics! {
+    ANSWERED = "answered", Counter, "route", "Requests with a target's whole answer.";
+    TARGET_ERROR = "target_error", Counter, "route", "Requests answered with a target's own failure.";
+    NO_TARGET_IN_TIME = "no_target_in_time", Counter, "route", "Requests that no target could take in time; not run.";
+    REFUSED_BY_TARGETS = "refused_by_targets", Counter, "route", "Requests that targets refused, with no further send allowed; not run.";
+    STOPPING = "stopping", Counter, "route", "Requests that the daemon could not finish before its stop; not run.";
+    NO_ANSWER_IN_TIME = "no_answer_in_time", Counter, "route", "Requests whose target was silent until their time was over.";
+    TARGET_FAILED = "target_failed", Counter, "route", "Requests whose target broke off or sent nonsense.";
+    STREAM_BROKEN = "stream_broken", Counter, "route", "Streams that broke off after a part was passed on.";
+    CALLER_LEFT = "caller_left", Counter, "route", "Requests whose caller left.";
+    REFUSED_ON_ARRIVAL = "refused_on_arrival", Counter, "reason", "Requests refused before any target was looked for.";
+    REQUEST = "request", Spans, "route", "From a request's arrival to its end.";
+    FIRST_EVENT = "first_event", Spans, "route", "From a request's arrival to the first event passed on.";
+    GAP = "gap", Spans, "route", "The longest pause between two events of a stream.";
+    WAITED = "waited", Spans, "route", "How long requests waited for a load or a free place.";
+    SENDS_AGAIN = "sends_again", Counter, "route", "Sends of requests beyond the first.";
+    ORDERS = "orders", Counter, "service", "Orders that targets accepted.";
+    ORDERS_FAILED = "orders_failed", Counter, "service", "Tasks that stopped before their last order was done.";
+    LOAD = "load", Spans, "service", "From a load's acceptance to its being there.";
+    STORE_CALLS = "store_calls", Counter, "kind of call", "Calls to the platform's store.";
+    STORE_CALLS_FAILED = "store_calls_failed", Counter, "kind of call", "Calls without an answer, or refused.";
+    STORE_CONFLICTS = "store_conflicts", Counter, "kind of call", "Writes that came second.";
+    STORE_CALL = "store_call", Spans, "kind of call", "How long calls took, the wait for changes included.";
+    IS_PLANNER = "is_planner", Gauge, "daemon", "1 if this daemon is the planner.";
+    FENCE = "fence", Gauge, "daemon", "The planner's fencing token as this daemon knows it.";
+    CONFIG_VERSION = "config_version", Gauge, "daemon", "The configuration in force.";
+    TARGETS = "targets", Gauge, "daemon", "Targets known.";
+    LIST_CALL_AGE = "list_call_age_seconds", Gauge, "daemon", "Since this daemon's own last call for the list; -1 before the first, large at daemons that follow the planner.";
+    CONFIG_CALL_AGE = "config_call_age_seconds", Gauge, "daemon", "The same for the configuration.";
+}
--- a/crates/tansyknot-fleet/src/counted.rs
+++ b/crates/tansyknot-fleet/src/counted.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use tansyknot_core::{Result, name::ServiceName, telemetry::Recorder};
+use tansyknot_core::{Result, metric, name::ServiceName, telemetry::Recorder};
 
 use crate::{
     catalog::Catalog,
@@ -33,11 +33,11 @@
         let kind = ServiceName::from(kind);
         let began = Instant::now();
         let result = call(self.store.as_ref());
-        self.recorder.count("store_calls", &kind, 1);
-        self.recorder.time("store_call", &kind, began.elapsed());
+        self.recorder.count(metric::STORE_CALLS.name, &kind, 1);
+        self.recorder.time(metric::STORE_CALL.name, &kind, began.elapsed());
         if let Err(e) = &result {
             log::debug!("a call to the store for {kind} failed: {e}");
-            self.recorder.count("store_calls_failed", &kind, 1);
+            self.recorder.count(metric::STORE_CALLS_FAILED.name, &kind, 1);
         }
         result
     }
@@ -71,7 +71,8 @@
     fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written> {
         let written = self.counted("write_planner", |s| s.write_lease(expected, value))?;
         if matches!(written, Written::Conflict(_)) {
-            self.recorder.count("store_conflicts", &ServiceName::from("write_planner"), 1);
+            let kind = ServiceName::from("write_planner");
+            self.recorder.count(metric::STORE_CONFLICTS.name, &kind, 1);
         }
         Ok(written)
     }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use tansyknot_core::{clock::Time, event, name::ServiceName, telemetry::Recorder};
+use tansyknot_core::{clock::Time, event, metric, name::ServiceName, telemetry::Recorder};
 use tansyknot_http::{
     head::Head,
     presence,
@@ -237,19 +237,31 @@
         Ok(after)
     }
 
+    /// Takes a request that has ended into the figures of its route.
+    fn measure(&self, run: &Run<'_>, outcome: &'static str, total: Duration) {
+        let route = ServiceName::new(Arc::clone(&run.route.name));
+        self.recorder.count(outcome, &route, 1);
+        self.recorder.time(metric::REQUEST.name, &route, total);
+        if let Some(first) = run.relay.first_at {
+            self.recorder.time(metric::FIRST_EVENT.name, &route, first.duration_since(run.began));
+            self.recorder.time(metric::GAP.name, &route, run.relay.longest_gap);
+        }
+        if !run.waited.is_zero() {
+            self.recorder.time(metric::WAITED.name, &route, run.waited);
+        }
+        if run.sends > 1 {
+            self.recorder.count(metric::SENDS_AGAIN.name, &route, u64::from(run.sends - 1));
+        }
+    }
+
     fn account(&self, run: &Run<'_>, ended: &Ended) {
         let total = run.began.elapsed();
         let outcome = match ended {
-            Ended::Answered { status, .. } if *status < 400 => "answered",
-            Ended::Answered { .. } => "target_error",
+            Ended::Answered { status, .. } if *status < 400 => metric::ANSWERED.name,
+            Ended::Answered { .. } => metric::TARGET_ERROR.name,
             Ended::Refused(reason) | Ended::Cut(reason) => reason.name(),
         };
-        let service = ServiceName::new(Arc::clone(&run.route.name));
-        self.recorder.count(outcome, &service, 1);
-        self.recorder.time("request", &service, total);
-        if let Some(first) = run.relay.first_at {
-            self.recorder.time("first_event", &service, first.duration_since(run.began));
-        }
+        self.measure(run, outcome, total);
         let kind = match ended {
             Ended::Answered { status, .. } if *status < 400 => event::FLEET_ANSWERED,
             _ => event::FLEET_FAILED,
@@ -305,6 +317,8 @@
                     ("reason", &reason.name()),
                     ("path", &req.head.path),
                 ]);
+                let of = ServiceName::from(reason.name());
+                self.recorder.count(metric::REFUSED_ON_ARRIVAL.name, &of, 1);
                 return self.refuse(&ask.id, reason, None, stream, after);
             }
         };
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use tansyknot_core::name::{ServiceName, TargetName};
+use tansyknot_core::{
+    metric,
+    name::{ServiceName, TargetName},
+};
 use tansyknot_http::{
     respond::{After, Whole},
     server::Request,
@@ -68,14 +71,14 @@
     pub fn name(self) -> &'static str {
         match self {
             Reason::NoConfiguration => "no_configuration",
-            Reason::Stopping => "stopping",
+            Reason::Stopping => metric::STOPPING.name,
             Reason::NoRoute => "no_route",
-            Reason::NoTargetInTime => "no_target_in_time",
-            Reason::RefusedByTargets => "refused_by_targets",
-            Reason::NoAnswerInTime => "no_answer_in_time",
-            Reason::TargetFailed => "target_failed",
-            Reason::StreamBroken => "stream_broken",
-            Reason::CallerLeft => "caller_left",
+            Reason::NoTargetInTime => metric::NO_TARGET_IN_TIME.name,
+            Reason::RefusedByTargets => metric::REFUSED_BY_TARGETS.name,
+            Reason::NoAnswerInTime => metric::NO_ANSWER_IN_TIME.name,
+            Reason::TargetFailed => metric::TARGET_FAILED.name,
+            Reason::StreamBroken => metric::STREAM_BROKEN.name,
+            Reason::CallerLeft => metric::CALLER_LEFT.name,
         }
     }
 
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use tansyknot_core::{clock::Time, event, name::TargetName, telemetry::Recorder};
+use tansyknot_core::{clock::Time, event, metric, name::TargetName, telemetry::Recorder};
 
 use crate::{
     keep::{Keeper, SharedLease},
@@ -129,7 +129,7 @@
                 ("accepted", &progress.orders),
                 ("reason", &stopped.name()),
             ]);
-            self.recorder.count("orders_failed", &task.target.service, 1);
+            self.recorder.count(metric::ORDERS_FAILED.name, &task.target.service, 1);
             self.ledger().targets.remove(&task.target.name);
             self.publish(&progress, progress.models.clone());
             return false;
@@ -204,7 +204,7 @@
             ("accepted", &progress.orders),
             ("took_ms", &self.now().since(began).as_millis()),
         ]);
-        self.recorder.count("orders", &progress.target.service, 1);
+        self.recorder.count(metric::ORDERS.name, &progress.target.service, 1);
         apply(&mut progress.models, &step.action);
         match &step.action {
             Action::Load { model, adapter: None } if ordered == Ordered::Accepted => {
--- a/crates/tansyknot-fleet/src/task/load.rs
+++ b/crates/tansyknot-fleet/src/task/load.rs
@@ -3,7 +3,7 @@
 use std::{sync::atomic::Ordering, time::Duration};
 
 use tansyknot_core::{
-    event,
+    event, metric,
     name::{ModelName, TargetName},
 };
 
@@ -27,7 +27,11 @@
         let loaded = self.look_for(progress, model);
         self.due.fetch_sub(1, Ordering::SeqCst);
         if loaded {
-            self.recorder.time("load", &progress.target.service, self.now().since(began));
+            self.recorder.time(
+                metric::LOAD.name,
+                &progress.target.service,
+                self.now().since(began),
+            );
             event::FLEET_TASK_DONE.emit(&[
                 ("target", &progress.target.name),
                 ("model", model),
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -16,7 +16,7 @@
 use tansyknot_config::fleet::FleetSettings;
 use tansyknot_core::{
     clock::{Clock, SystemClock, Time},
-    event,
+    event, metric,
     name::{self, ServiceName},
     telemetry::Recorder,
 };
@@ -98,15 +98,15 @@
         let age = |at: Option<Time>| at.map_or(-1.0, |at| now.since(at).as_secs_f64());
         let contacts = *self.state.contacts();
         let gauges = [
-            ("is_planner", f64::from(u8::from(self.lease.is_valid(now)))),
-            ("fence", self.lease.fence() as f64),
-            ("config_version", self.state.catalog().map_or(0, |c| c.version) as f64),
-            ("targets", self.state.fleet().targets().count() as f64),
-            ("list_call_age_seconds", age(contacts.list)),
-            ("config_call_age_seconds", age(contacts.config)),
+            (metric::IS_PLANNER, f64::from(u8::from(self.lease.is_valid(now)))),
+            (metric::FENCE, self.lease.fence() as f64),
+            (metric::CONFIG_VERSION, self.state.catalog().map_or(0, |c| c.version) as f64),
+            (metric::TARGETS, self.state.fleet().targets().count() as f64),
+            (metric::LIST_CALL_AGE, age(contacts.list)),
+            (metric::CONFIG_CALL_AGE, age(contacts.config)),
         ];
-        for (name, value) in gauges {
-            self.recorder.gauge(name, &daemon, value);
+        for (gauge, value) in gauges {
+            self.recorder.gauge(gauge.name, &daemon, value);
         }
     }
 }
@@ -200,11 +200,15 @@
         };
         let pages = Arc::new(Lifecycle::default());
         let ready = serve(settings.listen.ready, page_options(settings), Arc::new(ready), &pages)?;
-        if let Some(port) = settings.listen.metrics_port {
-            let (state, lease) = (Arc::clone(&state), Arc::clone(&lease));
-            let page = Arc::new(MetricsPage { recorder, state, lease });
-            serve(SocketAddr::new(host, port), page_options(settings), page, &pages)?;
-        }
+        let metrics = match settings.listen.metrics_port {
+            Some(port) => {
+                let (state, lease) = (Arc::clone(&state), Arc::clone(&lease));
+                let page = Arc::new(MetricsPage { recorder, state, lease });
+                let address = SocketAddr::new(host, port);
+                Some(serve(address, page_options(settings), page, &pages)?)
+            }
+            None => None,
+        };
 
         let follower = ConfigFollower::new(Arc::clone(&state), Arc::clone(&store));
         follow_config(follower, &state, &conductor);
@@ -217,6 +221,7 @@
             ("zone", &settings.availability_zone),
             ("callers", &callers),
             ("ready", &ready),
+            ("metrics", &metrics.map_or_else(String::new, |address| address.to_string())),
         ]);
         let grace = settings.bounds.stop_grace.duration();
         Ok(Self { lifecycle, keeper, grace })
--- a/crates/tansyknotd/tests/fleet.rs
+++ b/crates/tansyknotd/tests/fleet.rs
@@ -4,6 +4,7 @@
 mod launch;
 
 use std::{
+    collections::BTreeSet,
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
     path::PathBuf,
@@ -19,6 +20,7 @@
     runner::Runner,
     store::Store,
 };
+use tansyknot_core::metric;
 
 /// Nothing here takes this long; what does has failed.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -27,14 +29,15 @@
     child: Child,
     callers: SocketAddr,
     ready: SocketAddr,
+    metrics: SocketAddr,
     settings: PathBuf,
 }
 
 impl Daemon {
     fn start(name: &str, store: SocketAddr) -> Self {
         let settings = launch::settings(name, store);
-        let launch::Started { child, callers, ready } = launch::spawn(&settings);
-        let daemon = Self { child, callers, ready, settings };
+        let launch::Started { child, callers, ready, metrics } = launch::spawn(&settings);
+        let daemon = Self { child, callers, ready, metrics, settings };
         await_that(|| {
             ask(daemon.ready, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").contains("200")
         });
@@ -107,6 +110,26 @@
     assert_eq!(status.code(), Some(0));
 }
 
+#[test]
+fn page_of_figures_has_what_the_catalogue_lists_and_nothing_else() {
+    let (store, _runner) = platform();
+    let daemon = Daemon::start("d3", store.door().address);
+    assert!(dossier(daemon.callers, "id-1", "m1").contains("token 6"));
+    let page = ask(daemon.metrics, "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let names: BTreeSet<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("tansyknot_"))
+        .filter_map(|line| line.split('{').next())
+        .map(|name| name.strip_suffix("_count").unwrap_or(name))
+        .collect();
+    let known: BTreeSet<String> = metric::ALL.iter().map(metric::Metric::series).collect();
+    let unknown: Vec<&&str> = names.iter().filter(|name| !known.contains(**name)).collect();
+    assert!(unknown.is_empty(), "not in the catalogue: {unknown:?}");
+    for m in [metric::ANSWERED, metric::FIRST_EVENT, metric::LOAD, metric::STORE_CALLS] {
+        assert!(names.contains(m.series().as_str()), "{} is not on the page:\n{page}", m.series());
+    }
+}
+
 #[test]
 fn planner_that_is_killed_is_replaced_and_requests_wait_for_that() {
     let (store, runner) = platform();
--- a/crates/tansyknotd/tests/launch/mod.rs
+++ b/crates/tansyknotd/tests/launch/mod.rs
@@ -21,6 +21,7 @@
     pub(crate) child: Child,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
 }
 
 /// Writes the settings file of a daemon on loopback; the caller removes it.
@@ -29,7 +30,8 @@
     let path = std::env::temp_dir().join(file);
     let text = format!(
         "name: {name}\navailability_zone: z1\nlisten:\n  callers: 127.0.0.1:0\n  \
-         ready: 127.0.0.1:0\n  host: 127.0.0.1\n  peers_port: 0\nstore: {store}\nbounds:\n  \
+         ready: 127.0.0.1:0\n  host: 127.0.0.1\n  peers_port: 0\n  \
+         metrics_port: 0\nstore: {store}\nbounds:\n  \
          order_turn: 3000ms\n  retry_ratio: 0.2\n  retry_slack: 200\n  retry_window: 10s\n  \
          leave_within: 2s\n  config_within: 2s\n  heartbeat: 1200ms\n  stop_grace: 8s\n"
     );
@@ -59,18 +61,19 @@
             let _ = tx.send(line);
         }
     });
-    let (callers, ready) = addresses(&rx);
-    Started { child, callers, ready }
+    let [callers, ready, metrics] = addresses(&rx);
+    Started { child, callers, ready, metrics }
 }
 
 /// Waits for the line that says where a daemon listens.
-fn addresses(rx: &mpsc::Receiver<String>) -> (SocketAddr, SocketAddr) {
+fn addresses(rx: &mpsc::Receiver<String>) -> [SocketAddr; 3] {
     loop {
         let line = rx.recv_timeout(START).expect("the daemon says that it has started");
         let doc: Value = serde_json::from_str(&line).unwrap_or_default();
         let address = |name: &str| doc["kvs"][name].as_str().and_then(|text| text.parse().ok());
-        if let (Some(callers), Some(ready)) = (address("callers"), address("ready")) {
-            return (callers, ready);
+        let all = [address("callers"), address("ready"), address("metrics")];
+        if let [Some(callers), Some(ready), Some(metrics)] = all {
+            return [callers, ready, metrics];
         }
     }
 }
