Keep the planner's beat however often something changes

With a line for each news sent and heard (trial, taken out again), the planner's news are all 'due false' for seconds: each change put the next beat off by 0.3 s, and with waiting requests changes come more often than that. Between beats only what is new is told, to those who lost nothing; so a lost datagram was never repeated, the age of the list was not told, and after 0.8 s without a change all daemons took the planner for silent and asked the store. Ruled out: lost datagrams as such, a slow planner (0.03 of a core), the store. Change: pace.rs keeps the beat apart from changes; Occasion says which of the two a message is for, in place of a flag.

--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -16,6 +16,7 @@
     fleet::Whole,
     keep::SharedLease,
     outside::Action,
+    pace::{self, Occasion, Pace},
     peer::{self, Demand, MAX_BYTES, Message, News},
     plan::{Planner, Task, Tier},
     state::State,
@@ -25,11 +26,6 @@
 
 use telling::Told;
 
-/// How often demand and news are sent when nothing has changed.
-const BEAT: Duration = Duration::from_millis(300);
-/// The least pause between two messages that tell of a change.
-const BEAT_LEAST: Duration = Duration::from_millis(15);
-
 /// One daemon's part in the conversation.
 pub struct Conductor {
     state: Arc<State>,
@@ -151,28 +147,26 @@
     /// Sends demand, or plans and sends news, until the process ends.
     pub fn conduct(self: &Arc<Self>) {
         let mut seen = 0;
-        let mut sent = self.state.now();
+        let mut pace = Pace::new(self.state.now());
         loop {
-            let waited = BEAT.saturating_sub(self.state.now().since(sent));
-            let count = self.state.demand_changed.wait(seen, waited.max(BEAT_LEAST));
-            let is_urgent = count != seen;
+            let left = pace.left(self.state.now());
+            let count = self.state.demand_changed.wait(seen, left);
+            let has_changed = count != seen;
             seen = count;
-            let is_due = self.state.now().since(sent) >= BEAT;
-            if is_urgent || is_due {
-                sent = self.state.now();
-                self.step(is_due);
+            if let Some(occasion) = pace.occasion(has_changed, self.state.now()) {
+                self.step(occasion);
                 // Changes that come together are told together.
-                self.state.clock.sleep(BEAT_LEAST);
+                self.state.clock.sleep(pace::PAUSE_LEAST);
             }
         }
     }
 
     /// Does once what is due: demand to the planner, or planning and news.
-    pub fn step(self: &Arc<Self>, is_due: bool) {
+    pub fn step(self: &Arc<Self>, occasion: Occasion) {
         let now = self.state.now();
         let demand = self.demand(now);
         if self.lease.is_valid(now) {
-            self.lead(demand, is_due, now);
+            self.lead(demand, occasion, now);
         } else {
             self.told().was_planner = false;
             self.send_demand(demand);
@@ -200,7 +194,7 @@
         }
     }
 
-    fn lead(self: &Arc<Self>, demand: Demand, is_due: bool, now: Time) {
+    fn lead(self: &Arc<Self>, demand: Demand, occasion: Occasion, now: Time) {
         {
             let mut told = self.told();
             if !told.was_planner {
@@ -210,7 +204,7 @@
         }
         self.planner().hear(demand, now);
         self.plan(now);
-        self.send_news(is_due, now);
+        self.send_news(occasion, now);
     }
 
     fn plan(self: &Arc<Self>, now: Time) {
--- a/crates/tansyknot-fleet/src/conduct/telling.rs
+++ b/crates/tansyknot-fleet/src/conduct/telling.rs
@@ -8,6 +8,7 @@
 use crate::{
     fleet::Whole,
     news::ListRead,
+    pace::Occasion,
     peer::{self, Message, News, TargetNote, millis},
     plan::DAEMON_SPAN,
 };
@@ -38,17 +39,20 @@
 
 impl Conductor {
     /// Tells all daemons what is new, or on a beat all that may have been lost.
-    pub(super) fn send_news(&self, is_due: bool, now: Time) {
+    pub(super) fn send_news(&self, occasion: Occasion, now: Time) {
         let mut notes = self.state.fleet().notes();
         let (after, beat, peers): (u64, u32, Vec<SocketAddr>) = {
             let mut told = self.told();
             let list = self.state.fleet().log.last();
             let config = self.state.catalog().map_or(0, |c| c.version);
             // Between two beats only what is new is told; a beat repeats what may have been lost.
-            let after = if is_due { 0 } else { told.versions.0 };
-            let has_changed = keep_news(&mut told, &mut notes, is_due, now)
+            let after = match occasion {
+                Occasion::Beat => 0,
+                Occasion::Change => told.versions.0,
+            };
+            let has_changed = keep_news(&mut told, &mut notes, occasion, now)
                 | (std::mem::replace(&mut told.versions, (list, config)) != (list, config));
-            if !is_due && !has_changed {
+            if occasion == Occasion::Change && !has_changed {
                 return;
             }
             told.peers.retain(|_, heard| now.since(*heard) < DAEMON_SPAN);
@@ -104,7 +108,7 @@
 }
 
 /// Keeps the notes that have not been told for long; tells whether one is new.
-fn keep_news(told: &mut Told, notes: &mut Vec<TargetNote>, repeat: bool, now: Time) -> bool {
+fn keep_news(told: &mut Told, notes: &mut Vec<TargetNote>, occasion: Occasion, now: Time) -> bool {
     let mut has_changed = false;
     notes.retain(|n| {
         let known = told.notes.get(&n.target).filter(|(revision, _)| *revision == n.revision);
@@ -113,7 +117,7 @@
             has_changed = true;
             return true;
         };
-        repeat && now.since(*first) < NOTE_SPAN
+        occasion == Occasion::Beat && now.since(*first) < NOTE_SPAN
     });
     has_changed
 }
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod news;
 pub mod outside;
+pub mod pace;
 pub mod peer;
 pub mod plan;
 pub mod relay;
