--- a/crates/tansyknot-fleet/tests/lease.rs
+++ b/crates/tansyknot-fleet/tests/lease.rs
@@ -6,7 +6,7 @@
 
 use support::{Daemon, FakeStore, StoreFault};
 use tansyknot_core::{
-    clock::{Clock, ManualClock},
+    clock::{Clock, ManualClock, Time},
     name::TargetName,
 };
 use tansyknot_fleet::{keep::Reluctance, lease};
@@ -27,6 +27,17 @@
     }
 }
 
+/// Lets `d` alone do what is due until it may order; returns when that is.
+fn until_it_may_order(clock: &ManualClock, d: &Daemon) -> Time {
+    for _ in 0..200 {
+        run(clock, &[d], 50);
+        if may_order(d) {
+            return clock.now();
+        }
+    }
+    panic!("the lease is not taken over in 10 s");
+}
+
 fn may_order(d: &Daemon) -> bool {
     d.may_order()
 }
@@ -50,15 +61,7 @@
     let (a, b) = (Daemon::new("a", &store, &clock), Daemon::new("b", &store, &clock));
     run(&clock, &[&a, &b], 2_000);
     let last = a.last_order_possible();
-    let mut ordered = None;
-    for _ in 0..200 {
-        run(&clock, &[&b], 50);
-        if may_order(&b) {
-            ordered = Some(clock.now());
-            break;
-        }
-    }
-    let ordered = ordered.expect("the lease is taken over");
+    let ordered = until_it_may_order(&clock, &b);
     assert!(ordered.since(last) >= TURN, "{:?}", ordered.since(last));
     assert!(ordered.since(last) < TURN + Duration::from_secs(1));
     assert!(b.lease.fence() > a.fence_seen());
@@ -155,15 +158,8 @@
     let released = clock.now();
     assert!(!may_order(&a));
     // The released daemon drains and takes nothing any more.
-    let mut ordered = None;
-    for _ in 0..200 {
-        run(&clock, &[&b], 50);
-        if may_order(&b) {
-            ordered = Some(clock.now());
-            break;
-        }
-    }
-    let span = ordered.expect("the lease is taken").since(released);
+    let ordered = until_it_may_order(&clock, &b);
+    let span = ordered.since(released);
     assert!(span >= TURN && span < TURN + lease::TAKE_AFTER, "{span:?}");
 }
 
@@ -195,15 +191,8 @@
         run(&clock, &[&b], 50);
     }
     b.keeper.release();
-    let mut ordered = None;
-    for _ in 0..200 {
-        run(&clock, &[&c], 50);
-        if may_order(&c) {
-            ordered = Some(clock.now());
-            break;
-        }
-    }
-    let span = ordered.expect("the lease is taken").since(last);
+    let ordered = until_it_may_order(&clock, &c);
+    let span = ordered.since(last);
     assert!(span >= TURN, "{span:?}");
 }
 
@@ -218,15 +207,8 @@
         run(&clock, &[&b], 50);
     }
     let again = Daemon::new("b", &store, &clock);
-    let mut ordered = None;
-    for _ in 0..200 {
-        run(&clock, &[&again], 50);
-        if may_order(&again) {
-            ordered = Some(clock.now());
-            break;
-        }
-    }
-    let span = ordered.expect("the lease is taken").since(last);
+    let ordered = until_it_may_order(&clock, &again);
+    let span = ordered.since(last);
     assert!(span >= TURN, "{span:?}");
 }
 
@@ -241,15 +223,8 @@
     // The new run takes the lease and gives it up before it has ordered anything.
     again.keeper.step();
     again.keeper.release();
-    let mut ordered = None;
-    for _ in 0..200 {
-        run(&clock, &[&b], 50);
-        if may_order(&b) {
-            ordered = Some(clock.now());
-            break;
-        }
-    }
-    let span = ordered.expect("the lease is taken").since(last);
+    let ordered = until_it_may_order(&clock, &b);
+    let span = ordered.since(last);
     assert!(span >= TURN, "{span:?}");
 }
 
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -1,13 +1,13 @@
 //! A daemon that serves a fleet of shared targets: its threads, its start and its planned stop.
 
+mod calls;
+mod pages;
+
 use std::{
     collections::BTreeMap,
     io,
-    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    net::{SocketAddr, TcpListener, UdpSocket},
+    sync::{Arc, Mutex, atomic::AtomicBool},
     thread,
     time::{Duration, Instant},
 };
@@ -15,10 +15,8 @@
 use tansyknot_adapter::{header::PlatformHeaders, runner::Runners, store::RowStore};
 use tansyknot_config::fleet::FleetSettings;
 use tansyknot_core::{
-    clock::{Clock, SystemClock, Time},
-    event, metric,
-    name::{self, ServiceName},
-    telemetry::Recorder,
+    clock::{Clock, SystemClock},
+    event, name,
 };
 use tansyknot_fleet::{
     budget::BudgetOptions,
@@ -34,15 +32,11 @@
     stop::StopPlan,
     task::Orders,
 };
-use tansyknot_http::{
-    respond::{self, After, Whole},
-    server::{self, Handler, KeptConnections, Lifecycle, Request, ServerOptions},
-};
+use tansyknot_http::server::{self, Handler, KeptConnections, Lifecycle, ServerOptions};
 
 use crate::page::PageRecorder;
+use pages::{MetricsPage, ReadyPage};
 
-/// How often the list of targets is followed while a load should be done.
-const FOLLOW_LOADS: Duration = Duration::from_millis(90);
 /// How often the stop looks whether requests are under way.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 /// A planner with 70 daemons sends some 25 Mbit/s while many targets change (docs/ROUNDS.md).
@@ -57,74 +51,6 @@
     grace: Duration,
 }
 
-/// Answers whether the daemon takes callers.
-struct ReadyPage {
-    state: Arc<State>,
-    targets_known: Arc<AtomicBool>,
-    lifecycle: Arc<Lifecycle>,
-    was_ready: AtomicBool,
-}
-
-impl ReadyPage {
-    fn is_ready(&self) -> bool {
-        let Some(catalog) = self.state.catalog() else { return false };
-        let is_ready = !self.lifecycle.is_draining() && self.targets_known.load(Ordering::SeqCst);
-        if is_ready && !self.was_ready.swap(true, Ordering::SeqCst) {
-            let targets = self.state.fleet().targets().count();
-            event::FLEET_READY.emit(&[("config", &catalog.version), ("targets", &targets)]);
-        }
-        is_ready
-    }
-}
-
-impl Handler for ReadyPage {
-    fn handle(&self, _: Request, stream: &mut TcpStream, after: After) -> io::Result<After> {
-        let status = if self.is_ready() { 200 } else { 503 };
-        text(stream, status, String::new(), after)
-    }
-}
-
-struct MetricsPage {
-    recorder: Arc<PageRecorder>,
-    state: Arc<State>,
-    lease: Arc<SharedLease>,
-}
-
-impl MetricsPage {
-    /// Takes what a daemon believes now into the figures.
-    fn look(&self) {
-        let daemon = ServiceName::from("daemon");
-        let now = self.state.now();
-        let age = |at: Option<Time>| at.map_or(-1.0, |at| now.since(at).as_secs_f64());
-        let contacts = *self.state.contacts();
-        let gauges = [
-            (metric::IS_PLANNER, f64::from(u8::from(self.lease.is_valid(now)))),
-            (metric::FENCE, self.lease.fence() as f64),
-            (metric::CONFIG_VERSION, self.state.catalog().map_or(0, |c| c.version) as f64),
-            (metric::TARGETS, self.state.fleet().targets().count() as f64),
-            (metric::LIST_CALL_AGE, age(contacts.list)),
-            (metric::CONFIG_CALL_AGE, age(contacts.config)),
-        ];
-        for (gauge, value) in gauges {
-            self.recorder.gauge(gauge.name, &daemon, value);
-        }
-    }
-}
-
-impl Handler for MetricsPage {
-    fn handle(&self, _: Request, stream: &mut TcpStream, after: After) -> io::Result<After> {
-        self.look();
-        text(stream, 200, self.recorder.page(), after)
-    }
-}
-
-fn text(stream: &mut TcpStream, status: u16, body: String, after: After) -> io::Result<After> {
-    let content_type = "text/plain; charset=utf-8".to_owned();
-    let whole = Whole { status, content_type, headers: Vec::new(), body: body.into_bytes() };
-    respond::write_whole(stream, &whole, after)?;
-    Ok(after)
-}
-
 impl FleetDaemon {
     /// Starts every thread of the daemon.
     ///
@@ -211,9 +137,9 @@
         };
 
         let follower = ConfigFollower::new(Arc::clone(&state), Arc::clone(&store));
-        follow_config(follower, &state, &conductor);
+        calls::follow_config(follower, &state, &conductor);
         let follower = TargetFollower::new(Arc::clone(&state), store, targets_known);
-        follow_targets(follower, &state, &conductor);
+        calls::follow_targets(follower, &state, &conductor);
         keep(&keeper);
         converse(&conductor);
         event::STARTED.emit(&[
@@ -299,99 +225,6 @@
     Ok(address)
 }
 
-fn follow_config(mut follower: ConfigFollower, state: &Arc<State>, conductor: &Arc<Conductor>) {
-    let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
-    spawn("config", move || {
-        loop {
-            let began = state.now();
-            let pause = follower.step();
-            pause_calls(&state, began, pause);
-            await_config_call(&state, &conductor);
-        }
-    });
-}
-
-/// Waits for the pause after a call that began at `began`, or until the store has answered
-/// another call since then.
-fn pause_calls(state: &State, began: Time, pause: Duration) {
-    let until = state.now() + pause;
-    loop {
-        let seen = state.call_due.count();
-        let left = until.since(state.now());
-        let has_returned = state.contacts().returned.is_some_and(|at| at > began);
-        if left.is_zero() || has_returned {
-            return;
-        }
-        state.call_due.wait(seen, left);
-    }
-}
-
-/// Waits as long as the planner's news of the configuration are fresh.
-fn await_config_call(state: &State, conductor: &Conductor) {
-    loop {
-        let seen = state.call_due.count();
-        let mine = state.catalog().map_or(0, |c| c.version);
-        let left = state.followed().config_fresh_for(mine, state.now());
-        if conductor.is_planner() || mine == 0 || left.is_zero() {
-            return;
-        }
-        state.call_due.wait(seen, left);
-    }
-}
-
-fn follow_targets(mut follower: TargetFollower, state: &Arc<State>, conductor: &Arc<Conductor>) {
-    let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
-    spawn("targets", move || {
-        let mut was_planner = false;
-        loop {
-            let is_planner = conductor.is_planner();
-            if is_planner && !was_planner {
-                follower.read_anew();
-            }
-            was_planner = is_planner;
-            let began = state.now();
-            if !follower.step() {
-                pause_calls(&state, began, follower.pause());
-                await_list_call(&state, &conductor, Duration::ZERO);
-            } else if conductor.is_planner() {
-                pause_planner(&state, &conductor);
-            } else {
-                // Without fresh news the list is read at the pace of a planner.
-                await_list_call(&state, &conductor, state.spans.list_pace);
-            }
-        }
-    });
-}
-
-/// Waits until the list is to be followed again, sooner if a load is due.
-fn pause_planner(state: &State, conductor: &Conductor) {
-    let began = Instant::now();
-    let mut seen = state.demand_changed.count();
-    loop {
-        let pace = state.spans.list_pace;
-        let span = if conductor.awaits_load() { pace.min(FOLLOW_LOADS) } else { pace };
-        let left = span.saturating_sub(began.elapsed());
-        if left.is_zero() {
-            return;
-        }
-        seen = state.demand_changed.wait(seen, left);
-    }
-}
-
-/// Waits at least for `least`, and as long as the planner's news of the list are fresh.
-fn await_list_call(state: &State, conductor: &Conductor, least: Duration) {
-    let until = state.now() + least;
-    loop {
-        let seen = state.call_due.count();
-        let now = state.now();
-        let left = state.followed().list_fresh_for(now).max(until.since(now));
-        if conductor.is_planner() || left.is_zero() {
-            return;
-        }
-        state.call_due.wait(seen, left);
-    }
-}
-
 fn keep(keeper: &Arc<Keeper>) {
     let keeper = Arc::clone(keeper);
     spawn("lease", move || {
--- /dev/null
+++ b/crates/tansyknotd/src/fleet/calls.rs
@@ -0,0 +1,121 @@
+//! The threads that follow the store, and when each of them makes its next call.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tansyknot_core::clock::Time;
+use tansyknot_fleet::{
+    conduct::Conductor,
+    follow::{ConfigFollower, TargetFollower},
+    state::State,
+};
+
+use super::spawn;
+
+/// How often the list of targets is followed while a load should be done.
+const FOLLOW_LOADS: Duration = Duration::from_millis(90);
+
+/// Starts the thread that follows the operators' configuration.
+pub(super) fn follow_config(
+    mut follower: ConfigFollower,
+    state: &Arc<State>,
+    conductor: &Arc<Conductor>,
+) {
+    let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
+    spawn("config", move || {
+        loop {
+            let began = state.now();
+            let pause = follower.step();
+            pause_calls(&state, began, pause);
+            await_config_call(&state, &conductor);
+        }
+    });
+}
+
+/// Waits for the pause after a call that began at `began`, or until the store has answered
+/// another call since then.
+fn pause_calls(state: &State, began: Time, pause: Duration) {
+    let until = state.now() + pause;
+    loop {
+        let seen = state.call_due.count();
+        let left = until.since(state.now());
+        let has_returned = state.contacts().returned.is_some_and(|at| at > began);
+        if left.is_zero() || has_returned {
+            return;
+        }
+        state.call_due.wait(seen, left);
+    }
+}
+
+/// Waits as long as the planner's news of the configuration are fresh.
+fn await_config_call(state: &State, conductor: &Conductor) {
+    loop {
+        let seen = state.call_due.count();
+        let mine = state.catalog().map_or(0, |c| c.version);
+        let left = state.followed().config_fresh_for(mine, state.now());
+        if conductor.is_planner() || mine == 0 || left.is_zero() {
+            return;
+        }
+        state.call_due.wait(seen, left);
+    }
+}
+
+/// Starts the thread that follows the list of targets.
+pub(super) fn follow_targets(
+    mut follower: TargetFollower,
+    state: &Arc<State>,
+    conductor: &Arc<Conductor>,
+) {
+    let (state, conductor) = (Arc::clone(state), Arc::clone(conductor));
+    spawn("targets", move || {
+        let mut was_planner = false;
+        loop {
+            let is_planner = conductor.is_planner();
+            if is_planner && !was_planner {
+                follower.read_anew();
+            }
+            was_planner = is_planner;
+            let began = state.now();
+            if !follower.step() {
+                pause_calls(&state, began, follower.pause());
+                await_list_call(&state, &conductor, Duration::ZERO);
+            } else if conductor.is_planner() {
+                pause_planner(&state, &conductor);
+            } else {
+                // Without fresh news the list is read at the pace of a planner.
+                await_list_call(&state, &conductor, state.spans.list_pace);
+            }
+        }
+    });
+}
+
+/// Waits until the list is to be followed again, sooner if a load is due.
+fn pause_planner(state: &State, conductor: &Conductor) {
+    let began = Instant::now();
+    let mut seen = state.demand_changed.count();
+    loop {
+        let pace = state.spans.list_pace;
+        let span = if conductor.awaits_load() { pace.min(FOLLOW_LOADS) } else { pace };
+        let left = span.saturating_sub(began.elapsed());
+        if left.is_zero() {
+            return;
+        }
+        seen = state.demand_changed.wait(seen, left);
+    }
+}
+
+/// Waits at least for `least`, and as long as the planner's news of the list are fresh.
+fn await_list_call(state: &State, conductor: &Conductor, least: Duration) {
+    let until = state.now() + least;
+    loop {
+        let seen = state.call_due.count();
+        let now = state.now();
+        let left = state.followed().list_fresh_for(now).max(until.since(now));
+        if conductor.is_planner() || left.is_zero() {
+            return;
+        }
+        state.call_due.wait(seen, left);
+    }
+}
--- /dev/null
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -0,0 +1,88 @@
+//! The pages of a daemon: whether it takes callers, and its figures.
+
+use std::{
+    io,
+    net::TcpStream,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use tansyknot_core::{clock::Time, event, metric, name::ServiceName, telemetry::Recorder};
+use tansyknot_fleet::{keep::SharedLease, state::State};
+use tansyknot_http::{
+    respond::{self, After, Whole},
+    server::{Handler, Lifecycle, Request},
+};
+
+use crate::page::PageRecorder;
+
+/// Answers whether the daemon takes callers.
+pub(super) struct ReadyPage {
+    pub(super) state: Arc<State>,
+    pub(super) targets_known: Arc<AtomicBool>,
+    pub(super) lifecycle: Arc<Lifecycle>,
+    pub(super) was_ready: AtomicBool,
+}
+
+impl ReadyPage {
+    fn is_ready(&self) -> bool {
+        let Some(catalog) = self.state.catalog() else { return false };
+        let is_ready = !self.lifecycle.is_draining() && self.targets_known.load(Ordering::SeqCst);
+        if is_ready && !self.was_ready.swap(true, Ordering::SeqCst) {
+            let targets = self.state.fleet().targets().count();
+            event::FLEET_READY.emit(&[("config", &catalog.version), ("targets", &targets)]);
+        }
+        is_ready
+    }
+}
+
+impl Handler for ReadyPage {
+    fn handle(&self, _: Request, stream: &mut TcpStream, after: After) -> io::Result<After> {
+        let status = if self.is_ready() { 200 } else { 503 };
+        text(stream, status, String::new(), after)
+    }
+}
+
+/// Writes the figures.
+pub(super) struct MetricsPage {
+    pub(super) recorder: Arc<PageRecorder>,
+    pub(super) state: Arc<State>,
+    pub(super) lease: Arc<SharedLease>,
+}
+
+impl MetricsPage {
+    /// Takes what a daemon believes now into the figures.
+    fn look(&self) {
+        let daemon = ServiceName::from("daemon");
+        let now = self.state.now();
+        let age = |at: Option<Time>| at.map_or(-1.0, |at| now.since(at).as_secs_f64());
+        let contacts = *self.state.contacts();
+        let gauges = [
+            (metric::IS_PLANNER, f64::from(u8::from(self.lease.is_valid(now)))),
+            (metric::FENCE, self.lease.fence() as f64),
+            (metric::CONFIG_VERSION, self.state.catalog().map_or(0, |c| c.version) as f64),
+            (metric::TARGETS, self.state.fleet().targets().count() as f64),
+            (metric::LIST_CALL_AGE, age(contacts.list)),
+            (metric::CONFIG_CALL_AGE, age(contacts.config)),
+        ];
+        for (gauge, value) in gauges {
+            self.recorder.gauge(gauge.name, &daemon, value);
+        }
+    }
+}
+
+impl Handler for MetricsPage {
+    fn handle(&self, _: Request, stream: &mut TcpStream, after: After) -> io::Result<After> {
+        self.look();
+        text(stream, 200, self.recorder.page(), after)
+    }
+}
+
+fn text(stream: &mut TcpStream, status: u16, body: String, after: After) -> io::Result<After> {
+    let content_type = "text/plain; charset=utf-8".to_owned();
+    let whole = Whole { status, content_type, headers: Vec::new(), body: body.into_bytes() };
+    respond::write_whole(stream, &whole, after)?;
+    Ok(after)
+}
