--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use tansyknot_core::{Result, event};
+use tansyknot_core::{Result, clock::Time, event};
 
 use crate::{
     backoff::Backoff,
@@ -133,6 +133,13 @@
         self.version = None;
     }
 
+    /// Tells whether the list has been unknown for so long that entries may have lapsed with the
+    /// store away. If news have kept it known, it is this daemon alone that lost the store.
+    fn may_have_lapsed(&self, now: Time) -> bool {
+        let known_at = self.state.followed().list_known_at().max(self.state.contacts().list);
+        known_at.is_none_or(|at| now.since(at) >= self.state.spans.lapse)
+    }
+
     /// Returns how long to pause after a call that failed.
     pub fn pause(&mut self) -> Duration {
         self.contact.backoff.failed(&mut rand::rng())
@@ -158,7 +165,7 @@
             }),
         };
         let now = self.state.now();
-        if self.contact.take(&result, &self.state) {
+        if self.contact.take(&result, &self.state) && self.may_have_lapsed(now) {
             self.state.fleet().store_returned(now);
         }
         let mut is_changed = self.version.is_some() && !self.known.swap(true, Ordering::SeqCst);
--- a/crates/tansyknot-fleet/src/news.rs
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -204,6 +204,8 @@
     /// A call that begins now makes every change up to this number known.
     newest: u64,
     list_at: Option<Time>,
+    /// The same under an earlier planner.
+    list_known_at: Option<Time>,
     list_version: u64,
     config_at: Option<Time>,
     config_version: u64,
@@ -218,8 +220,10 @@
     /// Takes in news of the list; returns the changes that are new, or none if one is missing.
     pub fn list(&mut self, fence: u64, news: ListNews, now: Time) -> Vec<ListChange> {
         if self.fence != fence {
-            let config_version = self.config_version;
-            *self = Self { fence, config_version, ..Self::new(self.spans) };
+            // What is known of the store stays known under another planner.
+            let Self { spans, list_version, list_at, config_version, .. } = *self;
+            let list_known_at = list_at.or(self.list_known_at);
+            *self = Self { fence, list_version, list_known_at, config_version, ..Self::new(spans) };
         }
         self.newest = self.newest.max(news.newest);
         let Some(number) = self.number.filter(|n| *n >= news.from) else { return Vec::new() };
@@ -244,6 +248,11 @@
         self.list_version
     }
 
+    /// Returns the last moment as of which the list was known by news.
+    pub fn list_known_at(&self) -> Option<Time> {
+        self.list_at.max(self.list_known_at)
+    }
+
     /// Returns the number that a call that begins now will make known.
     pub fn before_call(&self) -> (u64, u64) {
         (self.fence, self.newest)
--- a/crates/tansyknot-fleet/src/spans.rs
+++ b/crates/tansyknot-fleet/src/spans.rs
@@ -37,6 +37,8 @@
 const CONFIG_WAIT_SHARE: f64 = 0.5;
 /// Entries are up to this many heartbeats old.
 const ENTRY_HEARTBEATS: u32 = 2;
+/// An entry lapses three heartbeats after its last one, which is up to one before an outage.
+const LAPSE_HEARTBEATS: u32 = 2;
 /// What the store and the way take beside that.
 const ENTRY_MARGIN: Duration = Duration::from_millis(100);
 
@@ -53,6 +55,8 @@
     pub config_wait: Duration,
     /// A note of the planner goes before the list this long.
     pub note: Duration,
+    /// Entries may have lapsed if the store was away for longer.
+    pub lapse: Duration,
 }
 
 impl Spans {
@@ -63,6 +67,7 @@
             list_pace: bounds.leave_within.mul_f64(LIST_PACE_SHARE).min(LIST_PACE_MOST),
             config: bounds.config_within.mul_f64(CONFIG_SHARE),
             config_wait: bounds.config_within.mul_f64(CONFIG_WAIT_SHARE),
+            lapse: bounds.heartbeat * LAPSE_HEARTBEATS,
             note: bounds.heartbeat * ENTRY_HEARTBEATS + ENTRY_MARGIN,
         }
     }
--- a/crates/tansyknot-fleet/tests/follow.rs
+++ b/crates/tansyknot-fleet/tests/follow.rs
@@ -8,13 +8,19 @@
 };
 
 use support::{FakeStore, StoreFault, state, target};
-use tansyknot_core::{clock::ManualClock, name::TargetName};
+use tansyknot_core::{
+    clock::{ManualClock, Time},
+    name::TargetName,
+};
 use tansyknot_fleet::{
     follow::TargetFollower,
-    news::{ChangeLog, ListRead},
+    news::{ChangeLog, Followed, ListRead},
     outside::{TargetChange, TargetNews},
 };
 
+/// An outage of the store in which entries may lapse: three heartbeats.
+const OUTAGE: Duration = Duration::from_millis(3600);
+
 #[test]
 fn list_is_read_at_once_when_the_store_has_forgotten() {
     let store = FakeStore::new();
@@ -56,11 +62,13 @@
 fn store_that_is_away_leaves_the_view() {
     let store = FakeStore::new();
     let door = store.door();
-    let state = state(&ManualClock::new());
+    let clock = ManualClock::new();
+    let state = state(&clock);
     let known = Arc::new(AtomicBool::new(false));
     store.set_list(vec![target("t1", &[], &[])]);
     let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
     assert!(follower.step());
+    clock.advance(OUTAGE);
     door.set(StoreFault::Silent);
     assert!(!follower.step());
     assert!(state.fleet().target(&TargetName::from("t1")).is_some());
@@ -73,3 +81,46 @@
         "it may have lapsed while the store was away"
     );
 }
+
+#[test]
+fn entry_that_goes_after_a_call_that_failed_is_gone_if_news_kept_the_view_fresh() {
+    let store = FakeStore::new();
+    let door = store.door();
+    let clock = ManualClock::new();
+    let state = state(&clock);
+    let known = Arc::new(AtomicBool::new(false));
+    store.set_list(vec![target("t1", &[], &[])]);
+    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
+    assert!(follower.step());
+    door.set(StoreFault::Silent);
+    assert!(!follower.step(), "this daemon alone lost the store");
+    door.set(StoreFault::None);
+    let mut log = ChangeLog::default();
+    for _ in 0..20 {
+        clock.advance(Duration::from_millis(500));
+        let news = log.news(0, ListRead { age: Duration::ZERO, version: 1 }, state.now());
+        state.followed().list(1, news, state.now());
+        let mark = state.followed().before_call();
+        state.followed().after_call(mark);
+    }
+    clock.advance(Duration::from_millis(1900));
+    let gone = TargetChange::Removed(TargetName::from("t1"));
+    store.push_news(TargetNews::Changes { changes: vec![gone], version: 9 });
+    assert!(follower.step());
+    assert!(state.fleet().target(&TargetName::from("t1")).is_none());
+}
+
+#[test]
+fn calls_go_on_from_what_was_known_when_the_planner_changes() {
+    let mut followed = Followed::default();
+    let now = Time::from_millis(10_000);
+    let mut log = ChangeLog::default();
+    for _ in 0..2 {
+        followed.list(1, log.news(0, ListRead { age: Duration::ZERO, version: 77 }, now), now);
+        let mark = followed.before_call();
+        followed.after_call(mark);
+    }
+    assert_eq!(followed.list_version(), 77);
+    followed.list(2, log.news(0, ListRead { age: Duration::ZERO, version: 0 }, now), now);
+    assert_eq!(followed.list_version(), 77);
+}
