--- a/bench/variants.py
+++ b/bench/variants.py
@@ -12,7 +12,6 @@
 
 # Kinds of trouble that the sites of the first milestone lack.
 MORE_TROUBLES = """
-  { kind = "srv_flap", share = 0.2, for_s = 6.0, gap_s = 1.5 },
   { kind = "scale_out", share = 0.3 },
   { kind = "reset_conns", share = 0.4, x = 0.6, for_s = 5.0 },
   { kind = "hup", share = 0.5 },
@@ -34,6 +33,7 @@
 
 # Kinds that need the contracts of the grown sites.
 HEALTH_TROUBLES = """
+  { kind = "srv_flap", share = 0.2, for_s = 6.0, gap_s = 1.5 },
   { kind = "srv_lying_health", share = 0.2, for_s = 5.0, how = "errors" },
   { kind = "srv_lying_health", share = 0.2, for_s = 5.0, how = "hang" },
   { kind = "srv_lying_health", share = 0.2, for_s = 5.0, how = "bad" },
