Free a target once its load is used; ask again sooner; wait for a target in use before the weight store

Ruled out: late news of loads (a load is known 10 ms after its end in the middle).

Changes: a model that was loaded stays until a request has been seen there (1.5 s at most), which daemons tell at once; conflicts are asked for again after 10 ms, doubling; what makes way is the cheapest set of models, one in use counts with the time until it should be idle, and a target is waited for if that is sooner than a load elsewhere.

--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod round;
 mod tier;
+mod way;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -27,6 +28,7 @@
 use demand::{Daemon, Demand};
 use round::{ModelView, Round, Scope};
 pub use tier::Tier;
+use way::{Victim, Way};
 
 /// Requests in flight for one copy above which another copy is loaded, at most.
 const PER_COPY_MOST: f64 = 20.0;
@@ -41,13 +43,14 @@
 const STEP_SPAN: Duration = Duration::from_millis(100);
 /// How long a task at a target usually takes, for weighing it against another target.
 const TASK_SPAN_S: f64 = 1.2;
-/// What making way costs in seconds, beside what is lost with the model.
-const EVICT_S: f64 = 0.15;
 /// What losing a model that one request a second asks for costs, in seconds of load time.
 const RATE_WEIGHT_S: f64 = 2.0;
 /// What losing a copy that is not needed costs against one that is.
 const SPARE_COPY_WEIGHT: f64 = 0.1;
-/// A model stays this long after its load, so that those who waited can be sent.
+/// A model that has been loaded stays until a request has been seen there, or this long if none
+/// comes: those who waited learn of it by datagrams, which may be lost and repeated. Without the
+/// first half a target waits out the span before its next load, though a request that waited
+/// takes 0.2 s: 0.03 of worth (docs/ROUNDS.md).
 const SETTLE: Duration = Duration::from_millis(1500);
 /// Loads from the weight store that may begin within [`REMOTE_WINDOW`]; two planners in turn
 /// keep below what the platform allows.
@@ -110,7 +113,8 @@
     demand: HashMap<Key, Demand>,
     pending: HashMap<TargetName, Pending>,
     blocked: HashMap<TargetName, Time>,
-    settled: HashMap<(TargetName, ModelName), Time>,
+    /// Models that were loaded lately, and when, until a request has been seen there.
+    settling: HashMap<(TargetName, ModelName), Time>,
     remote: VecDeque<Time>,
 }
 
@@ -119,7 +123,7 @@
     pub fn ended(&mut self, target: &TargetName, succeeded: bool, now: Time) {
         if let Some(pending) = self.pending.remove(target) {
             for model in pending.loads {
-                self.settled.insert((target.clone(), model), now);
+                self.settling.insert((target.clone(), model), now);
             }
         }
         if !succeeded {
@@ -145,7 +149,7 @@
         now: Time,
     ) -> Vec<Task> {
         self.blocked.retain(|_, until| now < *until);
-        self.settled.retain(|_, at| now.since(*at) < SETTLE);
+        self.settling.retain(|_, at| now.since(*at) < SETTLE);
         let mut tasks = Vec::new();
         for service in catalog.services.values() {
             let Some(engine) = &service.engine else { continue };
@@ -154,6 +158,7 @@
             let is_open =
                 |t: &&Arc<Target>| t.service == service.name && t.is_ready() && usable(&t.name);
             let round = Round::new(self, scope, targets.iter().filter(is_open).collect());
+            self.settling.retain(|(target, model), _| round.in_flight(target, model) == 0);
             self.plan_models(&round, &mut tasks);
             self.plan_adapters(&round, &mut tasks);
         }
@@ -190,7 +195,7 @@
                 _ => urgency(waiting, view.waited, round),
             };
         }
-        let is_new = self.settled.keys().any(|(_, m)| m == model);
+        let is_new = self.settling.keys().any(|(_, m)| m == model);
         if coming == 0 && view.waiting > 0 && view.waited > UNUSABLE_AFTER && !is_new {
             // There are copies, but those who wait can't use them.
             return urgency(view.waiting, view.waited, round);
@@ -203,7 +208,8 @@
         if is_overloaded { OVERLOAD_LACK + share } else { share }
     }
 
-    /// Finds the target where a model is loaded soonest at the least loss.
+    /// Finds the target where a model is loaded soonest at the least loss. The task is `None` if
+    /// that target has to be waited for.
     fn place(&self, round: &Round<'_>, model: &ModelName) -> Option<Task> {
         let about = round.scope.engine.models.get(model)?;
         let is_extra = round.model(model).copies > 0;
@@ -216,8 +222,8 @@
             if tier == Tier::Remote && !self.remote_allowed(round) {
                 continue;
             }
-            let Some((victims, loss)) = self.make_way(round, target, about) else { continue };
-            let mut cost = tier.load_time(about).as_secs_f64() + loss;
+            let Some(way) = self.make_way(round, target, about) else { continue };
+            let mut cost = tier.load_time(about).as_secs_f64() + way.loss_s + way.wait_s;
             let is_pending = self.pending.contains_key(&target.name);
             let is_blocked = self.blocked.contains_key(&target.name);
             if is_pending || is_blocked {
@@ -226,55 +232,38 @@
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
                 continue;
             }
-            let task =
-                (!is_pending && !is_blocked).then(|| load_task(target, victims, about, tier));
+            let is_free = !is_pending && !is_blocked && way.wait_s == 0.0;
+            let task = is_free.then(|| load_task(target, way.victims, about, tier));
             best = Some((cost, task));
         }
         best?.1
     }
 
-    /// Chooses what makes way on `target` for `about`, and what that costs in seconds.
-    fn make_way(
-        &self,
-        round: &Round<'_>,
-        target: &Target,
-        about: &Model,
-    ) -> Option<(Vec<ModelName>, f64)> {
+    /// Chooses what makes way on `target` for `about` at the least cost.
+    fn make_way(&self, round: &Round<'_>, target: &Target, about: &Model) -> Option<Way> {
         let engine = round.scope.engine;
-        let mut free = engine.memory_mb - used_mb(engine, target);
-        let mut victims = Vec::new();
-        let mut loss = 0.0;
-        let mut candidates: Vec<(f64, &ModelName)> = target
-            .models
-            .iter()
-            .filter_map(|h| Some((self.loss(round, target, &h.model)?, &h.model)))
-            .collect();
-        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (lost, victim) in candidates {
-            if free >= about.memory_mb {
-                break;
-            }
-            free += held_mb(engine, target, victim);
-            loss += lost + EVICT_S;
-            victims.push(victim.clone());
-        }
-        (free >= about.memory_mb).then_some((victims, loss))
+        let free = engine.memory_mb - used_mb(engine, target);
+        let victims = target.models.iter().filter_map(|held| {
+            let (loss_s, wait_s) = self.loss(round, target, &held.model)?;
+            let frees_mb = held_mb(engine, target, &held.model);
+            Some(Victim { model: held.model.clone(), frees_mb, loss_s, wait_s })
+        });
+        way::cheapest(about.memory_mb - free, victims.collect())
     }
 
-    /// Returns what removing a model from a target costs in seconds; `None` if it must stay.
-    fn loss(&self, round: &Round<'_>, target: &Target, model: &ModelName) -> Option<f64> {
+    /// Returns what removing a model from a target loses, in seconds, and how long it has to be
+    /// waited for; `None` if it must stay.
+    fn loss(&self, round: &Round<'_>, target: &Target, model: &ModelName) -> Option<(f64, f64)> {
         let view = round.model(model);
         let place = (target.name.clone(), model.clone());
-        let is_in_use = round.in_flight(&target.name, model) > 0;
-        if is_in_use || self.settled.contains_key(&place) {
-            return None;
-        }
-        if view.copies <= 1 && view.waiting > 0 {
+        if self.settling.contains_key(&place) || (view.copies <= 1 && view.waiting > 0) {
             return None;
         }
+        let is_in_use = round.in_flight(&target.name, model) > 0;
+        let wait_s = if is_in_use { round.idle_in_s(&view)? } else { 0.0 };
         let weight =
             if view.copies > needed_copies(round, &view) { SPARE_COPY_WEIGHT } else { 1.0 };
-        Some(view.rate * RATE_WEIGHT_S * weight)
+        Some((view.rate * RATE_WEIGHT_S * weight, wait_s))
     }
 
     fn remote_allowed(&self, round: &Round<'_>) -> bool {
--- a/crates/tansyknot-fleet/src/plan/round.rs
+++ b/crates/tansyknot-fleet/src/plan/round.rs
@@ -1,6 +1,6 @@
 //! The view that one round of planning works on, summed up once so that no model costs a pass.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, ops::RangeInclusive, sync::Arc, time::Duration};
 
 use tansyknot_core::{
     clock::Time,
@@ -45,8 +45,17 @@
     models: HashMap<ModelName, ModelView>,
     in_flight: HashMap<(TargetName, ModelName), u32>,
     in_flight_at: HashMap<TargetName, u32>,
+    /// How long a request is at a target, in seconds: requests there for each one a second.
+    stay_s: f64,
 }
 
+/// Bounds on what is taken for the stay of a request at a target, in seconds, as few requests
+/// make a poor mean. Rare requests of the users' sites take 0.2 to 1.5 s.
+const STAY_S: RangeInclusive<f64> = 0.3..=3.0;
+/// A model whose requests should keep it in use for longer than this, in seconds, is not waited
+/// for: a load from the weight store elsewhere takes no longer.
+const IDLE_MOST_S: f64 = 4.0;
+
 impl<'a> Round<'a> {
     /// Sums up what the planner knows of the service's models and targets.
     pub(super) fn new(planner: &Planner, scope: Scope<'a>, targets: Vec<&'a Arc<Target>>) -> Self {
@@ -77,7 +86,19 @@
             *in_flight_at.entry(f.target.clone()).or_default() += count;
             models.entry(model.clone()).or_default().in_flight += count;
         }
-        Self { scope, targets, models, in_flight, in_flight_at }
+        let rate: f64 = models.values().map(|view| view.rate).sum();
+        let there: u32 = in_flight_at.values().sum();
+        let stay = f64::from(there) / rate.max(f64::MIN_POSITIVE);
+        let stay_s = stay.clamp(*STAY_S.start(), *STAY_S.end());
+        Self { scope, targets, models, in_flight, in_flight_at, stay_s }
+    }
+
+    /// Returns how long a copy that is in use should be so, in seconds: the busy period of a
+    /// queue that serves all at once. `None` if that is too long to be waited for.
+    pub(super) fn idle_in_s(&self, view: &ModelView) -> Option<f64> {
+        let rate = view.rate / view.copies.max(1) as f64;
+        let busy = if rate > 0.0 { (rate * self.stay_s).exp_m1() / rate } else { self.stay_s };
+        (busy < IDLE_MOST_S).then_some(busy)
     }
 
     /// Returns the models of the engine that are asked for or held.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -189,6 +189,8 @@
         };
         if waits_for_load {
             self.state.fleet().end_waiting(&run.want());
+            // The planner frees the target for its next load once it sees the request there.
+            self.state.demand_changed.raise();
         }
         let waited = began.elapsed();
         run.waited += waited;
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -22,10 +22,15 @@
 
 use effect::{apply, describe, same_models, without};
 
-/// Pause before an order is sent again that met another one under way.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before an order is sent again that met another one under way, at first. It doubles, so
+/// that a removal that waits for its runs is not asked for all the time.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(10);
+/// Doublings after which the pause is the longest.
+const DOUBLINGS_MOST: u32 = 3;
+/// The longest such pause.
+const CONFLICT_PAUSE_MOST: Duration = Duration::from_millis(80);
 /// Pause after a model's removal, which takes some ms if nobody uses it.
-const REMOVAL_PAUSE: Duration = Duration::from_millis(30);
+const REMOVAL_PAUSE: Duration = Duration::from_millis(10);
 /// Conflicts after which the target is asked what it has accepted.
 const CONFLICTS_BEFORE_REPORT: u32 = 5;
 /// Conflicts after which the task is given up: some seconds, as a removal waits for its runs.
@@ -253,7 +258,7 @@
                     if conflicts > CONFLICTS_MAX {
                         return Err(Stopped::Overtaken);
                     }
-                    self.pause(CONFLICT_PAUSE);
+                    self.pause(conflict_pause(conflicts));
                     if conflicts % CONFLICTS_BEFORE_REPORT == 0 {
                         let is_settled = conflicts > CONFLICTS_BEFORE_REPORT;
                         self.check_count(progress, is_settled)?;
@@ -348,3 +353,9 @@
         self.state.clock.sleep(span);
     }
 }
+
+/// Returns how long to wait after as many conflicts in a row.
+fn conflict_pause(conflicts: u32) -> Duration {
+    let doublings = conflicts.saturating_sub(1).min(DOUBLINGS_MOST);
+    (CONFLICT_PAUSE * 2_u32.pow(doublings)).min(CONFLICT_PAUSE_MOST)
+}
