Weigh a target by when its task should be done; a lost model by 0.7 s for each request a second

Hypothesis: a target under way was weighed as 1.2 s whatever its task, so that loads queued at some targets while others were about to be done; and models were kept for their rate where the way back from disk takes 0.5 s.

Starting at a target whose way is free within 0.15 s: no difference. Conclusion: both kept.

--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -41,10 +41,12 @@
 const THREE_COPIES_RATE: f64 = 8.0;
 /// What an order takes beside the load itself: the call, and the news of its end.
 const STEP_SPAN: Duration = Duration::from_millis(100);
-/// How long a task at a target usually takes, for weighing it against another target.
+/// What a task that should be done by now is expected to take yet: the news of its end.
+const OVERDUE_SPAN: Duration = Duration::from_millis(100);
+/// How long a task at a target usually takes.
 const TASK_SPAN_S: f64 = 1.2;
 /// What losing a model that one request a second asks for costs, in seconds of load time.
-const RATE_WEIGHT_S: f64 = 2.0;
+const RATE_WEIGHT_S: f64 = 0.7;
 /// What losing a copy that is not needed costs against one that is.
 const SPARE_COPY_WEIGHT: f64 = 0.1;
 /// A model that has been loaded stays until a request has been seen there, or this long if none
@@ -224,21 +226,26 @@
             }
             let Some(way) = self.make_way(round, target, about) else { continue };
             let mut cost = tier.load_time(about).as_secs_f64() + way.loss_s + way.wait_s;
-            let is_pending = self.pending.contains_key(&target.name);
-            let is_blocked = self.blocked.contains_key(&target.name);
-            if is_pending || is_blocked {
-                cost += TASK_SPAN_S;
-            }
+            let free_in = self.free_in(&target.name, round.scope.now);
+            cost += free_in.unwrap_or_default().as_secs_f64();
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
                 continue;
             }
-            let is_free = !is_pending && !is_blocked && way.wait_s == 0.0;
+            let is_free = free_in.is_none() && way.wait_s == 0.0;
             let task = is_free.then(|| load_task(target, way.victims, about, tier));
             best = Some((cost, task));
         }
         best?.1
     }
 
+    /// Returns when a target should be done with its task, or may have one again after a failure;
+    /// `None` if it is free.
+    fn free_in(&self, target: &TargetName, now: Time) -> Option<Duration> {
+        let pending = self.pending.get(target).map(|p| p.done_at.since(now).max(OVERDUE_SPAN));
+        let blocked = self.blocked.get(target).map(|until| until.since(now));
+        pending.max(blocked)
+    }
+
     /// Chooses what makes way on `target` for `about` at the least cost.
     fn make_way(&self, round: &Round<'_>, target: &Target, about: &Model) -> Option<Way> {
         let engine = round.scope.engine;
--- a/crates/tansyknot-fleet/tests/plan.rs
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -110,6 +110,58 @@
     assert!(rig.plan().is_empty());
 }
 
+#[test]
+fn model_that_was_loaded_stays_until_a_request_has_been_seen_there() {
+    let mut rig = Rig::new(vec![target("t1", &["m0", "m1"], &["m5", "m6"])]);
+    rig.hear(&[wants("m5", None, 1, 1)], vec![busy("t1", "m0", 1), busy("t1", "m1", 1)]);
+    assert_eq!(orders(&rig.plan()), ["t1 +m5"]);
+    rig.planner.ended(&TargetName::from("t1"), true, rig.now);
+    rig.targets[0] = Arc::new(target("t1", &["m0", "m1", "m5"], &["m5", "m6"]));
+
+    let others = || vec![busy("t1", "m0", 1), busy("t1", "m1", 1)];
+    let waits = [wants("m5", None, 0, 1), wants("m6", None, 1, 1)];
+    rig.hear(&waits, others());
+    assert!(rig.plan().is_empty(), "who waited for it may not have heard of it");
+    let with_its_request = [others(), vec![busy("t1", "m5", 1)]].concat();
+    rig.hear(&waits, with_its_request);
+    assert!(rig.plan().is_empty(), "it is in use");
+    rig.hear(&waits, others());
+    assert_eq!(orders(&rig.plan()), ["t1 -m5", "t1 +m6"]);
+}
+
+#[test]
+fn target_whose_models_are_in_use_for_a_moment_is_waited_for_in_place_of_the_weight_store() {
+    let near = target("t1", &["m0", "m1", "m2"], &["m5"]);
+    let mut rig = Rig::new(vec![near, target("t2", &[], &[])]);
+    let in_use = vec![busy("t1", "m0", 1), busy("t1", "m1", 1), busy("t1", "m2", 1)];
+    rig.hear(&[wants("m5", None, 1, 1), wants("m0", None, 0, 1)], in_use);
+    assert!(rig.plan().is_empty(), "a load from the weight store takes six seconds");
+    rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()).last().map(String::as_str), Some("t1 +m5"));
+}
+
+#[test]
+fn target_that_is_about_to_be_done_is_waited_for() {
+    let near = target("t1", &[], &["m5", "m6"]);
+    let mut rig = Rig::new(vec![near, target("t2", &[], &[])]);
+    rig.hear(&[wants("m5", None, 1, 1), wants("m6", None, 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t1 +m5"], "the other one is not loaded from afar");
+}
+
+#[parameterized(
+    one_large = { 5, &["t1 -m1", "t1 +m5"] },
+    two_small = { 20, &["t1 -m8", "t1 -m9", "t1 +m5"] },
+)]
+fn models_that_lose_least_together_make_way(arrivals_of_large: u32, expected: &[&str]) {
+    let mut rig = Rig::new(vec![target("t1", &["m0", "m1", "m8", "m9"], &["m5"])]);
+    rig.hear(&["m0", "m1", "m8", "m9"].map(|m| wants(m, None, 0, 1)), Vec::new());
+    let large = [wants("m0", None, 0, 30), wants("m1", None, 0, arrivals_of_large)];
+    let small = ["m8", "m9"].map(|m| wants(m, None, 0, 5));
+    rig.hear(&[large, small].concat(), Vec::new());
+    rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), expected);
+}
+
 #[test]
 fn requests_that_can_be_on_time_go_before_those_that_are_late() {
     let mut rig = Rig::new(vec![target("t1", &[], &["m5", "m6"])]);
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -291,7 +291,8 @@
 pub(crate) fn catalog() -> Catalog {
     let model = |n: u32| Model {
         name: ModelName::new(format!("m{n}")),
-        memory_mb: 70_000.0,
+        // Two are small.
+        memory_mb: if n < 8 { 70_000.0 } else { 34_000.0 },
         load_remote: Duration::from_secs(6),
         load_disk: Duration::from_millis(800),
         load_memory: Duration::from_millis(450),
