Say when every load should be done; plan with targets that rest; plan again at once after a stale view

Changes: models whose load waits for a target are announced with the time at which it should be done, loads of higher rank first; a request is held as long as that is in time for its caller, else refused with that time; where nobody has said when, the wait is bounded by what such loads took so far (mean and deviation as TCP takes round trips), no share of a deadline any more. Targets that rest for an earlier planner are part of the view. A request that lacks an adapter is not told to wait for another copy of its model.

--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -21,7 +21,7 @@
     plan::{Planner, Task, Tier},
     state::State,
     target::Target,
-    task::Orders,
+    task::{Orders, TaskEnd},
 };
 
 use telling::Told;
@@ -219,8 +219,11 @@
                 .collect();
             (targets, suspects)
         };
-        let usable = |name: &TargetName| !suspects.contains(name) && self.lease.is_open(name, now);
-        let tasks = self.planner().plan(&targets, &usable, &catalog, now);
+        let opens_at = |name: &TargetName| {
+            let is_reached = !suspects.contains(name);
+            is_reached.then(|| self.lease.opens_at(name, now)).flatten()
+        };
+        let tasks = self.planner().plan(&targets, &opens_at, &catalog, now);
         for task in tasks {
             self.start(task);
         }
@@ -232,14 +235,14 @@
         let spawned = thread::Builder::new().name("task".to_owned()).spawn(move || me.run(&task));
         if let Err(e) = spawned {
             log::warn!("no thread for a task: {e}");
-            self.planner().ended(&name, false, self.state.now());
+            self.planner().ended(&name, TaskEnd::Failed, self.state.now());
         }
     }
 
     fn run(&self, task: &Task) {
         self.count_remote(task);
-        let succeeded = self.orders.run(task);
-        self.planner().ended(&task.target.name, succeeded, self.state.now());
+        let end = self.orders.run(task);
+        self.planner().ended(&task.target.name, end, self.state.now());
         self.state.demand_changed.raise();
     }
 
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -275,10 +275,15 @@
         }
     }
 
-    /// Returns when the model of a request should be there, if it is being loaded.
+    /// Returns when the model of a request should be there, if it is nowhere and is being loaded
+    /// or is about to be. A request that lacks an adapter of a model that is there is not told to
+    /// wait for another copy of that model.
     pub fn expected(&self, want: &Want<'_>) -> Option<Time> {
-        let key = (want.service.clone(), want.model?.clone());
-        self.coming.get(&key).copied()
+        let model = want.model?;
+        if self.ready(want).any(|m| m.target.holds(model, None)) {
+            return None;
+        }
+        self.coming.get(&(want.service.clone(), model.clone())).copied()
     }
 
     /// Returns the targets of all services.
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -69,7 +69,7 @@
     }
 
     /// Returns the targets that take new work of a service.
-    fn ready(&self, want: &Want<'_>) -> impl Iterator<Item = &Member> {
+    pub(super) fn ready(&self, want: &Want<'_>) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|m| m.target.service == *want.service && m.target.is_ready())
     }
 
--- a/crates/tansyknot-fleet/src/keep.rs
+++ b/crates/tansyknot-fleet/src/keep.rs
@@ -54,6 +54,11 @@
         self.lease().is_open(target, now)
     }
 
+    /// Returns from when this daemon could order `target`; `None` if it is not the planner.
+    pub fn opens_at(&self, target: &TargetName, now: Time) -> Option<Time> {
+        self.lease().opens_at(target, now)
+    }
+
     /// Notes that this daemon orders `target` now.
     pub fn ordered(&self, target: &TargetName, now: Time) {
         self.lease().ordered(target, now);
--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -115,7 +115,11 @@
     }
 
     fn rests(&self, target: &TargetName, now: Time) -> bool {
-        now < self.all_from || self.resting.get(target).is_some_and(|from| now < *from)
+        now < self.opens_at(target)
+    }
+
+    fn opens_at(&self, target: &TargetName) -> Time {
+        self.resting.get(target).map_or(self.all_from, |from| self.all_from.max(*from))
     }
 }
 
@@ -209,6 +213,13 @@
         self.held.as_ref().is_some_and(|h| h.is_valid(now) && !h.rests(target, now))
     }
 
+    /// Returns from when `target` could be ordered if the row named it, as far as that is known;
+    /// `None` if this daemon is not the planner.
+    pub fn opens_at(&self, target: &TargetName, now: Time) -> Option<Time> {
+        let held = self.held.as_ref().filter(|h| h.is_valid(now))?;
+        Some(held.opens_at(target).max(now))
+    }
+
     /// Returns the fencing token if `target` may be ordered now.
     pub fn may_order(&self, target: &TargetName, now: Time) -> Option<u64> {
         let held = self.held.as_ref()?;
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod conduct;
 pub mod counted;
+pub mod estimate;
 pub mod exchange;
 pub mod fleet;
 pub mod follow;
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod demand;
+mod place;
 mod round;
 mod tier;
 mod way;
@@ -18,17 +19,18 @@
 };
 
 use crate::{
-    catalog::{Catalog, Engine, Model},
+    catalog::{Catalog, Engine},
     outside::Action,
     peer::{self, Coming},
     target::Target,
+    task::TaskEnd,
 };
 
 pub use demand::DAEMON_SPAN;
 use demand::{Daemon, Demand};
+use place::Queue;
 use round::{ModelView, Round, Scope};
 pub use tier::Tier;
-use way::{Victim, Way};
 
 /// Requests in flight for one copy above which another copy is loaded, at most.
 const PER_COPY_MOST: f64 = 20.0;
@@ -41,25 +43,11 @@
 const THREE_COPIES_RATE: f64 = 8.0;
 /// What an order takes beside the load itself: the call, and the news of its end.
 const STEP_SPAN: Duration = Duration::from_millis(100);
-/// What a task that should be done by now is expected to take yet: the news of its end.
-const OVERDUE_SPAN: Duration = Duration::from_millis(100);
-/// What losing a model that one request a second asks for costs, in seconds of load time.
-const RATE_WEIGHT_S: f64 = 0.7;
-/// What losing a copy that is not needed costs against one that is.
-const SPARE_COPY_WEIGHT: f64 = 0.1;
 /// A model that has been loaded stays until a request has been seen there, or this long if none
 /// comes: those who waited learn of it by datagrams, which may be lost and repeated. Without the
 /// first half a target waits out the span before its next load, though a request that waited
 /// takes 0.2 s: 0.03 of worth (docs/ROUNDS.md).
 const SETTLE: Duration = Duration::from_millis(1500);
-/// Loads from the weight store that may begin within [`REMOTE_WINDOW`]; two planners in turn
-/// keep below what the platform allows.
-const REMOTE_SHARE: f64 = 0.45;
-/// The window in which loads from the weight store are counted.
-const REMOTE_WINDOW: Duration = Duration::from_secs(5);
-/// Loads from the weight store under way at once; beyond it each takes longer (the users' brief:
-/// four at once at full speed).
-const REMOTE_AT_ONCE: usize = 4;
 /// What a model that is nowhere weighs if those who wait can still be on time.
 const FRESH_LACK: f64 = 1000.0;
 /// What a model that is nowhere weighs if they can't.
@@ -73,8 +61,6 @@
 const OVERLOAD_LACK: f64 = 2000.0;
 /// A target whose task ended badly gets no new one for this long.
 const FAILED_SPAN: Duration = Duration::from_millis(700);
-/// Share of an engine's slots in use above which no copy is added there.
-const BUSY_SHARE: f64 = 0.8;
 
 /// A model or adapter of a service.
 type Key = (ServiceName, ModelName, Option<AdapterName>);
@@ -116,18 +102,23 @@
     /// Models that were loaded lately, and when, until a request has been seen there.
     settling: HashMap<(TargetName, ModelName), Time>,
     remote: VecDeque<Time>,
+    /// When models should be there whose loads wait for their targets.
+    expected: HashMap<(ServiceName, ModelName), Time>,
 }
 
 impl Planner {
     /// Takes in that a task has ended.
-    pub fn ended(&mut self, target: &TargetName, succeeded: bool, now: Time) {
-        if let Some(pending) = self.pending.remove(target) {
-            for model in pending.loads {
-                self.settling.insert((target.clone(), model), now);
+    pub fn ended(&mut self, target: &TargetName, end: TaskEnd, now: Time) {
+        let pending = self.pending.remove(target);
+        match end {
+            TaskEnd::Done => {
+                let loads = pending.into_iter().flat_map(|p| p.loads);
+                self.settling.extend(loads.map(|model| ((target.clone(), model), now)));
+            }
+            TaskEnd::Replan => {}
+            TaskEnd::Failed => {
+                self.blocked.insert(target.clone(), now + FAILED_SPAN);
             }
-        }
-        if !succeeded {
-            self.blocked.insert(target.clone(), now + FAILED_SPAN);
         }
     }
 
@@ -136,28 +127,31 @@
         self.pending.clear();
         self.daemons.clear();
         self.demand.clear();
+        self.expected.clear();
     }
 
     /// Decides what to order now.
     ///
-    /// `usable` tells whether a target can be reached, as far as this daemon knows.
+    /// `opens_at` tells from when a target may be ordered; `None` if it can't be reached, as far
+    /// as this daemon knows.
     pub fn plan(
         &mut self,
         targets: &[Arc<Target>],
-        usable: &dyn Fn(&TargetName) -> bool,
+        opens_at: &dyn Fn(&TargetName) -> Option<Time>,
         catalog: &Catalog,
         now: Time,
     ) -> Vec<Task> {
         self.blocked.retain(|_, until| now < *until);
         self.settling.retain(|_, at| now.since(*at) < SETTLE);
+        self.expected.clear();
         let mut tasks = Vec::new();
         for service in catalog.services.values() {
             let Some(engine) = &service.engine else { continue };
             let objective = catalog.longest_objective(&service.name);
             let scope = Scope { service: &service.name, engine, objective, now };
-            let is_open =
-                |t: &&Arc<Target>| t.service == service.name && t.is_ready() && usable(&t.name);
-            let round = Round::new(self, scope, targets.iter().filter(is_open).collect());
+            let of_service = targets.iter().filter(|t| t.service == service.name && t.is_ready());
+            let open = of_service.filter_map(|t| Some((t, opens_at(&t.name)?))).collect();
+            let round = Round::new(self, scope, open);
             self.settling.retain(|(target, model), _| round.in_flight(target, model) == 0);
             self.plan_models(&round, &mut tasks);
             self.plan_adapters(&round, &mut tasks);
@@ -175,9 +169,16 @@
             }
         }
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        let mut queue = Queue::new();
         for (_, model) in wanted {
-            if let Some(task) = self.place(round, &model) {
-                self.begin(task, round, tasks);
+            let Some(placement) = self.place(round, &queue, &model) else { continue };
+            match placement.task {
+                Some(task) => self.begin(task, round, tasks),
+                None => {
+                    let key = (round.scope.service.clone(), model);
+                    self.expected.insert(key, round.scope.now + placement.ready_in);
+                    queue.insert(placement.target, placement.ready_in);
+                }
             }
         }
     }
@@ -208,79 +209,6 @@
         if is_overloaded { OVERLOAD_LACK + share } else { share }
     }
 
-    /// Finds the target where a model is loaded soonest at the least loss. The task is `None` if
-    /// that target has to be waited for.
-    fn place(&self, round: &Round<'_>, model: &ModelName) -> Option<Task> {
-        let about = round.scope.engine.models.get(model)?;
-        let is_extra = round.model(model).copies > 0;
-        let mut best: Option<(f64, Option<Task>)> = None;
-        for target in &round.targets {
-            if target.holds(model, None) || (is_extra && is_busy(round, target)) {
-                continue;
-            }
-            let tier = Tier::of(target, model);
-            if tier == Tier::Remote && !self.remote_allowed(round) {
-                continue;
-            }
-            let Some(way) = self.make_way(round, target, about) else { continue };
-            let mut cost = tier.load_time(about).as_secs_f64() + way.loss_s + way.wait_s;
-            let free_in = self.free_in(&target.name, round.scope.now);
-            cost += free_in.unwrap_or_default().as_secs_f64();
-            if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
-                continue;
-            }
-            let is_free = free_in.is_none() && way.wait_s == 0.0;
-            let task = is_free.then(|| load_task(target, way.victims, about, tier));
-            best = Some((cost, task));
-        }
-        best?.1
-    }
-
-    /// Returns when a target should be done with its task, or may have one again after a failure;
-    /// `None` if it is free.
-    fn free_in(&self, target: &TargetName, now: Time) -> Option<Duration> {
-        let pending = self.pending.get(target).map(|p| p.done_at.since(now).max(OVERDUE_SPAN));
-        let blocked = self.blocked.get(target).map(|until| until.since(now));
-        pending.max(blocked)
-    }
-
-    /// Chooses what makes way on `target` for `about` at the least cost.
-    fn make_way(&self, round: &Round<'_>, target: &Target, about: &Model) -> Option<Way> {
-        let engine = round.scope.engine;
-        let free = engine.memory_mb - used_mb(engine, target);
-        let victims = target.models.iter().filter_map(|held| {
-            let (loss_s, wait_s) = self.loss(round, target, &held.model)?;
-            let frees_mb = held_mb(engine, target, &held.model);
-            Some(Victim { model: held.model.clone(), frees_mb, loss_s, wait_s })
-        });
-        way::cheapest(about.memory_mb - free, victims.collect())
-    }
-
-    /// Returns what removing a model from a target loses, in seconds, and how long it has to be
-    /// waited for; `None` if it must stay.
-    fn loss(&self, round: &Round<'_>, target: &Target, model: &ModelName) -> Option<(f64, f64)> {
-        let view = round.model(model);
-        let place = (target.name.clone(), model.clone());
-        if self.settling.contains_key(&place) || (view.copies <= 1 && view.waiting > 0) {
-            return None;
-        }
-        let is_in_use = round.in_flight(&target.name, model) > 0;
-        let wait_s = if is_in_use { round.idle_in_s(&view)? } else { 0.0 };
-        let weight =
-            if view.copies > needed_copies(round, &view) { SPARE_COPY_WEIGHT } else { 1.0 };
-        Some((view.rate * RATE_WEIGHT_S * weight, wait_s))
-    }
-
-    fn remote_allowed(&self, round: &Round<'_>) -> bool {
-        if self.pending.values().filter(|p| p.is_remote).count() >= REMOTE_AT_ONCE {
-            return false;
-        }
-        let since = |at: &&Time| round.scope.now.since(**at) < REMOTE_WINDOW;
-        let begun = self.remote.iter().filter(since).count();
-        let most = round.scope.engine.loads_per_s * REMOTE_WINDOW.as_secs_f64() * REMOTE_SHARE;
-        (begun as f64) < most.floor().max(1.0)
-    }
-
     fn begin(&mut self, task: Task, round: &Round<'_>, tasks: &mut Vec<Task>) {
         let mut loads = Vec::new();
         let mut is_remote = false;
@@ -297,26 +225,20 @@
         tasks.push(task);
     }
 
-    /// Returns the models that are being loaded and when each should be there.
+    /// Returns the models that are being loaded, or whose loads wait for their targets, and when
+    /// each should be there.
     pub fn coming(&self, now: Time) -> Vec<Coming> {
-        let mut coming = Vec::new();
-        for p in self.pending.values() {
-            let span = p.done_at.since(now).max(STEP_SPAN);
-            let in_ms = peer::millis(span);
-            let of = |model: &ModelName| Coming {
-                service: p.service.clone(),
-                model: model.clone(),
-                in_ms,
-            };
-            coming.extend(p.loads.iter().map(of));
-        }
-        coming
-    }
-
-    /// Counts a load from the weight store that is about to be ordered.
-    pub fn remote_begins(&mut self, now: Time) {
-        self.remote.retain(|at| now.since(*at) < REMOTE_WINDOW);
-        self.remote.push_back(now);
+        let coming = |service: &ServiceName, model: &ModelName, at: Time| Coming {
+            service: service.clone(),
+            model: model.clone(),
+            in_ms: peer::millis(at.since(now).max(STEP_SPAN)),
+        };
+        let queued = self.expected.iter().map(|((service, model), at)| coming(service, model, *at));
+        let pending = self.pending.values().flat_map(|p| {
+            let of = |model: &ModelName| coming(&p.service, model, p.done_at);
+            p.loads.iter().map(of).collect::<Vec<Coming>>()
+        });
+        queued.chain(pending).collect()
     }
 }
 
@@ -328,12 +250,6 @@
     base + f64::from(waiting) + view.waited.as_secs_f64()
 }
 
-/// Tells whether a target has so much to do that no copy is added there.
-fn is_busy(round: &Round<'_>, target: &Target) -> bool {
-    let most = BUSY_SHARE * f64::from(round.scope.engine.slots);
-    f64::from(round.in_flight_at(&target.name)) > most
-}
-
 /// Returns how many requests in flight one copy is for.
 fn per_copy(round: &Round<'_>) -> f64 {
     let share = PER_COPY_SHARE * f64::from(round.scope.engine.slots);
@@ -350,15 +266,6 @@
     by_rate.max(by_load)
 }
 
-fn load_task(target: &Arc<Target>, victims: Vec<ModelName>, about: &Model, tier: Tier) -> Task {
-    let removal =
-        |model| Step { action: Action::Remove { model, adapter: None }, takes: Duration::ZERO };
-    let mut steps: Vec<Step> = victims.into_iter().map(removal).collect();
-    let action = Action::Load { model: about.name.clone(), adapter: None };
-    steps.push(Step { action, takes: tier.load_time(about) });
-    Task { target: Arc::clone(target), steps }
-}
-
 /// Returns the engine memory that a target's models and adapters take; a model that the
 /// configuration does not know takes all there is.
 pub fn used_mb(engine: &Engine, target: &Target) -> f64 {
--- a/crates/tansyknot-fleet/src/plan/adapters.rs
+++ b/crates/tansyknot-fleet/src/plan/adapters.rs
@@ -56,6 +56,7 @@
     ) -> Option<&'a Arc<Target>> {
         let free = |t: &&&'a Arc<Target>| {
             t.holds(model, None)
+                && round.rests_for(&t.name).is_none()
                 && !self.pending.contains_key(&t.name)
                 && !self.blocked.contains_key(&t.name)
         };
--- a/crates/tansyknot-fleet/src/plan/round.rs
+++ b/crates/tansyknot-fleet/src/plan/round.rs
@@ -53,6 +53,8 @@
 pub(super) struct Round<'a> {
     pub(super) scope: Scope<'a>,
     pub(super) targets: Vec<&'a Arc<Target>>,
+    /// From when those targets may be ordered that may not now.
+    rests: HashMap<TargetName, Time>,
     models: HashMap<ModelName, ModelView>,
     in_flight: HashMap<(TargetName, ModelName), u32>,
     in_flight_at: HashMap<TargetName, u32>,
@@ -68,8 +70,16 @@
 const IDLE_MOST_S: f64 = 4.0;
 
 impl<'a> Round<'a> {
-    /// Sums up what the planner knows of the service's models and targets.
-    pub(super) fn new(planner: &Planner, scope: Scope<'a>, targets: Vec<&'a Arc<Target>>) -> Self {
+    /// Sums up what the planner knows of the service's models and targets, each with the time
+    /// from which it may be ordered.
+    pub(super) fn new(
+        planner: &Planner,
+        scope: Scope<'a>,
+        open: Vec<(&'a Arc<Target>, Time)>,
+    ) -> Self {
+        let resting = open.iter().filter(|(_, at)| scope.now < *at);
+        let rests = resting.map(|(target, at)| (target.name.clone(), *at)).collect();
+        let targets: Vec<&Arc<Target>> = open.into_iter().map(|(target, _)| target).collect();
         let mut models: HashMap<ModelName, ModelView> = HashMap::new();
         for ((service, model, adapter), demand) in &planner.demand {
             if service != scope.service {
@@ -101,7 +111,7 @@
         let there: u32 = in_flight_at.values().sum();
         let stay = f64::from(there) / rate.max(f64::MIN_POSITIVE);
         let stay_s = stay.clamp(*STAY_S.start(), *STAY_S.end());
-        Self { scope, targets, models, in_flight, in_flight_at, stay_s }
+        Self { scope, targets, rests, models, in_flight, in_flight_at, stay_s }
     }
 
     /// Returns how long a copy that is in use should be so, in seconds: the busy period of a
@@ -127,6 +137,11 @@
         self.in_flight.get(&(target.clone(), model.clone())).copied().unwrap_or(0)
     }
 
+    /// Returns how long a target may not be ordered yet; `None` if it may.
+    pub(super) fn rests_for(&self, target: &TargetName) -> Option<Duration> {
+        self.rests.get(target).map(|at| at.since(self.scope.now))
+    }
+
     /// Returns the requests for models at a target.
     pub(super) fn in_flight_at(&self, target: &TargetName) -> u32 {
         self.in_flight_at.get(target).copied().unwrap_or(0)
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -38,8 +38,9 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 /// Sends of one request, the first included.
 const SENDS_MAX: u32 = 4;
-/// The share of its time that a request waits for a load that nobody has announced.
-const UNANNOUNCED_SHARE: f64 = 0.5;
+/// A request waits this long at least for word of a load: a demand and its news are on their way,
+/// and one of them may be lost and repeated on the next beat.
+const WORD_SPAN: Duration = Duration::from_millis(650);
 
 /// Serves requests from the targets of the fleet.
 pub struct Server {
@@ -194,6 +195,9 @@
         }
         let waited = began.elapsed();
         run.waited += waited;
+        if waits_for_load && found.is_ok() {
+            self.state.load_waits().of(&run.want()).observe(waited);
+        }
         if waits_for_load {
             run.note(format_args!("waited {} ms for a load", waited.as_millis()));
         }
@@ -207,19 +211,23 @@
             return left;
         }
         let expected = self.state.fleet().expected(&run.want());
-        match expected.map(|at| at.since(now)) {
-            Some(span) if span <= left => left,
-            Some(span) => {
-                run.come_back = Some(span);
-                Duration::ZERO
-            }
-            None => {
-                let from = run.last_heard();
-                let all = run.take_by().saturating_duration_since(from);
-                let most = from + all.mul_f64(UNANNOUNCED_SHARE);
-                most.saturating_duration_since(Instant::now())
+        if let Some(span) = expected.map(|at| at.since(now)) {
+            if span <= left {
+                return left;
             }
+            run.come_back = Some(span);
+            run.note(format_args!("load due in {} ms", span.as_millis()));
+            return Duration::ZERO;
+        }
+        // Nobody has said when the load will be done: what loads took so far bounds the wait.
+        let waits = *self.state.load_waits().of(&run.want());
+        run.come_back = waits.mean();
+        let most = waits.most().map_or(left, |most| most.max(WORD_SPAN));
+        let left = left.min(most.saturating_sub(run.last_heard().elapsed()));
+        if left.is_zero() {
+            run.note(format_args!("no load due, others took {} ms at most", most.as_millis()));
         }
+        left
     }
 
     fn refuse(
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -14,7 +14,8 @@
 use crate::{
     budget::{Budget, BudgetOptions},
     catalog::Catalog,
-    fleet::Fleet,
+    estimate::Estimate,
+    fleet::{Fleet, Want},
     news::Followed,
     spans::Spans,
 };
@@ -68,6 +69,24 @@
     pub returned: Option<Time>,
 }
 
+/// How long requests have waited for loads that came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadWaits {
+    models: Estimate,
+    adapters: Estimate,
+}
+
+impl LoadWaits {
+    /// Returns what is known of loads of the kind that a request waits for: an adapter's takes
+    /// some ms, a model's seconds.
+    pub fn of(&mut self, want: &Want<'_>) -> &mut Estimate {
+        match want.adapter {
+            Some(_) => &mut self.adapters,
+            None => &mut self.models,
+        }
+    }
+}
+
 /// What the threads of a daemon share.
 pub struct State {
     /// The clock.
@@ -83,6 +102,7 @@
     contacts: Mutex<Contacts>,
     catalog: RwLock<Option<Arc<Catalog>>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
+    load_waits: Mutex<LoadWaits>,
     budget_options: BudgetOptions,
     /// How old views may become.
     pub spans: Spans,
@@ -113,6 +133,7 @@
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
+            load_waits: Mutex::default(),
             budget_options: budget,
             spans,
             started,
@@ -172,6 +193,15 @@
         starts || self.contacts().is_lost
     }
 
+    /// Returns how long requests have waited for loads that came.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread has panicked with it.
+    pub fn load_waits(&self) -> MutexGuard<'_, LoadWaits> {
+        self.load_waits.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the configuration in force.
     ///
     /// # Panics
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -88,6 +88,17 @@
     orders: u64,
 }
 
+/// How a task has ended, as far as its target's next task is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskEnd {
+    /// All of it was done.
+    Done,
+    /// The target holds other models than were planned with, which are known now.
+    Replan,
+    /// The target does not do what it is told.
+    Failed,
+}
+
 /// Why a task has ended before its last order was done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stopped {
@@ -119,8 +130,8 @@
 }
 
 impl Orders {
-    /// Carries out a task; tells whether all of it was done.
-    pub fn run(&self, task: &Task) -> bool {
+    /// Carries out a task.
+    pub fn run(&self, task: &Task) -> TaskEnd {
         let mut progress = Progress {
             target: Arc::clone(&task.target),
             models: task.target.models.clone(),
@@ -137,11 +148,12 @@
             self.recorder.count(metric::ORDERS_FAILED.name, &task.target.service, 1);
             self.ledger().targets.remove(&task.target.name);
             self.publish(&progress, progress.models.clone());
-            return false;
+            let is_known = stopped == Stopped::Outdated;
+            return if is_known { TaskEnd::Replan } else { TaskEnd::Failed };
         }
         let account = Account { orders: progress.orders, models: progress.models };
         self.ledger().targets.insert(task.target.name.clone(), account);
-        true
+        TaskEnd::Done
     }
 
     fn carry_out<'a>(
--- a/crates/tansyknot-fleet/tests/plan.rs
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -14,6 +14,7 @@
     peer::{Demand, InFlight, ModelUse},
     plan::{Planner, Task, used_mb},
     target::{Target, TargetState},
+    task::TaskEnd,
 };
 use yare::parameterized;
 
@@ -61,7 +62,17 @@
     }
 
     fn plan(&mut self) -> Vec<Task> {
-        self.planner.plan(&self.targets, &|_| true, &catalog(), self.now)
+        self.planner.plan(&self.targets, &|_| Some(self.now), &catalog(), self.now)
+    }
+}
+
+fn demand_of_one(uses: &[ModelUse]) -> Demand {
+    Demand {
+        daemon: "d".into(),
+        incarnation: "run-1".into(),
+        beat: 1,
+        models: uses.to_vec(),
+        in_flight: Vec::new(),
     }
 }
 
@@ -115,7 +126,7 @@
     let mut rig = Rig::new(vec![target("t1", &["m0", "m1"], &["m5", "m6"])]);
     rig.hear(&[wants("m5", None, 1, 1)], vec![busy("t1", "m0", 1), busy("t1", "m1", 1)]);
     assert_eq!(orders(&rig.plan()), ["t1 +m5"]);
-    rig.planner.ended(&TargetName::from("t1"), true, rig.now);
+    rig.planner.ended(&TargetName::from("t1"), TaskEnd::Done, rig.now);
     rig.targets[0] = Arc::new(target("t1", &["m0", "m1", "m5"], &["m5", "m6"]));
 
     let others = || vec![busy("t1", "m0", 1), busy("t1", "m1", 1)];
@@ -288,7 +299,7 @@
         for task in rig.plan() {
             let name = task.target.name.clone();
             holders.insert(name.to_string());
-            rig.planner.ended(&name, true, rig.now);
+            rig.planner.ended(&name, TaskEnd::Done, rig.now);
             let at = rig.targets.iter().position(|t| t.name == name).expect("a target");
             rig.targets[at] = Arc::new(target(name.as_str(), &["m0"], &["m0"]));
         }
@@ -302,8 +313,18 @@
     leaving.state = TargetState::Draining;
     let mut rig = Rig::new(vec![leaving, target("t2", &[], &["m5"])]);
     rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
-    let usable = |name: &TargetName| name.as_str() != "t2";
-    assert!(rig.planner.plan(&rig.targets, &usable, &catalog(), rig.now).is_empty());
+    let opens_at = |name: &TargetName| (name.as_str() != "t2").then_some(rig.now);
+    assert!(rig.planner.plan(&rig.targets, &opens_at, &catalog(), rig.now).is_empty());
+}
+
+#[test]
+fn model_on_a_target_that_rests_for_an_earlier_planner_is_there_and_gets_no_order() {
+    let mut rig = Rig::new(vec![target("t1", &["m5"], &[]), target("t2", &[], &["m5", "m6"])]);
+    let rests = rig.now + std::time::Duration::from_secs(2);
+    let opens_at = |name: &TargetName| Some(if name.as_str() == "t1" { rests } else { rig.now });
+    rig.planner.hear(demand_of_one(&[wants("m5", None, 1, 1), wants("m6", None, 1, 1)]), rig.now);
+    let tasks = rig.planner.plan(&rig.targets, &opens_at, &catalog(), rig.now);
+    assert_eq!(orders(&tasks), ["t2 +m6"]);
 }
 
 #[test]
--- a/crates/tansyknot-fleet/tests/task.rs
+++ b/crates/tansyknot-fleet/tests/task.rs
@@ -14,7 +14,7 @@
     outside::Action,
     plan::{Step, Task},
     target::Target,
-    task::Orders,
+    task::{Orders, TaskEnd},
 };
 use yare::parameterized;
 
@@ -67,7 +67,7 @@
 #[test]
 fn models_change_places_and_everyone_is_told() {
     let rig = rig();
-    assert!(rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_eq!(rig.orders.run(&exchange(&rig.target, "m1", "m3")), TaskEnd::Done);
     assert_eq!(rig.fake.models(), ["m0", "m2", "m3"]);
     let fleet = rig.daemon.state.fleet();
     let view = fleet.target(&TargetName::from("t")).expect("it is in the view");
@@ -104,7 +104,7 @@
 fn late_order_after_a_newer_one_is_void() {
     let rig = rig();
     rig.fake.engine().faults.extend([OrderFault::Late, OrderFault::Late, OrderFault::Late]);
-    assert!(!rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_ne!(rig.orders.run(&exchange(&rig.target, "m1", "m3")), TaskEnd::Done);
     rig.renew();
     let found = rig.daemon.state.fleet().target(&rig.target.name).cloned();
     let view = found.expect("it is in the view");
@@ -115,10 +115,10 @@
 #[test]
 fn task_planned_with_an_old_list_is_not_carried_out() {
     let rig = rig();
-    assert!(rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_eq!(rig.orders.run(&exchange(&rig.target, "m1", "m3")), TaskEnd::Done);
     rig.renew();
     // The list is as it was before the planner's own orders, as after an outage of the store.
-    assert!(!rig.orders.run(&exchange(&rig.target, "m0", "m4")));
+    assert_eq!(rig.orders.run(&exchange(&rig.target, "m0", "m4")), TaskEnd::Replan);
     assert_eq!(rig.fake.models(), ["m0", "m2", "m3"]);
 }
 
@@ -130,7 +130,7 @@
         engine.models = vec![held("m0", &[]), held("m5", &[]), held("m6", &[])];
         engine.orders = 7;
     }
-    assert!(!rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_eq!(rig.orders.run(&exchange(&rig.target, "m1", "m3")), TaskEnd::Replan);
     assert_eq!(rig.fake.models(), ["m0", "m5", "m6"]);
     assert_eq!(rig.fake.engine().most_models, 3);
 }
@@ -138,22 +138,22 @@
 #[test]
 fn count_that_is_too_high_is_found_out() {
     let rig = rig();
-    assert!(rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_eq!(rig.orders.run(&exchange(&rig.target, "m1", "m3")), TaskEnd::Done);
     // An order that the planner counted has not advanced the target's own count.
     rig.fake.engine().orders -= 1;
     rig.renew();
     let view = rig.daemon.state.fleet().target(&rig.target.name).cloned().expect("in the view");
     let began = rig.clock.now();
-    assert!(!rig.orders.run(&exchange(&view, "m3", "m1")));
+    assert_ne!(rig.orders.run(&exchange(&view, "m3", "m1")), TaskEnd::Done);
     assert!(rig.clock.now().since(began) < Duration::from_millis(1200));
     rig.renew();
-    assert!(rig.orders.run(&exchange(&view, "m3", "m1")));
+    assert_eq!(rig.orders.run(&exchange(&view, "m3", "m1")), TaskEnd::Done);
 }
 
 #[test]
 fn nothing_is_ordered_without_the_lease() {
     let rig = rig();
     rig.clock.advance(Duration::from_secs(2));
-    assert!(!rig.orders.run(&exchange(&rig.target, "m1", "m3")));
+    assert_ne!(rig.orders.run(&exchange(&rig.target, "m1", "m3")), TaskEnd::Done);
     assert_eq!((rig.fake.models().len(), rig.fake.engine().orders), (3, 0));
 }
