--- a/crates/tansyknot-fleet/src/plan/demand.rs
+++ b/crates/tansyknot-fleet/src/plan/demand.rs
@@ -15,26 +15,58 @@
 pub const DAEMON_SPAN: Duration = Duration::from_secs(2);
 /// What a daemon said of waiting requests counts this long; it repeats it while they wait.
 const WAITING_SPAN: Duration = Duration::from_millis(900);
-/// The time constant of the running mean of arrivals.
+/// The time constant of the running mean of arrivals, in seconds: rare models of the users' sites
+/// are asked for every 3 s.
 const RATE_SPAN_S: f64 = 6.0;
+/// The time constant of a second mean, in seconds, which bounds the first one, so that demand that
+/// moves to other models is seen in a second.
+const FAST_SPAN_S: f64 = 1.0;
+/// Standard deviations of the second mean that the first one may lie beside it.
+const FAST_DEVIATIONS: f64 = 2.0;
+
+/// A running mean of arrivals a second.
+#[derive(Clone, Copy, Debug)]
+struct Mean {
+    span_s: f64,
+    rate: f64,
+    /// When the mean was worked out.
+    as_of: Time,
+}
 
-#[derive(Clone, Debug, Default)]
+impl Mean {
+    fn over(span_s: f64) -> Self {
+        Self { span_s, rate: 0.0, as_of: Time::default() }
+    }
+
+    fn add(&mut self, arrived: u32, now: Time) {
+        self.rate = self.at(now) + f64::from(arrived) / self.span_s;
+        self.as_of = now;
+    }
+
+    fn at(&self, now: Time) -> f64 {
+        self.rate * (-now.since(self.as_of).as_secs_f64() / self.span_s).exp()
+    }
+}
+
+#[derive(Clone, Debug)]
 pub(super) struct Demand {
     /// When each request that waits was first heard of, the oldest first.
     waiting: VecDeque<Time>,
-    rate: f64,
-    at: Time,
+    slow: Mean,
+    fast: Mean,
 }
 
-impl Demand {
-    fn decay(&mut self, now: Time) {
-        self.rate *= (-now.since(self.at).as_secs_f64() / RATE_SPAN_S).exp();
-        self.at = now;
+impl Default for Demand {
+    fn default() -> Self {
+        let (slow, fast) = (Mean::over(RATE_SPAN_S), Mean::over(FAST_SPAN_S));
+        Self { waiting: VecDeque::new(), slow, fast }
     }
+}
 
+impl Demand {
     fn add(&mut self, arrived: u32, now: Time) {
-        self.decay(now);
-        self.rate += f64::from(arrived) / RATE_SPAN_S;
+        self.slow.add(arrived, now);
+        self.fast.add(arrived, now);
     }
 
     /// Takes in how many requests wait now. Those that have waited longest leave first, as a load
@@ -62,8 +94,13 @@
         self.waiting.front().map_or(Duration::ZERO, |since| now.since(*since))
     }
 
+    /// Returns arrivals a second: the slow mean, unless the fast one shows that it has moved.
     pub(super) fn rate_at(&self, now: Time) -> f64 {
-        self.rate * (-now.since(self.at).as_secs_f64() / RATE_SPAN_S).exp()
+        let fast = self.fast.at(now);
+        // Arrivals that come at random vary as their number does.
+        let deviation = (fast.max(1.0 / FAST_SPAN_S) / (2.0 * FAST_SPAN_S)).sqrt();
+        let beside = FAST_DEVIATIONS * deviation;
+        self.slow.at(now).clamp((fast - beside).max(0.0), fast + beside)
     }
 }
 
