--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -238,34 +238,23 @@
     }
 
     /// Sends an order until the target has accepted it.
+    ///
+    /// One without an answer is sent again at once: both expect the same count, so that the target
+    /// carries out one of them at most.
     fn accepted(&self, progress: &mut Progress, action: &Action) -> Result<Ordered, Stopped> {
         let (mut conflicts, mut silences) = (0, 0);
         loop {
-            let name = &progress.target.name;
-            let fence = self.keeper.cover(name).ok_or(Stopped::LeaseLost)?;
-            let order = Order {
-                action: action.clone(),
-                expected: progress.orders,
-                holder: Arc::clone(&self.daemon),
-                fence,
-            };
-            let still_allowed = || {
-                let now = self.now();
-                let allowed = self.lease.may_order(name, now) == Some(fence);
-                self.lease.ordered(name, now);
-                allowed
-            };
-            match self.targets.order(&progress.target, &order, &still_allowed) {
-                Ok(Ordered::Accepted) => {
+            match self.send(progress, action)? {
+                Some(Ordered::Accepted) => {
                     progress.orders += 1;
                     return Ok(Ordered::Accepted);
                 }
-                Ok(Ordered::Done) => {
+                Some(Ordered::Refused) => return Err(Stopped::Refused),
+                Some(Ordered::Done) if silences == 0 => {
                     self.settle_done(progress, action);
                     return Ok(Ordered::Done);
                 }
-                Ok(Ordered::Refused) => return Err(Stopped::Refused),
-                Ok(Ordered::Conflict) => {
+                Some(Ordered::Conflict) if silences == 0 => {
                     conflicts += 1;
                     if conflicts > CONFLICTS_MAX {
                         return Err(Stopped::Overtaken);
@@ -276,21 +265,49 @@
                         self.check_count(progress, is_settled)?;
                     }
                 }
-                Err(e) => {
-                    log::debug!("{} did not answer an order: {e}", progress.target.name);
-                    silences += 1;
-                    if silences >= SILENCES_MAX {
-                        return Err(Stopped::Silent);
-                    }
+                // The one that was not answered may have been carried out.
+                Some(Ordered::Done | Ordered::Conflict) => {
                     self.pause(REPORT_LAG);
                     if self.was_carried_out(progress, action)? {
                         return Ok(Ordered::Done);
                     }
+                    silences = 0;
+                }
+                None => {
+                    silences += 1;
+                    if silences >= SILENCES_MAX {
+                        return Err(Stopped::Silent);
+                    }
                 }
             }
         }
     }
 
+    /// Sends an order once; `None` if it was not answered.
+    fn send(&self, progress: &Progress, action: &Action) -> Result<Option<Ordered>, Stopped> {
+        let name = &progress.target.name;
+        let fence = self.keeper.cover(name).ok_or(Stopped::LeaseLost)?;
+        let order = Order {
+            action: action.clone(),
+            expected: progress.orders,
+            holder: Arc::clone(&self.daemon),
+            fence,
+        };
+        let still_allowed = || {
+            let now = self.now();
+            let allowed = self.lease.may_order(name, now) == Some(fence);
+            self.lease.ordered(name, now);
+            allowed
+        };
+        match self.targets.order(&progress.target, &order, &still_allowed) {
+            Ok(ordered) => Ok(Some(ordered)),
+            Err(e) => {
+                log::debug!("{name} did not answer an order: {e}");
+                Ok(None)
+            }
+        }
+    }
+
     /// Finds out whether an order without an answer was carried out.
     ///
     /// A higher count alone does not tell: an earlier order may have been carried out late.
--- a/crates/tansyknot-fleet/tests/task.rs
+++ b/crates/tansyknot-fleet/tests/task.rs
@@ -112,6 +112,16 @@
     assert!(rig.fake.engine().most_models <= 3);
 }
 
+#[test]
+fn lost_order_is_sent_again_at_once() {
+    let rig = rig();
+    rig.fake.engine().faults.push_back(OrderFault::Lost);
+    let began = rig.clock.now();
+    assert_eq!(rig.orders.run(&exchange(&rig.target, "m1", "m3")), TaskEnd::Done);
+    assert!(rig.clock.now().since(began) < Duration::from_millis(300));
+    assert_eq!(rig.fake.engine().orders, 2);
+}
+
 #[test]
 fn task_planned_with_an_old_list_is_not_carried_out() {
     let rig = rig();
