Weigh what a load keeps other loads of its target waiting

Requests were refused with a load due in 7 s.

Change: a load costs besides its own time half of it for each load that should come to its target meanwhile; how many come is a mean over 6 s of what came.

--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod demand;
+mod mean;
 mod place;
 mod round;
 mod tier;
@@ -28,6 +29,7 @@
 
 pub use demand::DAEMON_SPAN;
 use demand::{Daemon, Demand};
+use mean::Mean;
 use place::Queue;
 use round::{ModelView, Round, Scope};
 pub use tier::Tier;
@@ -62,6 +64,10 @@
 /// A target whose task ended badly gets no new one for this long.
 const FAILED_SPAN: Duration = Duration::from_millis(700);
 
+/// The time constant of the mean of loads at a target, in seconds: as long as a load from the
+/// weight store, which it is weighed against.
+const LOADS_SPAN_S: f64 = 6.0;
+
 /// A model or adapter of a service.
 type Key = (ServiceName, ModelName, Option<AdapterName>);
 
@@ -102,6 +108,8 @@
     /// Models that were loaded lately, and when, until a request has been seen there.
     settling: HashMap<(TargetName, ModelName), Time>,
     remote: VecDeque<Time>,
+    /// How often loads that are at hand have begun at each target.
+    near: HashMap<TargetName, Mean>,
     /// When models should be there whose loads wait for their targets.
     expected: HashMap<(ServiceName, ModelName), Time>,
 }
@@ -144,6 +152,7 @@
         self.blocked.retain(|_, until| now < *until);
         self.settling.retain(|_, at| now.since(*at) < SETTLE);
         self.expected.clear();
+        self.near.retain(|name, _| targets.iter().any(|t| t.name == *name));
         let mut tasks = Vec::new();
         for service in catalog.services.values() {
             let Some(engine) = &service.engine else { continue };
@@ -218,6 +227,11 @@
                 is_remote |= Tier::of(&task.target, model) == Tier::Remote;
             }
         }
+        if !loads.is_empty() && !is_remote {
+            let mean = || Mean::over(LOADS_SPAN_S);
+            let near = self.near.entry(task.target.name.clone()).or_insert_with(mean);
+            near.add(1, round.scope.now);
+        }
         let takes: Duration = task.steps.iter().map(|s| s.takes + STEP_SPAN).sum();
         let (service, done_at) = (round.scope.service.clone(), round.scope.now + takes);
         let pending = Pending { service, loads, done_at, is_remote };
--- a/crates/tansyknot-fleet/src/plan/demand.rs
+++ b/crates/tansyknot-fleet/src/plan/demand.rs
@@ -8,7 +8,7 @@
 
 use tansyknot_core::{clock::Time, name::TargetName};
 
-use super::{Key, Planner};
+use super::{Key, Planner, mean::Mean};
 use crate::peer::{Demand as Told, InFlight, TargetLoad};
 
 /// A daemon that has been silent this long no longer counts.
@@ -24,30 +24,6 @@
 /// Standard deviations of the second mean that the first one may lie beside it.
 const FAST_DEVIATIONS: f64 = 2.0;
 
-/// A running mean of arrivals a second.
-#[derive(Clone, Copy, Debug)]
-struct Mean {
-    span_s: f64,
-    rate: f64,
-    /// When the mean was worked out.
-    as_of: Time,
-}
-
-impl Mean {
-    fn over(span_s: f64) -> Self {
-        Self { span_s, rate: 0.0, as_of: Time::default() }
-    }
-
-    fn add(&mut self, arrived: u32, now: Time) {
-        self.rate = self.at(now) + f64::from(arrived) / self.span_s;
-        self.as_of = now;
-    }
-
-    fn at(&self, now: Time) -> f64 {
-        self.rate * (-now.since(self.as_of).as_secs_f64() / self.span_s).exp()
-    }
-}
-
 #[derive(Clone, Debug)]
 pub(super) struct Demand {
     /// When each request that waits was first heard of, the oldest first.
--- a/crates/tansyknot-fleet/src/plan/place.rs
+++ b/crates/tansyknot-fleet/src/plan/place.rs
@@ -67,7 +67,8 @@
             let steps = STEP_SPAN * (way.victims.len() as u32 + 1);
             let waits = free_in.unwrap_or_default().max(Duration::from_secs_f64(way.wait_s));
             let ready_in = waits + steps + tier.load_time(about);
-            let cost = ready_in.as_secs_f64() + way.loss_s;
+            let delays = self.delays(round, &target.name, tier.load_time(about));
+            let cost = ready_in.as_secs_f64() + way.loss_s + delays;
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
                 continue;
             }
@@ -78,6 +79,14 @@
         Some(best?.1)
     }
 
+    /// Returns how long other loads have to wait for one that takes `takes` at a target, summed up
+    /// in seconds: those that come meanwhile wait for half of it.
+    fn delays(&self, round: &Round<'_>, target: &TargetName, takes: Duration) -> f64 {
+        let loads = self.near.get(target).map_or(0.0, |near| near.at(round.scope.now));
+        let takes = takes.as_secs_f64();
+        loads * takes * takes / 2.0
+    }
+
     /// Returns when a target should be done with its task and those that wait for it, or may have
     /// one again after a failure or another planner's orders; `None` if it is free.
     fn free_in(&self, round: &Round<'_>, queue: &Queue, target: &TargetName) -> Option<Duration> {
