--- a/crates/tansyknot-fleet/tests/plan.rs
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -156,14 +156,14 @@
     // Both are free; the first has been loading twice a second, and a load from afar takes six.
     let mut rig = Rig::new(vec![target("t1", &[], &["m5", "m6"]), target("t2", &["m0"], &[])]);
     for n in 0..6 {
-        let model = ["m5", "m6"][n % 2];
-        rig.hear(&[wants(model, None, 1, 1 + n as u32)], Vec::new());
+        let (model, other) = if n % 2 == 0 { ("m5", "m6") } else { ("m6", "m5") };
+        rig.hear(&[wants(model, None, 1, n + 1), wants(other, None, 0, n)], Vec::new());
         assert_eq!(orders(&rig.plan()), [format!("t1 +{model}")]);
         rig.planner.ended(&TargetName::from("t1"), TaskEnd::Replan, rig.now);
         rig.now = rig.now + std::time::Duration::from_millis(500);
     }
     rig.hear(&[wants("m7", None, 1, 1), wants("m6", None, 0, 6)], Vec::new());
-    assert_eq!(orders(&rig.plan()), ["t2 +m7"]);
+    assert_eq!(orders(&rig.plan()), ["t2 +m7"], "t1 is named first and as free as t2");
 }
 
 #[test]
