--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -4,6 +4,16 @@
 import glob
 import json
 
+TRIAL_HEAD = """
+## Trials
+
+Days of changed scratch copies, each with a seed of its own, by what was tried; their entries are in the
+journal. Processor time is not charged in them.
+
+| site | what was tried | days | mean worth | broken |
+|---|---|---|---|---|
+"""
+
 HEAD = """# Rounds
 
 Every run on the users' bench, from its journal entry (`bench/rounds.py`). `mean` is the mean worth
@@ -35,11 +45,30 @@
     )
 
 
+def is_trial_day(entry):
+    return entry["cmd"] == "run" and (entry.get("why") or "").startswith("trial:")
+
+
+def trial_rows(entries):
+    groups = {}
+    for entry in entries:
+        days = entry.get("days") or []
+        key = (entry.get("site") or "(did not finish)", entry["why"].replace("|", "/"))
+        groups.setdefault(key, []).extend(days)
+    for (site, why), days in groups.items():
+        worth = [d["G"] for d in days if d.get("G") is not None]
+        mean = f"{sum(worth) / len(worth):.3f}" if worth else ""
+        broken = sum(1 for d in days if d.get("rules") or d.get("fault"))
+        yield f"| {site} | {why.removeprefix('trial: ')} | {len(days)} | {mean} | {broken or ''} |\n"
+
+
 def main():
     entries = [json.load(open(path)) for path in sorted(glob.glob("journal/*.json"))]
     with open("docs/ROUNDS.md", "w") as page:
         page.write(HEAD)
-        page.writelines(row(entry) for entry in entries)
+        page.writelines(row(entry) for entry in entries if not is_trial_day(entry))
+        page.write(TRIAL_HEAD)
+        page.writelines(trial_rows(entry for entry in entries if is_trial_day(entry)))
 
 
 if __name__ == "__main__":
--- a/crates/tansyknot-fleet/tests/plan.rs
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -344,6 +344,24 @@
     assert_eq!(orders(&rig.plan()), ["t1 -m0", "t1 +m5"]);
 }
 
+#[test]
+fn load_that_waits_for_its_target_is_announced_behind_the_one_under_way() {
+    let mut rig = Rig::new(vec![target("t1", &[], &["m5", "m6"])]);
+    rig.hear(&[wants("m5", None, 2, 2), wants("m6", None, 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t1 +m5"]);
+    let due = |rig: &Rig, model: &str| {
+        let coming = rig.planner.coming(rig.now);
+        coming.iter().find(|c| c.model.as_str() == model).map(|c| c.in_ms)
+    };
+    let (first, second) = (due(&rig, "m5"), due(&rig, "m6"));
+    // A load from disk takes 0.8 s, and each order 0.1 s beside that.
+    assert_eq!((first, second), (Some(900), Some(1800)));
+    rig.planner.ended(&TargetName::from("t1"), TaskEnd::Replan, rig.now);
+    rig.hear(&[wants("m5", None, 0, 2), wants("m6", None, 1, 1)], Vec::new());
+    assert_eq!(orders(&rig.plan()), ["t1 +m6"]);
+    assert_eq!(due(&rig, "m6"), Some(900), "nothing is under way before it any more");
+}
+
 #[test]
 fn draining_and_unreachable_targets_get_no_order() {
     let mut leaving = target("t1", &[], &["m5"]);
