--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -361,23 +361,14 @@
         all
     }
 
-    /// Counts a request out that was counted in by [`Fleet::pick`]; tells whether it was this
-    /// daemon's last one for the model there.
-    pub fn leave(&mut self, target: &TargetName, model: Option<&ModelName>) -> bool {
-        let Some(m) = self.members.get_mut(target) else { return false };
-        let Some(count) = m.in_flight.get_mut(&model.cloned()) else { return false };
+    /// Counts a request out that was counted in by [`Fleet::pick`].
+    pub fn leave(&mut self, target: &TargetName, model: Option<&ModelName>) {
+        let Some(m) = self.members.get_mut(target) else { return };
+        let Some(count) = m.in_flight.get_mut(&model.cloned()) else { return };
         *count = count.saturating_sub(1);
-        let is_last = *count == 0;
-        if is_last {
+        if *count == 0 {
             m.in_flight.remove(&model.cloned());
         }
-        is_last
-    }
-
-    /// Tells whether a request for the model alone has arrived after `since`.
-    pub fn has_arrived_since(&self, want: &Want<'_>, since: Time) -> bool {
-        let Some(key) = use_keys(want).into_iter().next() else { return false };
-        self.uses.get(&key).is_some_and(|u| since < u.last)
     }
 }
 
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -74,8 +74,8 @@
     }
 
     fn serve(&self, run: &mut Run<'_>) -> Ended {
-        run.arrived = self.state.now();
-        self.state.fleet().arrived(&run.want(), run.arrived);
+        let now = self.state.now();
+        self.state.fleet().arrived(&run.want(), now);
         loop {
             let target = match self.next_target(run) {
                 Ok(target) => target,
@@ -135,16 +135,8 @@
     }
 
     fn leave(&self, run: &Run<'_>, target: &Target) {
-        let is_idle = {
-            let mut fleet = self.state.fleet();
-            let is_last = fleet.leave(&target.name, run.ask.model.as_ref());
-            is_last && !fleet.has_arrived_since(&run.want(), run.arrived)
-        };
+        self.state.fleet().leave(&target.name, run.ask.model.as_ref());
         self.state.targets_changed.raise();
-        if is_idle {
-            // A model that is asked for rarely may make way now.
-            self.state.demand_changed.raise();
-        }
     }
 
     /// Returns the target of the next send, which has been counted as a first one or a retry.
@@ -355,7 +347,6 @@
             service,
             caller,
             began,
-            arrived: self.state.now(),
             until: began + allowed,
             sends: 0,
             arrivals: 0,
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -8,7 +8,6 @@
 };
 
 use tansyknot_core::{
-    clock::Time,
     metric,
     name::{ServiceName, TargetName},
 };
@@ -148,8 +147,6 @@
     pub(super) service: ServiceName,
     pub(super) caller: CallerSide<'a>,
     pub(super) began: Instant,
-    /// When it was counted as an arrival.
-    pub(super) arrived: Time,
     pub(super) until: Instant,
     pub(super) sends: u32,
     /// Sends of which a target may have seen a byte: these count against the retry budget.
