--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -3,6 +3,7 @@
 
 import glob
 import json
+import os
 
 TRIAL_HEAD = """
 ## Trials
@@ -62,8 +63,13 @@
         yield f"| {site} | {why.removeprefix('trial: ')} | {len(days)} | {mean} | {broken or ''} |\n"
 
 
+def journal_paths():
+    paths = glob.glob("journal/*.json") + glob.glob("journal/trials/*.json")
+    return sorted(paths, key=os.path.basename)
+
+
 def main():
-    entries = [json.load(open(path)) for path in sorted(glob.glob("journal/*.json"))]
+    entries = [json.load(open(path)) for path in journal_paths()]
     with open("docs/ROUNDS.md", "w") as page:
         page.write(HEAD)
         page.writelines(row(entry) for entry in entries if not is_trial_day(entry))
