Call what stands already; take work out of a planning round; split large test files

No change of policy. Found in reading the whole change once more: - Spans that double with each failure stood four times (pauses of the store's calls, readings of a table, conflicts of orders, suspicion of targets): one function, backoff::grown. - What a model that comes is keyed by and when it is due stood in the planner's news and in the view: Coming has both. - Each round compared every target that had loaded with every target: the mean of loads is forgotten by its value now, 1e-5 a second, which is a minute after one load and weighs nothing. - Where weights lie was looked up twice for each target and model, who waits summed up twice, and is_open said again what opens_at says.

--- a/crates/tansyknot-fleet/src/conduct/telling.rs
+++ b/crates/tansyknot-fleet/src/conduct/telling.rs
@@ -53,12 +53,22 @@
         self.beat
     }
 
-    /// Keeps all that is told on a beat.
-    fn keep_all(&mut self, loads: &[TargetLoad], coming: &[Coming], now: Time) {
-        self.loads.clear();
-        self.loads.extend(loads.iter().map(|l| (l.target.clone(), l.requests)));
-        self.coming.clear();
-        self.coming.extend(coming.iter().map(|c| (key(c), due(c, now))));
+    /// Returns what is told of loads and of models that come, and keeps it as told.
+    fn choose(
+        &mut self,
+        extent: Extent,
+        loads: Vec<TargetLoad>,
+        coming: Vec<Coming>,
+        now: Time,
+    ) -> (Vec<TargetLoad>, Vec<Coming>) {
+        match extent {
+            Extent::All => {
+                self.loads = loads.iter().map(|l| (l.target.clone(), l.requests)).collect();
+                self.coming = coming.iter().map(|c| (c.key(), c.due(now))).collect();
+                (loads, coming)
+            }
+            Extent::Changes => (self.new_loads(loads), self.new_coming(coming, now)),
+        }
     }
 
     /// Returns the loads that have changed since they were told, those of targets that have no
@@ -79,25 +89,16 @@
     /// Returns the models that come for which nothing or another time has been told.
     fn new_coming(&mut self, coming: Vec<Coming>, now: Time) -> Vec<Coming> {
         let is_news = |c: &Coming| {
-            let at = due(c, now);
-            let told = self.coming.get(&key(c));
+            let at = c.due(now);
+            let told = self.coming.get(&c.key());
             told.is_none_or(|told| at.since(*told).max(told.since(at)) >= SAME_TIME)
         };
         let news: Vec<Coming> = coming.into_iter().filter(is_news).collect();
-        self.coming.extend(news.iter().map(|c| (key(c), due(c, now))));
+        self.coming.extend(news.iter().map(|c| (c.key(), c.due(now))));
         news
     }
 }
 
-fn key(coming: &Coming) -> (ServiceName, ModelName) {
-    (coming.service.clone(), coming.model.clone())
-}
-
-/// Returns when a model should be there.
-fn due(coming: &Coming, now: Time) -> Time {
-    now + Duration::from_millis(coming.in_ms.into())
-}
-
 impl Conductor {
     /// Tells all daemons what is new, or on a beat all that may have been lost.
     pub(super) fn send_news(&self, occasion: Occasion, now: Time) {
@@ -133,16 +134,7 @@
             fleet.log.news(after, read, now)
         };
         let extent = extent(occasion, loads.len() * peers.len());
-        let (loads, coming) = {
-            let mut told = self.told();
-            match extent {
-                Extent::All => {
-                    told.keep_all(&loads, &coming, now);
-                    (loads, coming)
-                }
-                Extent::Changes => (told.new_loads(loads), told.new_coming(coming, now)),
-            }
-        };
+        let (loads, coming) = self.told().choose(extent, loads, coming, now);
         let renewed = self.lease.renewed();
         let mut news = News {
             fence,
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -284,10 +284,7 @@
                 m.others = u32::from(load.requests).saturating_sub(m.own());
             }
         }
-        for c in coming {
-            let at = now + Duration::from_millis(c.in_ms.into());
-            self.coming.insert((c.service.clone(), c.model.clone()), at);
-        }
+        self.coming.extend(coming.iter().map(|c| (c.key(), c.due(now))));
     }
 
     /// Returns when the model of a request should be there, if it is nowhere and is being loaded
--- a/crates/tansyknot-fleet/src/fleet/experience.rs
+++ b/crates/tansyknot-fleet/src/fleet/experience.rs
@@ -5,6 +5,7 @@
 use tansyknot_core::{clock::Time, name::TargetName};
 
 use super::{Fleet, Want};
+use crate::backoff;
 
 /// A target that could not be reached is left alone for this long at first.
 const SUSPECT_FIRST: Duration = Duration::from_millis(600);
@@ -33,9 +34,8 @@
     /// Takes in that a target could not be reached or has fallen silent.
     pub fn unreachable(&mut self, target: &TargetName, now: Time) {
         let Some(m) = self.members.get_mut(target) else { return };
-        let span = SUSPECT_FIRST * 2_u32.pow(m.suspicions.min(3));
+        m.suspect_until = now + backoff::grown(SUSPECT_FIRST, m.suspicions, SUSPECT_MOST);
         m.suspicions += 1;
-        m.suspect_until = now + span.min(SUSPECT_MOST);
     }
 
     /// Takes in that a target refused a request because it is full.
--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -11,7 +11,7 @@
 use tansyknot_core::{Result, clock::Time, event};
 
 use crate::{
-    backoff::Backoff,
+    backoff::{self, Backoff},
     outside::{Store, TargetNews},
     state::State,
 };
@@ -32,8 +32,6 @@
 /// How long a reading may take in the end; each may take twice as long as the one before. Some
 /// 120 kB at 94 targets take 0.1 s over an idle link of 10 Mbit/s.
 const READ_MOST: Duration = Duration::from_millis(2000);
-/// Failures in a row after which a reading may take [`READ_MOST`].
-const READ_DOUBLINGS: u32 = 3;
 
 /// Tells once that the store is lost, and once that it is back.
 #[derive(Debug)]
@@ -52,7 +50,7 @@
 
     /// Returns how long the next reading of a whole table may take.
     fn read_within(&self) -> Duration {
-        (READ_FIRST * 2_u32.pow(self.failures.min(READ_DOUBLINGS))).min(READ_MOST)
+        backoff::grown(READ_FIRST, self.failures, READ_MOST)
     }
 
     /// Takes in how a call ended; tells whether the store has just come back.
--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -210,7 +210,7 @@
 
     /// Tells whether `target` could be ordered if the row named it.
     pub fn is_open(&self, target: &TargetName, now: Time) -> bool {
-        self.held.as_ref().is_some_and(|h| h.is_valid(now) && !h.rests(target, now))
+        self.opens_at(target, now).is_some_and(|at| at <= now)
     }
 
     /// Returns from when `target` could be ordered if the row named it, as far as that is known;
--- a/crates/tansyknot-fleet/src/peer.rs
+++ b/crates/tansyknot-fleet/src/peer.rs
@@ -6,7 +6,10 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tansyknot_core::name::{AdapterName, ModelName, ServiceName, TargetName};
+use tansyknot_core::{
+    clock::Time,
+    name::{AdapterName, ModelName, ServiceName, TargetName},
+};
 
 use crate::{
     news::ListNews,
@@ -92,6 +95,18 @@
     pub in_ms: u32,
 }
 
+impl Coming {
+    /// Returns what is loaded.
+    pub fn key(&self) -> (ServiceName, ModelName) {
+        (self.service.clone(), self.model.clone())
+    }
+
+    /// Returns when it should be there, if it was told `now`.
+    pub fn due(&self, now: Time) -> Time {
+        now + Duration::from_millis(self.in_ms.into())
+    }
+}
+
 /// How much of what a planner knows its news tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Extent {
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -31,7 +31,7 @@
 use demand::{Daemon, Demand};
 use mean::Mean;
 use place::Queue;
-use round::{ModelView, Round, Scope};
+use round::{ModelView, Reached, Round, Scope};
 pub use tier::Tier;
 
 /// Requests in flight for one copy above which another copy is loaded, at most.
@@ -66,6 +66,9 @@
 /// The time constant of the mean of loads at a target, in seconds: as long as a load from the
 /// weight store, which it is weighed against.
 const LOADS_SPAN_S: f64 = 6.0;
+/// Loads a second below which a target's mean is forgotten, that of one load after a minute: they
+/// weigh nothing, and targets that have gone are not kept.
+const LOADS_NONE: f64 = 1e-5;
 
 /// A model or adapter of a service.
 type Key = (ServiceName, ModelName, Option<AdapterName>);
@@ -151,15 +154,16 @@
         self.blocked.retain(|_, until| now < *until);
         self.settling.retain(|_, at| now.since(*at) < SETTLE);
         self.expected.clear();
-        self.near.retain(|name, _| targets.iter().any(|t| t.name == *name));
+        self.near.retain(|_, loads| loads.at(now) > LOADS_NONE);
         let mut tasks = Vec::new();
         for service in catalog.services.values() {
             let Some(engine) = &service.engine else { continue };
             let objective = catalog.longest_objective(&service.name);
             let scope = Scope { service: &service.name, engine, objective, now };
             let of_service = targets.iter().filter(|t| t.service == service.name && t.is_ready());
-            let open = of_service.filter_map(|t| Some((t, opens_at(&t.name)?))).collect();
-            let round = Round::new(self, scope, open);
+            let reached = |target| Some(Reached { target, opens_at: opens_at(&target.name)? });
+            let reached: Vec<Reached<'_>> = of_service.filter_map(reached).collect();
+            let round = Round::new(self, scope, &reached);
             self.settling.retain(|(target, model), _| round.in_flight(target, model) == 0);
             self.plan_models(&round, &mut tasks);
             self.plan_adapters(&round, &mut tasks);
@@ -196,9 +200,7 @@
         let coming = self.pending.values().filter(|p| p.loads.contains(model)).count();
         let all = view.copies + coming;
         if all == 0 {
-            // Requests for an adapter wait for the model as well.
-            let waiting = view.waiting + view.adapters_waiting;
-            return match waiting {
+            return match view.all_waiting() {
                 0 => 0.0,
                 _ if view.rate > TWO_COPIES_RATE => HOT_LACK + view.rate,
                 _ => urgency(view),
@@ -259,8 +261,7 @@
 /// before those that can't, many before few, and the longest wait goes first among them.
 fn urgency(view: &ModelView) -> f64 {
     let base = if view.on_time > 0 { FRESH_LACK } else { LATE_LACK };
-    let waiting = view.waiting + view.adapters_waiting;
-    base + f64::from(waiting) + view.waited.as_secs_f64()
+    base + f64::from(view.all_waiting()) + view.waited.as_secs_f64()
 }
 
 /// Returns how many requests in flight one copy is for.
--- a/crates/tansyknot-fleet/src/plan/place.rs
+++ b/crates/tansyknot-fleet/src/plan/place.rs
@@ -63,15 +63,16 @@
         let about = round.scope.engine.models.get(model)?;
         let is_extra = round.model(model).copies > 0;
         let remote_allowed = self.remote_allowed(round);
-        let may_load = |t: &&&Arc<Target>| {
-            let has_room = !is_extra || !is_busy(round, t);
-            let is_near = Tier::of(t, model) != Tier::Remote;
-            !t.holds(model, None) && has_room && (is_near || remote_allowed)
-        };
+        let has_room =
+            |t: &&&Arc<Target>| !t.holds(model, None) && (!is_extra || !is_busy(round, t));
         let mut best: Option<Weighed> = None;
-        for target in round.targets.iter().filter(may_load) {
+        for target in round.targets.iter().filter(has_room) {
+            let tier = Tier::of(target, model);
+            if tier == Tier::Remote && !remote_allowed {
+                continue;
+            }
             let most = best.as_ref().map_or(f64::INFINITY, |best| best.cost);
-            best = self.weigh(round, queue, target, about, most).or(best);
+            best = self.weigh(round, queue, target, tier, about, most).or(best);
         }
         Some(best?.placement)
     }
@@ -82,10 +83,10 @@
         round: &Round<'_>,
         queue: &Queue,
         target: &Arc<Target>,
+        tier: Tier,
         about: &Model,
         most: f64,
     ) -> Option<Weighed> {
-        let tier = Tier::of(target, &about.name);
         let takes = tier.load_time(about);
         let free_in = self.free_in(round, queue, &target.name);
         let delays = self.delays(round, &target.name, takes);
@@ -129,17 +130,13 @@
     fn make_way(&self, round: &Round<'_>, target: &Target, about: &Model) -> Option<Way> {
         let engine = round.scope.engine;
         let free = engine.memory_mb - used_mb(engine, target);
-        let victims = target.models.iter().filter_map(|held| {
-            let (loss_s, wait_s) = self.loss(round, target, &held.model)?;
-            let frees_mb = held_mb(engine, target, &held.model);
-            Some(Victim { model: held.model.clone(), frees_mb, loss_s, wait_s })
-        });
+        let victims =
+            target.models.iter().filter_map(|held| self.victim(round, target, &held.model));
         way::cheapest(about.memory_mb - free, victims.collect())
     }
 
-    /// Returns what removing a model from a target loses, in seconds, and how long it has to be
-    /// waited for; `None` if it must stay.
-    fn loss(&self, round: &Round<'_>, target: &Target, model: &ModelName) -> Option<(f64, f64)> {
+    /// Returns what removing a model from a target frees and loses; `None` if it must stay.
+    fn victim(&self, round: &Round<'_>, target: &Target, model: &ModelName) -> Option<Victim> {
         let view = round.model(model);
         let place = (target.name.clone(), model.clone());
         if self.settling.contains_key(&place) || (view.copies <= 1 && view.waiting > 0) {
@@ -149,7 +146,12 @@
         let wait_s = if is_in_use { round.idle_in_s(&view)? } else { 0.0 };
         let weight =
             if view.copies > needed_copies(round, &view) { SPARE_COPY_WEIGHT } else { 1.0 };
-        Some((view.rate * RATE_WEIGHT_S * weight, wait_s))
+        Some(Victim {
+            model: model.clone(),
+            frees_mb: held_mb(round.scope.engine, target, model),
+            loss_s: view.rate * RATE_WEIGHT_S * weight,
+            wait_s,
+        })
     }
 
     /// Counts a load from the weight store that is about to be ordered.
--- a/crates/tansyknot-fleet/src/plan/round.rs
+++ b/crates/tansyknot-fleet/src/plan/round.rs
@@ -29,6 +29,14 @@
     pub(super) copies: usize,
 }
 
+impl ModelView {
+    /// Returns the requests that wait for the model, those for an adapter with them: they wait for
+    /// the model as well while it is nowhere.
+    pub(super) fn all_waiting(&self) -> u32 {
+        self.waiting + self.adapters_waiting
+    }
+}
+
 /// What one round plans for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Scope<'a> {
@@ -48,6 +56,13 @@
     }
 }
 
+/// A target that can be reached, and from when it may be ordered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reached<'a> {
+    pub(super) target: &'a Arc<Target>,
+    pub(super) opens_at: Time,
+}
+
 /// The view that one round of planning works on.
 #[derive(Debug)]
 pub(super) struct Round<'a> {
@@ -70,16 +85,11 @@
 const IDLE_MOST_S: f64 = 4.0;
 
 impl<'a> Round<'a> {
-    /// Sums up what the planner knows of the service's models and targets, each with the time
-    /// from which it may be ordered.
-    pub(super) fn new(
-        planner: &Planner,
-        scope: Scope<'a>,
-        open: Vec<(&'a Arc<Target>, Time)>,
-    ) -> Self {
-        let resting = open.iter().filter(|(_, at)| scope.now < *at);
-        let rests = resting.map(|(target, at)| (target.name.clone(), *at)).collect();
-        let targets: Vec<&Arc<Target>> = open.into_iter().map(|(target, _)| target).collect();
+    /// Sums up what the planner knows of the service's models and the targets that can be reached.
+    pub(super) fn new(planner: &Planner, scope: Scope<'a>, reached: &[Reached<'a>]) -> Self {
+        let resting = reached.iter().filter(|r| scope.now < r.opens_at);
+        let rests = resting.map(|r| (r.target.name.clone(), r.opens_at)).collect();
+        let targets: Vec<&Arc<Target>> = reached.iter().map(|r| r.target).collect();
         let mut models: HashMap<ModelName, ModelView> = HashMap::new();
         for ((service, model, adapter), demand) in &planner.demand {
             if service != scope.service {
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -188,22 +188,25 @@
                 break Err(Reason::CallerLeft);
             }
         };
-        if waits_for_load {
-            self.state.fleet().end_waiting(&run.want());
-            // The planner frees the target for its next load once it sees the request there.
-            self.state.demand_changed.raise();
-        }
         let waited = began.elapsed();
         run.waited += waited;
-        if waits_for_load && found.is_ok() {
-            self.state.load_waits().of(&run.want()).observe(waited);
-        }
         if waits_for_load {
-            run.note(format_args!("waited {} ms for a load", waited.as_millis()));
+            self.end_wait_for_load(run, waited, found.is_ok());
         }
         found
     }
 
+    /// Takes in that a request no longer waits for a load, and whether the load came.
+    fn end_wait_for_load(&self, run: &mut Run<'_>, waited: Duration, has_come: bool) {
+        self.state.fleet().end_waiting(&run.want());
+        // The planner frees the target for its next load once it sees the request there.
+        self.state.demand_changed.raise();
+        if has_come {
+            self.state.load_waits().of(&run.want()).observe(waited);
+        }
+        run.note(format_args!("waited {} ms for a load", waited.as_millis()));
+    }
+
     /// Returns how much longer a request may wait for a target; zero if it would be in vain.
     fn wait_left(&self, run: &mut Run<'_>, for_load: bool, now: Time) -> Duration {
         let left = run.take_by().saturating_duration_since(Instant::now());
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -12,6 +12,7 @@
 use tansyknot_core::{clock::Time, event, metric, name::TargetName, telemetry::Recorder};
 
 use crate::{
+    backoff,
     keep::{Keeper, SharedLease},
     outside::{Action, Order, Ordered, Targets},
     peer::TargetNote,
@@ -25,8 +26,6 @@
 /// Pause before an order is sent again that met another one under way, at first. It doubles, so
 /// that a removal that waits for its runs is not asked for all the time.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(10);
-/// Doublings after which the pause is the longest.
-const DOUBLINGS_MOST: u32 = 3;
 /// The longest such pause.
 const CONFLICT_PAUSE_MOST: Duration = Duration::from_millis(80);
 /// Pause after a model's removal, which takes some ms if nobody uses it.
@@ -259,7 +258,7 @@
                     if conflicts > CONFLICTS_MAX {
                         return Err(Stopped::Overtaken);
                     }
-                    self.pause(conflict_pause(conflicts));
+                    self.pause(backoff::grown(CONFLICT_PAUSE, conflicts - 1, CONFLICT_PAUSE_MOST));
                     if conflicts % CONFLICTS_BEFORE_REPORT == 0 {
                         let is_settled = conflicts > CONFLICTS_BEFORE_REPORT;
                         self.check_count(progress, is_settled)?;
@@ -382,9 +381,3 @@
         self.state.clock.sleep(span);
     }
 }
-
-/// Returns how long to wait after as many conflicts in a row.
-fn conflict_pause(conflicts: u32) -> Duration {
-    let doublings = conflicts.saturating_sub(1).min(DOUBLINGS_MOST);
-    (CONFLICT_PAUSE * 2_u32.pow(doublings)).min(CONFLICT_PAUSE_MOST)
-}
--- a/crates/tansyknot-fleet/tests/backoff.rs
+++ b/crates/tansyknot-fleet/tests/backoff.rs
@@ -5,7 +5,10 @@
 use std::{sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::StdRng};
-use support::{Daemon, FakeStore, StoreFault, state};
+use support::{
+    Daemon, state,
+    store::{FakeStore, StoreFault},
+};
 use tansyknot_core::clock::ManualClock;
 use tansyknot_fleet::{backoff::Backoff, follow::ConfigFollower};
 
--- a/crates/tansyknot-fleet/tests/counted.rs
+++ b/crates/tansyknot-fleet/tests/counted.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use support::{FakeStore, StoreFault};
+use support::store::{FakeStore, StoreFault};
 use tansyknot_core::{name::ServiceName, telemetry::Recorder};
 use tansyknot_fleet::{counted::CountedStore, outside::Store};
 
--- a/crates/tansyknot-fleet/tests/follow.rs
+++ b/crates/tansyknot-fleet/tests/follow.rs
@@ -7,7 +7,11 @@
     time::Duration,
 };
 
-use support::{FakeStore, StoreFault, state, target};
+use support::{
+    state,
+    store::{Door, FakeStore, StoreFault},
+    target,
+};
 use tansyknot_core::{
     clock::{ManualClock, Time},
     name::TargetName,
@@ -16,19 +20,35 @@
     follow::TargetFollower,
     news::{ChangeLog, Followed, ListRead},
     outside::{TargetChange, TargetNews},
+    state::State,
 };
 
 /// An outage of the store in which entries may lapse: three heartbeats.
 const OUTAGE: Duration = Duration::from_millis(3600);
 
-#[test]
-fn list_is_read_at_once_when_the_store_has_forgotten() {
+/// A follower of a store's list, and what it shares.
+struct Rig {
+    store: FakeStore,
+    door: Door,
+    clock: ManualClock,
+    state: Arc<State>,
+    follower: TargetFollower,
+}
+
+fn rig() -> Rig {
     let store = FakeStore::new();
     let door = store.door();
-    let state = state(&ManualClock::new());
+    let clock = ManualClock::new();
+    let state = state(&clock);
     let known = Arc::new(AtomicBool::new(false));
+    let follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
+    Rig { store, door, clock, state, follower }
+}
+
+#[test]
+fn list_is_read_at_once_when_the_store_has_forgotten() {
+    let Rig { store, door, state, mut follower, .. } = rig();
     store.set_list(vec![target("t1", &[], &[])]);
-    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
     assert!(follower.step());
     store.set_list(vec![target("t2", &[], &[])]);
     store.push_news(TargetNews::HistoryLost);
@@ -40,12 +60,8 @@
 
 #[test]
 fn reading_that_fails_is_given_more_time_and_the_first_is_short() {
-    let store = FakeStore::new();
-    let door = store.door();
+    let Rig { door, mut follower, .. } = rig();
     door.set(StoreFault::Silent);
-    let state = state(&ManualClock::new());
-    let known = Arc::new(AtomicBool::new(false));
-    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
     for _ in 0..4 {
         assert!(!follower.step());
     }
@@ -57,11 +73,7 @@
 
 #[test]
 fn call_goes_on_from_what_the_planner_has_told() {
-    let store = FakeStore::new();
-    let door = store.door();
-    let state = state(&ManualClock::new());
-    let known = Arc::new(AtomicBool::new(false));
-    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
+    let Rig { door, state, mut follower, .. } = rig();
     assert!(follower.step());
     let now = state.now();
     let read = ListRead { age: Duration::ZERO, version: 77 };
@@ -77,13 +89,8 @@
 
 #[test]
 fn store_that_is_away_leaves_the_view() {
-    let store = FakeStore::new();
-    let door = store.door();
-    let clock = ManualClock::new();
-    let state = state(&clock);
-    let known = Arc::new(AtomicBool::new(false));
+    let Rig { store, door, clock, state, mut follower } = rig();
     store.set_list(vec![target("t1", &[], &[])]);
-    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
     assert!(follower.step());
     clock.advance(OUTAGE);
     door.set(StoreFault::Silent);
@@ -101,13 +108,8 @@
 
 #[test]
 fn entry_that_goes_after_a_call_that_failed_is_gone_if_news_kept_the_view_fresh() {
-    let store = FakeStore::new();
-    let door = store.door();
-    let clock = ManualClock::new();
-    let state = state(&clock);
-    let known = Arc::new(AtomicBool::new(false));
+    let Rig { store, door, clock, state, mut follower } = rig();
     store.set_list(vec![target("t1", &[], &[])]);
-    let mut follower = TargetFollower::new(Arc::clone(&state), Arc::new(door.clone()), known);
     assert!(follower.step());
     door.set(StoreFault::Silent);
     assert!(!follower.step(), "this daemon alone lost the store");
--- a/crates/tansyknot-fleet/tests/lease.rs
+++ b/crates/tansyknot-fleet/tests/lease.rs
@@ -4,7 +4,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use support::{Daemon, FakeStore, StoreFault};
+use support::{
+    Daemon,
+    store::{FakeStore, StoreFault},
+};
 use tansyknot_core::{
     clock::{Clock, ManualClock, Time},
     name::TargetName,
--- a/crates/tansyknot-fleet/tests/plan.rs
+++ b/crates/tansyknot-fleet/tests/plan.rs
@@ -4,88 +4,21 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use support::{catalog, held, target};
-use tansyknot_core::{
-    clock::Time,
-    name::{AdapterName, ModelName, ServiceName, TargetName},
+use support::{
+    catalog, held,
+    planner::{Rig, busy, orders, wants},
+    target,
 };
+use tansyknot_core::name::{ModelName, ServiceName, TargetName};
 use tansyknot_fleet::{
     outside::Action,
-    peer::{Demand, InFlight, ModelUse},
-    plan::{Planner, Task, used_mb},
+    peer::ModelUse,
+    plan::used_mb,
     target::{Target, TargetState},
     task::TaskEnd,
 };
 use yare::parameterized;
 
-fn wants(model: &str, adapter: Option<&str>, waiting: u16, arrived: u32) -> ModelUse {
-    ModelUse {
-        service: ServiceName::from("s"),
-        model: ModelName::from(model),
-        adapter: adapter.map(AdapterName::from),
-        waiting,
-        arrived,
-    }
-}
-
-fn busy(target: &str, model: &str, count: u16) -> InFlight {
-    InFlight { target: TargetName::from(target), model: Some(ModelName::from(model)), count }
-}
-
-struct Rig {
-    planner: Planner,
-    targets: Vec<Arc<Target>>,
-    now: Time,
-    beat: u32,
-}
-
-impl Rig {
-    fn new(targets: Vec<Target>) -> Self {
-        let targets = targets.into_iter().map(Arc::new).collect();
-        Self { planner: Planner::default(), targets, now: Time::from_millis(100_000), beat: 0 }
-    }
-
-    fn hear(&mut self, uses: &[ModelUse], in_flight: Vec<InFlight>) {
-        self.hear_of("d", uses, in_flight);
-    }
-
-    fn hear_of(&mut self, daemon: &str, uses: &[ModelUse], in_flight: Vec<InFlight>) {
-        self.beat += 1;
-        let demand = Demand {
-            daemon: daemon.into(),
-            incarnation: "run-1".into(),
-            beat: self.beat,
-            models: uses.to_vec(),
-            in_flight,
-        };
-        self.planner.hear(demand, self.now);
-    }
-
-    fn plan(&mut self) -> Vec<Task> {
-        self.planner.plan(&self.targets, &|_| Some(self.now), &catalog(), self.now)
-    }
-}
-
-fn demand_of_one(uses: &[ModelUse]) -> Demand {
-    Demand {
-        daemon: "d".into(),
-        incarnation: "run-1".into(),
-        beat: 1,
-        models: uses.to_vec(),
-        in_flight: Vec::new(),
-    }
-}
-
-fn orders(tasks: &[Task]) -> Vec<String> {
-    let text = |t: &Task, action: &Action| match action {
-        Action::Load { model, adapter: None } => format!("{} +{model}", t.target.name),
-        Action::Remove { model, adapter: None } => format!("{} -{model}", t.target.name),
-        Action::Load { model, adapter: Some(a) } => format!("{} +{model}/{a}", t.target.name),
-        Action::Remove { model, adapter: Some(a) } => format!("{} -{model}/{a}", t.target.name),
-    };
-    tasks.iter().flat_map(|t| t.steps.iter().map(|s| text(t, &s.action))).collect()
-}
-
 #[test]
 fn nothing_is_ordered_without_demand() {
     let mut rig = Rig::new(vec![target("t1", &["m0"], &["m1"])]);
@@ -212,48 +145,6 @@
     assert_eq!(orders(&rig.plan()), ["t1 +m5"]);
 }
 
-#[test]
-fn copies_that_those_who_wait_cannot_use_are_not_counted() {
-    let mut rig = Rig::new(vec![target("t1", &["m5"], &[]), target("t2", &[], &["m5"])]);
-    rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
-    assert!(rig.plan().is_empty(), "the news of the copy may be on its way");
-    for _ in 0..4 {
-        rig.now = rig.now + std::time::Duration::from_millis(700);
-        rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
-    }
-    assert_eq!(orders(&rig.plan()), ["t2 +m5"]);
-}
-
-#[parameterized(
-    its_share = { 2, 0 },
-    more_than_its_share_of_eight_slots = { 3, 1 },
-)]
-fn model_whose_copy_has_its_share_of_the_slots_in_use_gets_another(in_flight: u16, loads: usize) {
-    let mut rig = Rig::new(vec![target("t1", &["m5"], &[]), target("t2", &[], &["m5"])]);
-    rig.hear(&[wants("m5", None, 0, 1)], vec![busy("t1", "m5", in_flight)]);
-    assert_eq!(rig.plan().len(), loads);
-}
-
-#[test]
-fn copies_that_a_hot_model_lacks_are_loaded_together() {
-    let on_disk = |name: &str| target(name, &[], &["m5"]);
-    let mut targets: Vec<Target> = ["t2", "t3", "t4"].map(on_disk).to_vec();
-    targets.push(target("t1", &["m5"], &[]));
-    let mut rig = Rig::new(targets);
-    rig.hear(&[wants("m5", None, 0, 1)], vec![busy("t1", "m5", 7)]);
-    let begun: usize = (0..4).map(|_| rig.plan().len()).sum();
-    assert_eq!(begun, 2, "seven requests in flight take three copies of engines with eight slots");
-}
-
-#[test]
-fn model_that_many_ask_for_and_that_is_nowhere_goes_before_an_overloaded_one() {
-    let mut rig = Rig::new(vec![target("t1", &["m5"], &[]), target("t2", &[], &["m5", "m6"])]);
-    rig.hear(&[wants("m6", None, 0, 1)], Vec::new());
-    // Twenty arrivals make a rate above that of a model with two copies.
-    rig.hear(&[wants("m5", None, 0, 1), wants("m6", None, 2, 21)], vec![busy("t1", "m5", 7)]);
-    assert_eq!(orders(&rig.plan()), ["t2 +m6"]);
-}
-
 #[test]
 fn burst_at_many_daemons_loads_a_model_once() {
     let mut rig = Rig::new(vec![target("t1", &[], &["m5"]), target("t2", &[], &["m5"])]);
@@ -300,50 +191,6 @@
     assert!((1..=10).contains(&begun), "{begun}");
 }
 
-#[parameterized(
-    rare = { 1, 24, 1 },
-    warm = { 2, 1, 2 },
-    hot = { 10, 1, 3 },
-)]
-fn models_asked_for_often_have_more_copies(arrived: u32, every: u32, copies: usize) {
-    let mut rig = Rig::new((0..5).map(|n| target(&format!("t{n}"), &[], &["m0"])).collect());
-    // Half a second a step, for twelve seconds.
-    let mut all = 1;
-    for step in 1..=24 {
-        rig.hear(&[wants("m0", None, 1, all)], Vec::new());
-        all += if step % every == 0 { arrived } else { 0 };
-        rig.now = rig.now + std::time::Duration::from_millis(500);
-    }
-    rig.hear(&[wants("m0", None, 1, all)], Vec::new());
-    let mut holders = BTreeSet::new();
-    for _ in 0..6 {
-        for task in rig.plan() {
-            let name = task.target.name.clone();
-            holders.insert(name.to_string());
-            rig.planner.ended(&name, TaskEnd::Done, rig.now);
-            let at = rig.targets.iter().position(|t| t.name == name).expect("a target");
-            rig.targets[at] = Arc::new(target(name.as_str(), &["m0"], &["m0"]));
-        }
-    }
-    assert_eq!(holders.len(), copies);
-}
-
-#[test]
-fn demand_that_has_moved_away_frees_its_copies_within_three_seconds() {
-    let mut rig = Rig::new(vec![target("t1", &["m0", "m1", "m2"], &["m5"])]);
-    let (mut hot, mut warm) = (0, 0);
-    // Twenty and three a second; after twelve seconds nobody asks for the first any more.
-    for tick in 0..150 {
-        hot += if tick < 120 { 2 } else { 0 };
-        warm += if tick % 10 < 3 { 1 } else { 0 };
-        let uses = [("m0", hot), ("m1", warm), ("m2", warm)].map(|(m, n)| wants(m, None, 0, n));
-        rig.hear(&uses, Vec::new());
-        rig.now = rig.now + std::time::Duration::from_millis(100);
-    }
-    rig.hear(&[wants("m5", None, 1, 1)], Vec::new());
-    assert_eq!(orders(&rig.plan()), ["t1 -m0", "t1 +m5"]);
-}
-
 #[test]
 fn load_that_waits_for_its_target_is_announced_behind_the_one_under_way() {
     let mut rig = Rig::new(vec![target("t1", &[], &["m5", "m6"])]);
@@ -375,9 +222,9 @@
 #[test]
 fn model_on_a_target_that_rests_for_an_earlier_planner_is_there_and_gets_no_order() {
     let mut rig = Rig::new(vec![target("t1", &["m5"], &[]), target("t2", &[], &["m5", "m6"])]);
-    let rests = rig.now + std::time::Duration::from_secs(2);
-    let opens_at = |name: &TargetName| Some(if name.as_str() == "t1" { rests } else { rig.now });
-    rig.planner.hear(demand_of_one(&[wants("m5", None, 1, 1), wants("m6", None, 1, 1)]), rig.now);
+    let (now, rests) = (rig.now, rig.now + std::time::Duration::from_secs(2));
+    let opens_at = |name: &TargetName| Some(if name.as_str() == "t1" { rests } else { now });
+    rig.hear(&[wants("m5", None, 1, 1), wants("m6", None, 1, 1)], Vec::new());
     let tasks = rig.planner.plan(&rig.targets, &opens_at, &catalog(), rig.now);
     assert_eq!(orders(&tasks), ["t2 +m6"]);
 }
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/support/planner.rs
@@ -0,0 +1,78 @@
+//! A planner that is told demand and planned with in virtual time.
+
+use std::sync::Arc;
+
+use tansyknot_core::{
+    clock::Time,
+    name::{AdapterName, ModelName, ServiceName, TargetName},
+};
+use tansyknot_fleet::{
+    outside::Action,
+    peer::{Demand, InFlight, ModelUse},
+    plan::{Planner, Task},
+    target::Target,
+};
+
+use super::catalog;
+
+/// Makes what one daemon asks of a model.
+pub(crate) fn wants(model: &str, adapter: Option<&str>, waiting: u16, arrived: u32) -> ModelUse {
+    ModelUse {
+        service: ServiceName::from("s"),
+        model: ModelName::from(model),
+        adapter: adapter.map(AdapterName::from),
+        waiting,
+        arrived,
+    }
+}
+
+/// Makes requests of one daemon at a target.
+pub(crate) fn busy(target: &str, model: &str, count: u16) -> InFlight {
+    InFlight { target: TargetName::from(target), model: Some(ModelName::from(model)), count }
+}
+
+/// A planner, the targets that it sees, and its time.
+pub(crate) struct Rig {
+    pub(crate) planner: Planner,
+    pub(crate) targets: Vec<Arc<Target>>,
+    pub(crate) now: Time,
+    pub(crate) beat: u32,
+}
+
+impl Rig {
+    pub(crate) fn new(targets: Vec<Target>) -> Self {
+        let targets = targets.into_iter().map(Arc::new).collect();
+        Self { planner: Planner::default(), targets, now: Time::from_millis(100_000), beat: 0 }
+    }
+
+    pub(crate) fn hear(&mut self, uses: &[ModelUse], in_flight: Vec<InFlight>) {
+        self.hear_of("d", uses, in_flight);
+    }
+
+    pub(crate) fn hear_of(&mut self, daemon: &str, uses: &[ModelUse], in_flight: Vec<InFlight>) {
+        self.beat += 1;
+        let demand = Demand {
+            daemon: daemon.into(),
+            incarnation: "run-1".into(),
+            beat: self.beat,
+            models: uses.to_vec(),
+            in_flight,
+        };
+        self.planner.hear(demand, self.now);
+    }
+
+    pub(crate) fn plan(&mut self) -> Vec<Task> {
+        self.planner.plan(&self.targets, &|_| Some(self.now), &catalog(), self.now)
+    }
+}
+
+/// Writes the orders of tasks as `target +model` and `target -model`.
+pub(crate) fn orders(tasks: &[Task]) -> Vec<String> {
+    let text = |t: &Task, action: &Action| match action {
+        Action::Load { model, adapter: None } => format!("{} +{model}", t.target.name),
+        Action::Remove { model, adapter: None } => format!("{} -{model}", t.target.name),
+        Action::Load { model, adapter: Some(a) } => format!("{} +{model}/{a}", t.target.name),
+        Action::Remove { model, adapter: Some(a) } => format!("{} -{model}/{a}", t.target.name),
+    };
+    tasks.iter().flat_map(|t| t.steps.iter().map(|s| text(t, &s.action))).collect()
+}
--- a/crates/tansyknot-fleet/tests/task.rs
+++ b/crates/tansyknot-fleet/tests/task.rs
@@ -4,7 +4,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use support::{Daemon, FakeStore, FakeTarget, OrderFault, held, target};
+use support::{
+    Daemon,
+    engine::{FakeTarget, OrderFault},
+    held,
+    store::FakeStore,
+    target,
+};
 use tansyknot_core::{
     clock::{Clock, ManualClock},
     name::{ModelName, TargetName},
