A follower that was away reads the table, not every change since

Cause: an answer to 'changes after a version' is every version in between and grows with the time away; the time of a call does not, and a call that fails loses what has come. Two daemons behind 10 Mbit/s asked for the same 4 MB until the store had forgotten it. Ruled out: dead connections (their calls arrived), a follower that does not call (its failures rose).

Change: changes are asked for one by one only after a version that a call or the planner's news confirmed as the newest within 2.5 s; else the table is read, for the configuration and for the list alike. A reading counts as of its start. Entries that a whole list lacks after an outage may have lapsed, as with news.

--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -14,6 +14,7 @@
     backoff::{self, Backoff},
     outside::{Store, TargetNews},
     state::State,
+    target::Target,
 };
 
 /// An answer shows the store as it was at most this long before it arrived.
@@ -33,6 +34,21 @@
 /// 120 kB at 94 targets take 0.1 s over an idle link of 10 Mbit/s.
 const READ_MOST: Duration = Duration::from_millis(2000);
 
+/// Changes are asked for one by one only after a version that was the newest within this span;
+/// whoever knows less reads the table. The answer to the former is every version in between, the
+/// time of a call does not grow with it, and what came of a call that failed is lost: two daemons
+/// that had been cut off for 12 s asked for the same 4 MB for 8 s more, over links of 10 Mbit/s
+/// (docs/incidents). Three versions of 95 kB a second make 0.7 MB in this span, 0.6 s of such a
+/// link; a call that waits for changes takes up to 1.5 s, so that daemons in contact replay.
+const REPLAY_MOST: Duration = Duration::from_millis(2500);
+
+/// Returns the version after which to ask for changes, `None` to read the table, for a follower
+/// that has `version`, which it knows to have been the newest at `known_at`.
+fn replay_from(version: Option<u64>, known_at: Option<Time>, now: Time) -> Option<u64> {
+    let is_recent = known_at.is_some_and(|at| now.since(at) <= REPLAY_MOST);
+    version.filter(|_| is_recent)
+}
+
 /// Tells once that the store is lost, and once that it is back.
 #[derive(Debug)]
 struct Contact {
@@ -110,18 +126,40 @@
         Self { state, store, version: None, contact: Contact::new("configuration") }
     }
 
+    /// Returns the last moment as of which the configuration in force was the newest.
+    fn known_at(&self) -> Option<Time> {
+        let mine = self.state.catalog().map_or(0, |c| c.version);
+        let told = self.state.followed().config_known_at(mine);
+        told.max(self.state.contacts().config)
+    }
+
+    /// Returns how long the reading of the table may take: with a configuration in force as long
+    /// as a call that waits for changes, at a start less.
+    fn read_within(&self) -> Duration {
+        let within = self.contact.read_within();
+        match self.state.catalog() {
+            Some(_) => within.max(self.state.spans.config_wait),
+            None => within,
+        }
+    }
+
     /// Makes one call; tells how long to pause before the next.
     pub fn step(&mut self) -> Duration {
         let began = self.state.now();
-        let result = match self.version {
+        let from = replay_from(self.version, self.known_at(), began);
+        let result = match from {
             Some(version) => self.store.catalog_changes(version, self.state.spans.config_wait),
-            None => self.store.catalog(self.contact.read_within()).map(Some),
+            None => self.store.catalog(self.read_within()).map(Some),
         };
-        self.contact.take(&result, self.version, &self.state);
+        self.contact.take(&result, from, &self.state);
         if matches!(result, Ok(Some(_))) {
-            // A call that waits shows what was so until its end; its start is on the safe side.
-            let ended = self.state.now();
-            self.state.contacts().config = Some(began.max(ended.before(ANSWER_SPAN)));
+            // A call that waits shows what was so until shortly before its end; a reading of the
+            // table, which may take long on a narrow link, what was so at its start.
+            let known_at = match from {
+                Some(_) => began.max(self.state.now().before(ANSWER_SPAN)),
+                None => began,
+            };
+            self.state.contacts().config = Some(known_at);
         }
         match result {
             Ok(Some((catalog, version))) => {
@@ -143,12 +181,24 @@
                 self.version = None;
                 Duration::ZERO
             }
-            // The version stays: what changed meanwhile is told when the store is back.
             Err(_) => self.contact.backoff.failed(&mut rand::rng()),
         }
     }
 }
 
+/// What the store has answered of the list.
+enum ListAnswer {
+    /// All of it, and the version to follow it from.
+    Whole {
+        /// Every target.
+        targets: Vec<Target>,
+        /// The version to go on from.
+        version: u64,
+    },
+    /// What came of asking for changes.
+    News(TargetNews),
+}
+
 /// Follows the list of targets.
 pub struct TargetFollower {
     state: Arc<State>,
@@ -169,11 +219,15 @@
         self.version = None;
     }
 
+    /// Returns the last moment as of which the list was known.
+    fn known_at(&self) -> Option<Time> {
+        self.state.followed().list_known_at().max(self.state.contacts().list)
+    }
+
     /// Tells whether the list has been unknown for so long that entries may have lapsed with the
     /// store away. If news have kept it known, it is this daemon alone that lost the store.
     fn may_have_lapsed(&self, now: Time) -> bool {
-        let known_at = self.state.followed().list_known_at().max(self.state.contacts().list);
-        known_at.is_none_or(|at| now.since(at) >= self.state.spans.lapse)
+        self.known_at().is_none_or(|at| now.since(at) >= self.state.spans.lapse)
     }
 
     /// Returns how long to pause after a call that failed.
@@ -191,47 +245,55 @@
             self.version = self.version.map(|own| own.max(followed.list_version()));
             followed.before_call()
         };
-        let from = self.version;
-        let result = match from {
-            Some(version) => self.store.target_changes(version),
-            None => self.store.targets(self.contact.read_within()).map(|(targets, version)| {
-                let now = self.state.now();
-                self.state.fleet().set_all(targets, now);
-                self.version = Some(version);
-                TargetNews::Changes { changes: Vec::new(), version }
-            }),
-        };
+        let from = replay_from(self.version, self.known_at(), began);
+        let result = self.ask(from);
         let now = self.state.now();
+        // Before the answer is taken in: an entry that it lacks may have lapsed with the store away.
         if self.contact.take(&result, from, &self.state) && self.may_have_lapsed(now) {
             self.state.fleet().store_returned(now);
         }
-        let mut is_changed = self.version.is_some() && !self.known.swap(true, Ordering::SeqCst);
-        match &result {
-            Ok(TargetNews::Changes { changes, version }) => {
-                self.version = Some(*version);
-                is_changed |= !changes.is_empty();
+        let Ok(answer) = result else { return false };
+        let (version, mut is_changed) = match answer {
+            ListAnswer::Whole { targets, version } => {
+                self.state.fleet().set_all(targets, now);
+                (version, true)
+            }
+            ListAnswer::News(TargetNews::Changes { changes, version }) => {
+                let is_changed = !changes.is_empty();
                 let mut fleet = self.state.fleet();
-                for change in changes {
-                    fleet.apply(change.clone(), now);
-                }
-                fleet.expire(now);
-                drop(fleet);
-                self.state.followed().after_call(mark);
-                let mut contacts = self.state.contacts();
-                contacts.list = Some(began);
-                contacts.list_version = *version;
+                changes.into_iter().for_each(|change| fleet.apply(change, now));
+                (version, is_changed)
             }
-            Ok(TargetNews::HistoryLost) => {
+            ListAnswer::News(TargetNews::HistoryLost) => {
                 // The view is old already: the whole list is read at once.
                 self.read_anew();
                 return self.step();
             }
-            Err(_) => {}
+        };
+        self.state.fleet().expire(now);
+        self.version = Some(version);
+        self.state.followed().after_call(mark);
+        {
+            let mut contacts = self.state.contacts();
+            contacts.list = Some(began);
+            contacts.list_version = version;
         }
+        is_changed |= !self.known.swap(true, Ordering::SeqCst);
         if is_changed {
             self.state.targets_changed.raise();
             self.state.demand_changed.raise();
         }
-        result.is_ok()
+        true
+    }
+
+    /// Asks for the changes after `from`, or for the whole list.
+    fn ask(&self, from: Option<u64>) -> Result<ListAnswer> {
+        match from {
+            Some(version) => self.store.target_changes(version).map(ListAnswer::News),
+            None => {
+                let whole = self.store.targets(self.contact.read_within());
+                whole.map(|(targets, version)| ListAnswer::Whole { targets, version })
+            }
+        }
     }
 }
--- a/crates/tansyknot-fleet/src/news.rs
+++ b/crates/tansyknot-fleet/src/news.rs
@@ -243,6 +243,12 @@
         self.config_at = self.config_at.max(Some(now.before(age)));
     }
 
+    /// Returns the last moment as of which the planner had no newer configuration than `mine`;
+    /// `None` if it has one now.
+    pub fn config_known_at(&self, mine: u64) -> Option<Time> {
+        self.config_at.filter(|_| mine >= self.config_version)
+    }
+
     /// Returns the newest version of the configuration that the planner has told of, 0 if none.
     pub fn config_version(&self) -> u64 {
         self.config_version
@@ -281,7 +287,7 @@
 
     /// Returns how long version `mine` of the configuration is fresh enough without a call.
     pub fn config_fresh_for(&self, mine: u64, now: Time) -> Duration {
-        let at = self.config_at.filter(|_| mine >= self.config_version);
+        let at = self.config_known_at(mine);
         at.map_or(Duration::ZERO, |at| self.spans.config.saturating_sub(now.since(at)))
     }
 }
