A daemon has a part of the retry slack once it knows the others and has run for a window

Cause: the number of daemons that share the slack was 1 until a planner told it, and what a new planner has heard of so far was taken for all; and a daemon that starts knew nothing of what it had spent before it ended.

Change: no slack before the number is known and before the daemon has run for a window of the budget; the ratio of its own first sends it has at once. The number only rises while a daemon runs.

Tests changed: budget.rs took an unknown number for one daemon with all of the slack, which was the fault; it is now none.

--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -102,7 +102,7 @@
     whole: Whole,
     /// When models that are being loaded should be there.
     coming: HashMap<(ServiceName, ModelName), Time>,
-    /// Daemons that the planner counts.
+    /// The most daemons that the planner has counted.
     daemons: usize,
     /// Changes of the list that requests depend on.
     pub log: ChangeLog,
@@ -113,21 +113,23 @@
 impl Fleet {
     /// Makes the view of a daemon in `zone`.
     pub fn new(zone: ZoneName, spans: Spans) -> Self {
-        Self { zone: Some(zone), spans, daemons: 1, ..Self::default() }
+        Self { zone: Some(zone), spans, ..Self::default() }
     }
 
-    /// Returns how many daemons the planner counts.
+    /// Returns the most daemons that a planner has counted since this daemon started, 0 if it has
+    /// not been told yet.
     pub fn daemons(&self) -> usize {
         self.daemons
     }
 
-    /// Takes in how many daemons the planner counts.
+    /// Takes in how many daemons the planner counts. A lower number is not taken: a new planner
+    /// counts from nothing, and one that is cut off counts those it still hears, while the others
+    /// may spend their parts of the retry budgets all the same.
     pub fn set_daemons(&mut self, daemons: usize) {
-        let daemons = daemons.max(1);
-        if self.daemons != daemons {
+        if daemons > self.daemons {
             event::FLEET_DAEMONS.emit(&[("daemons", &daemons), ("before", &self.daemons)]);
+            self.daemons = daemons;
         }
-        self.daemons = daemons;
     }
 
     /// Says that the store answers again after it was away.
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    budget::{Budget, BudgetOptions, Retries},
+    budget::{Budget, BudgetOptions, Part, Retries},
     catalog::Catalog,
     estimate::Estimate,
     fleet::{Fleet, Want},
@@ -243,9 +243,13 @@
     /// Panics if another thread has panicked with it.
     pub fn take_second_send(&self, service: &ServiceName) -> bool {
         let now = self.now();
-        let daemons = self.fleet().daemons();
+        let part = self.budget_part(now);
         let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
-        budgets.entry(service.clone()).or_default().take(now, daemons, &self.budget_options)
+        budgets.entry(service.clone()).or_default().take(now, part, &self.budget_options)
+    }
+
+    fn budget_part(&self, now: Time) -> Part {
+        Part { daemons: self.fleet().daemons(), running: now.since(self.started) }
     }
 
     /// Returns what this daemon has spent of each service's retry budget, and may spend.
@@ -255,9 +259,9 @@
     /// Panics if another thread has panicked with it.
     pub fn retries(&self) -> Vec<(ServiceName, Retries)> {
         let now = self.now();
-        let daemons = self.fleet().daemons();
+        let part = self.budget_part(now);
         let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
-        let retries = |budget: &mut Budget| budget.retries(now, daemons, &self.budget_options);
+        let retries = |budget: &mut Budget| budget.retries(now, part, &self.budget_options);
         budgets.iter_mut().map(|(service, budget)| (service.clone(), retries(budget))).collect()
     }
 }
--- a/crates/tansyknot-fleet/tests/budget.rs
+++ b/crates/tansyknot-fleet/tests/budget.rs
@@ -3,28 +3,45 @@
 use std::time::Duration;
 
 use tansyknot_core::clock::Time;
-use tansyknot_fleet::budget::{Budget, BudgetOptions};
+use tansyknot_fleet::budget::{Budget, BudgetOptions, Part};
 use yare::parameterized;
 
 const OPTIONS: BudgetOptions =
     BudgetOptions { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
 
-/// Takes as many second sends as there are at `at`.
+/// The part of one of `daemons` daemons that has run for `running`.
+fn part(daemons: usize, running: Duration) -> Part {
+    Part { daemons, running }
+}
+
+/// Takes as many second sends as there are at `at` for one of `daemons` that have run for long.
 fn drain(budget: &mut Budget, at: Time, daemons: usize) -> usize {
-    (0..1000).take_while(|_| budget.take(at, daemons, &OPTIONS)).count()
+    let part = part(daemons, OPTIONS.window);
+    (0..1000).take_while(|_| budget.take(at, part, &OPTIONS)).count()
 }
 
 #[parameterized(
     alone = { 1, 44 },
     six = { 6, 7 },
     seventy = { 70, 0 },
-    unknown = { 0, 44 },
+    unknown = { 0, 0 },
 )]
 fn daemons_share_the_slack(daemons: usize, expected: usize) {
     let mut budget = Budget::default();
     assert_eq!(drain(&mut budget, Time::from_millis(0), daemons), expected);
 }
 
+#[test]
+fn daemon_that_has_just_started_has_the_ratio_alone() {
+    let mut budget = Budget::default();
+    let now = Time::from_millis(0);
+    let fresh = part(6, OPTIONS.window - Duration::from_millis(1));
+    assert!(!budget.take(now, fresh, &OPTIONS));
+    (0..12).for_each(|_| budget.first(now, &OPTIONS));
+    assert!(budget.take(now, fresh, &OPTIONS) && budget.take(now, fresh, &OPTIONS));
+    assert!(!budget.take(now, fresh, &OPTIONS));
+}
+
 #[test]
 fn all_daemons_together_stay_within_the_bound_in_every_window() {
     const DAEMONS: usize = 6;
@@ -35,7 +52,7 @@
         let budget = &mut budgets[(ms / 20) as usize % DAEMONS];
         budget.first(now, &OPTIONS);
         first.push(now);
-        while budget.take(now, DAEMONS, &OPTIONS) {
+        while budget.take(now, part(DAEMONS, OPTIONS.window), &OPTIONS) {
             again.push(now);
         }
     }
