Operators' configuration: a replay that fails is not tried again, the objects are read

The test has a table whose answers of more than 50 rows are cut; it fails before (no version 200, ever) and passes after.

--- a/crates/tansyknot-control/src/config.rs
+++ b/crates/tansyknot-control/src/config.rs
@@ -272,7 +272,7 @@
             return Ok(Followed::Unchanged);
         }
         let replay = current > 0 && head.version > current && head.version - current <= MAX_REPLAY;
-        if replay && self.replay(table, &head)? {
+        if replay && self.has_replayed(table, &head) {
             return Ok(self.raised(&head, head_row));
         }
         if self.reload(table, &head)? {
@@ -291,6 +291,17 @@
         *self.head_row.write().expect("no holder of the lock panics") = version;
     }
 
+    /// Applies the changes up to `head`; tells whether that is done.
+    ///
+    /// The changes are one answer, as long as the daemon was away, and the time of a call does not
+    /// grow with it: a replay that fails must not be tried again in place of reading the objects.
+    fn has_replayed(&self, table: &dyn Table, head: &Head) -> bool {
+        self.replay(table, head).unwrap_or_else(|e| {
+            event::CONFIG_NOT_REPLAYED.emit(&[("version", &head.version), ("error", &e)]);
+            false
+        })
+    }
+
     /// Applies the changes up to `head`; tells whether the result has the head's digest.
     fn replay(&self, table: &dyn Table, head: &Head) -> Result<bool> {
         let current = self.version();
--- a/crates/tansyknot-control/tests/config.rs
+++ b/crates/tansyknot-control/tests/config.rs
@@ -10,8 +10,9 @@
 };
 use tansyknot_control::config::{self, ApplyError, Author, ConfigView, Followed};
 use tansyknot_core::{
+    Error, Result,
     host::Fencing,
-    table::{Table, Transaction},
+    table::{Row, Table, Transaction},
 };
 use tansyknot_standins::fake::{CommitFault, FakeTable};
 use yare::parameterized;
@@ -25,7 +26,11 @@
     Author { name: name.to_owned(), at_ms: 1 }
 }
 
-fn apply_one(table: &FakeTable, base: ConfigVersion, name: &str) -> Result<u64, ApplyError> {
+fn apply_one(
+    table: &FakeTable,
+    base: ConfigVersion,
+    name: &str,
+) -> std::result::Result<u64, ApplyError> {
     config::apply(table, base, &[adapter(name)], &author(name))
 }
 
@@ -69,6 +74,44 @@
     assert_eq!(apply_one(&table, 1, "c"), Err(ApplyError::Lost { won: 2 }));
 }
 
+/// A table whose answers are cut off if they have more rows than the daemon's link carries in the
+/// time of a call.
+struct NarrowTable {
+    table: FakeTable,
+    rows_most: usize,
+}
+
+impl Table for NarrowTable {
+    fn read(&self, key: &str) -> Result<Option<Row>> {
+        self.table.read(key)
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
+        let rows = self.table.scan(prefix, after, limit)?;
+        if rows.len() > self.rows_most {
+            return Err(Error::unknown("table", "timeout in the answer"));
+        }
+        Ok(rows)
+    }
+
+    fn commit(&self, txn: &Transaction) -> Result<()> {
+        self.table.commit(txn)
+    }
+}
+
+#[test]
+fn daemon_that_cannot_read_all_changes_in_one_call_reads_the_objects() {
+    let table = FakeTable::default();
+    let view = ConfigView::default();
+    apply_one(&table, 0, "a").expect("nobody races");
+    assert_eq!(view.follow(&table), Ok(Followed::Raised(1)));
+    for base in 1..200 {
+        apply_one(&table, base, "a").expect("nobody races");
+    }
+    let narrow = NarrowTable { table: table.another_path(), rows_most: 50 };
+    assert_eq!(view.follow(&narrow), Ok(Followed::Raised(200)));
+}
+
 #[test]
 fn every_version_is_followed_in_order() {
     let table = FakeTable::default();
--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -68,6 +68,7 @@
     CONFIG_APPLIED = 1101, Info, "A configuration version is in force.";
     CONFIG_OLDER_IGNORED = 1102, Warn, "An older configuration version was read and ignored.";
     CONFIG_RELOADED = 1103, Warn, "The configuration differed from its digest and was read anew.";
+    CONFIG_NOT_REPLAYED = 1104, Warn, "Changes of the configuration could not be read one by one; all objects are read.";
     TABLE_DOWN = 1201, Warn, "The table service stopped answering.";
     TABLE_UP = 1202, Info, "The table service answers again.";
     HOSTS_DOWN = 1203, Warn, "The list of hosts stopped answering; the last list stays in use.";
