Retry budget: the bound at one, seven and 77 daemons, in bursts

Seeded test in virtual time: 12 spans of 2 to 500 requests a second, kills and planners that have heard of few.

--- a/crates/tansyknot-fleet/tests/retry_budget.rs
+++ b/crates/tansyknot-fleet/tests/retry_budget.rs
@@ -22,6 +22,7 @@
     name::ServiceName,
 };
 use tansyknot_fleet::state::State;
+use yare::parameterized;
 
 const DAEMONS: usize = 6;
 const WINDOW: Duration = Duration::from_secs(10);
@@ -73,9 +74,13 @@
 
 impl Rig {
     fn new() -> Self {
+        Self::of(DAEMONS)
+    }
+
+    fn of(daemons: usize) -> Self {
         let clock = ManualClock::new();
-        let daemons: Vec<Arc<State>> = (0..DAEMONS).map(|_| state(&clock)).collect();
-        let told_at = vec![clock.now() + TOLD; DAEMONS];
+        let daemons: Vec<Arc<State>> = (0..daemons).map(|_| state(&clock)).collect();
+        let told_at = vec![clock.now() + TOLD; daemons.len()];
         let mut rig =
             Self { clock, daemons, told_at, service: "s".into(), sends: Sends::default() };
         // They have run for long, and know how many they are, when the first request comes.
@@ -98,9 +103,10 @@
     fn advance(&mut self, span: Duration) {
         self.clock.advance(span);
         let now = self.clock.now();
+        let daemons = self.daemons.len();
         for (state, told_at) in self.daemons.iter().zip(&self.told_at) {
             if now >= *told_at {
-                state.fleet().set_daemons(DAEMONS);
+                state.fleet().set_daemons(daemons);
             }
         }
     }
@@ -122,12 +128,17 @@
 
     /// Lets requests come for `span`, fifty a second at all daemons in turn.
     fn serve(&mut self, span: Duration) {
+        self.serve_each(Duration::from_millis(20), span);
+    }
+
+    /// Lets a request come each `gap` for `span`, at all daemons in turn.
+    fn serve_each(&mut self, gap: Duration, span: Duration) {
         let until = self.clock.now() + span;
         let mut n = 0;
         while self.clock.now() < until {
-            self.request(n % DAEMONS);
+            self.request(n % self.daemons.len());
             n += 1;
-            self.advance(Duration::from_millis(20));
+            self.advance(gap);
         }
     }
 }
@@ -178,3 +189,26 @@
     let spent = rig.sends.again.len() as f64;
     assert!(spent >= (part * 0.7).floor() && spent <= part, "{spent} of {part}");
 }
+
+#[parameterized(
+    one = { 1 },
+    seven = { 7 },
+    seventy_seven = { 77 },
+)]
+fn any_number_of_daemons_stays_within_the_bound_while_requests_come_in_bursts(daemons: usize) {
+    for seed in 0..6 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut rig = Rig::of(daemons);
+        for _ in 0..12 {
+            let gap = Duration::from_millis([2, 10, 50, 400][rng.random_range(0..4)]);
+            rig.serve_each(gap, Duration::from_millis(rng.random_range(200..4000)));
+            match rng.random_range(0..4) {
+                0 => (0..daemons).for_each(|daemon| rig.kill(daemon)),
+                1 => rig.kill(rng.random_range(0..daemons)),
+                2 => rig.change_planner(rng.random_range(0..daemons)),
+                _ => {}
+            }
+        }
+        rig.sends.assert_bound(Time::default(), rig.clock.now(), &format!("seed {seed}"));
+    }
+}
