Soak: daemons behind narrow links are cut off during many changes

Real processes, a proxy that passes 100 kB a second, 40 to 80 documents of 25 kB while daemons are cut off from the store; the newest must be in force within 20 s.

--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -10,9 +10,11 @@
 #[path = "../launch/mod.rs"]
 mod launch;
 mod proxy;
+mod storm;
 mod world;
 
 use std::{
+    ops::Range,
     thread,
     time::{Duration, Instant},
 };
@@ -78,17 +80,33 @@
     }
 }
 
-#[test]
-fn seeds_of_this_run() {
-    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..3".to_owned());
+/// Returns the seeds that were asked for, else `usual`.
+fn seeds(usual: Range<u64>) -> Range<u64> {
+    let Ok(seeds) = std::env::var("SOAK_SEEDS") else { return usual };
     let (from, to) = seeds.split_once("..").expect("SOAK_SEEDS is FROM..TO");
     let number = |text: &str| text.parse::<u64>().expect("SOAK_SEEDS is FROM..TO");
-    for seed in number(from)..number(to) {
+    number(from)..number(to)
+}
+
+#[test]
+fn seeds_of_this_run() {
+    for seed in seeds(1..3) {
         soak(seed);
         println!("seed {seed}: held");
     }
 }
 
+// Before it could, a daemon that had been cut off asked for every version since its own, which its
+// link did not carry in the time of a call.
+#[test]
+fn daemons_that_were_cut_off_have_the_newest_configuration() {
+    for seed in seeds(1..2) {
+        let broken = storm::run(seed);
+        assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
+        println!("seed {seed}: caught up");
+    }
+}
+
 // Each let two holders take turns within 3 s: a new run on the planner's host freed targets that
 // rested for the holder before, and forgot what its own earlier run had ordered.
 #[parameterized(
--- a/crates/tansyknotd/tests/soak/proxy.rs
+++ b/crates/tansyknotd/tests/soak/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy that delays, silences or resets connections.
+//! A loopback proxy that delays, narrows, silences or resets connections.
 
 use std::{
     io::{Read, Write},
@@ -13,6 +13,9 @@
 
 use rand::{Rng, rngs::StdRng};
 
+/// Bytes that pass at once.
+const PIECE: usize = 4096;
+
 /// How a path treats what passes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Weather {
@@ -20,6 +23,8 @@
     Fair,
     /// Each piece is held back this long.
     Slow(Duration),
+    /// Answers pass at so many bytes a second.
+    Narrow(u32),
     /// Nothing passes in either direction.
     Silent,
     /// Requests pass, answers do not.
@@ -107,7 +112,7 @@
     let is_reset = || shared.epoch.load(Ordering::SeqCst) != epoch;
     // Looks at the weather this often while nothing comes.
     let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
-    let mut buf = [0; 4096];
+    let mut buf = [0; PIECE];
     while !is_reset() {
         let n = match from.read(&mut buf) {
             Ok(0) => break,
@@ -116,7 +121,7 @@
             Err(_) => break,
         };
         let mut was_held = false;
-        while blocks(shared, way) && !is_reset() {
+        while blocks(shared, way, n) && !is_reset() {
             was_held = true;
             thread::sleep(Duration::from_millis(20));
         }
@@ -132,8 +137,8 @@
     let _ = to.shutdown(Shutdown::Both);
 }
 
-/// Tells whether a piece is held; waits for a slow path.
-fn blocks(shared: &Shared, way: Way) -> bool {
+/// Tells whether a piece of `n` bytes is held; waits for a slow path.
+fn blocks(shared: &Shared, way: Way, n: usize) -> bool {
     let weather = *shared.weather.lock().expect("no holder of the lock panics");
     match weather {
         Weather::Fair => false,
@@ -141,6 +146,12 @@
             thread::sleep(span);
             false
         }
+        Weather::Narrow(bytes_per_s) => {
+            if way == Way::Back {
+                thread::sleep(Duration::from_secs_f64(n as f64 / f64::from(bytes_per_s)));
+            }
+            false
+        }
         Weather::Silent => true,
         Weather::AnswersLost => way == Way::Back,
     }
--- /dev/null
+++ b/crates/tansyknotd/tests/soak/storm.rs
@@ -0,0 +1,75 @@
+//! Daemons behind narrow links that are cut off from the store while operators make many changes.
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::{
+    proxy::Weather,
+    world::{Daemon, World},
+};
+
+/// Models in the document, which has some 25 kB with them.
+const MODELS: usize = 150;
+/// The links carry a document in 0.25 s, and forty in ten.
+const BYTES_PER_S: u32 = 100_000;
+/// Cuts in one run.
+const CUTS: usize = 2;
+/// The newest version is in force everywhere within this long after a cut. A daemon that asked
+/// for all versions since its own never had it.
+const CAUGHT_UP: Duration = Duration::from_secs(20);
+
+/// Cuts daemons off while many changes are made; returns what broke.
+pub(crate) fn run(seed: u64) -> Vec<String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let world = World::start(seed);
+    let mut broken = Vec::new();
+    for d in &world.daemons {
+        d.store_path.set(Weather::Narrow(BYTES_PER_S));
+    }
+    for cut in 0..CUTS {
+        let cut_off: Vec<&Daemon> = world.daemons.iter().filter(|_| rng.random_bool(0.7)).collect();
+        cut_off.iter().for_each(|d| d.store_path.set(Weather::Silent));
+        let mut newest = 0;
+        for _ in 0..rng.random_range(40..80) {
+            newest = world.write_config(MODELS);
+            thread::sleep(Duration::from_millis(rng.random_range(5..60)));
+        }
+        cut_off.iter().for_each(|d| d.store_path.set(Weather::Narrow(BYTES_PER_S)));
+        let until = Instant::now() + CAUGHT_UP;
+        for (n, daemon) in world.daemons.iter().enumerate() {
+            if !has_in_force(daemon, newest, until) {
+                broken.push(format!("cut {cut}: daemon {n} does not have version {newest}"));
+            }
+        }
+    }
+    broken
+}
+
+/// Waits until a daemon has a version in force; tells whether it has by `until`.
+fn has_in_force(daemon: &Daemon, version: u64, until: Instant) -> bool {
+    let line = format!("tansyknot_config_version{{of=\"daemon\"}} {version}\n");
+    loop {
+        if page(daemon).is_some_and(|page| page.contains(&line)) {
+            return true;
+        }
+        if Instant::now() >= until {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Returns the page of a daemon's figures.
+fn page(daemon: &Daemon) -> Option<String> {
+    let mut stream = TcpStream::connect_timeout(&daemon.metrics(), Duration::from_secs(1)).ok()?;
+    stream.write_all(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n").ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    Some(text)
+}
--- a/crates/tansyknotd/tests/soak/world.rs
+++ b/crates/tansyknotd/tests/soak/world.rs
@@ -62,6 +62,7 @@
     pub(crate) store_path: Path,
     process: Mutex<Child>,
     callers: Mutex<SocketAddr>,
+    metrics: Mutex<SocketAddr>,
     settings: PathBuf,
     /// When it went on after a pause.
     thawed: Mutex<Vec<Instant>>,
@@ -110,8 +111,14 @@
     }
 
     pub(crate) fn change_config(&self) {
+        self.write_config(MODEL_COUNT);
+    }
+
+    /// Writes the next configuration, with so many models; returns its version.
+    pub(crate) fn write_config(&self, models: usize) -> u64 {
         let version = self.config.fetch_add(1, Ordering::SeqCst) + 1;
-        configuration(version).write(&self.store);
+        Configuration { models, ..configuration(version) }.write(&self.store);
+        version
     }
 
     pub(crate) fn stop_clients(&self) {
@@ -138,6 +145,7 @@
             store_path,
             process: Mutex::new(started.child),
             callers: Mutex::new(started.callers),
+            metrics: Mutex::new(started.metrics),
             settings,
             thawed: Mutex::default(),
         }
@@ -148,6 +156,11 @@
         *self.callers.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns where its figures are now.
+    pub(crate) fn metrics(&self) -> SocketAddr {
+        *self.metrics.lock().expect("no holder of the lock panics")
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let child = self.process.lock().expect("no holder of the lock panics");
         // It may have ended a moment ago.
@@ -185,6 +198,7 @@
         let next = launch::spawn(&self.settings);
         *child = next.child;
         *self.callers.lock().expect("no holder of the lock panics") = next.callers;
+        *self.metrics.lock().expect("no holder of the lock panics") = next.metrics;
     }
 }
 
