--- /dev/null
+++ b/crates/tansyknot-fleet/src/follow/list.rs
@@ -0,0 +1,136 @@
+//! Follows the list of targets.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tansyknot_core::{Result, clock::Time};
+
+use super::{contact::Contact, replay_from};
+use crate::{
+    outside::{Store, TargetChange, TargetNews},
+    state::State,
+    target::Target,
+};
+
+/// What the store has answered of the list, and the version to go on from.
+enum Answer {
+    /// Every target.
+    Whole(Vec<Target>, u64),
+    /// What has changed.
+    Changes(Vec<TargetChange>, u64),
+}
+
+/// Follows the list of targets.
+pub struct TargetFollower {
+    state: Arc<State>,
+    store: Arc<dyn Store>,
+    version: Option<u64>,
+    contact: Contact,
+    known: Arc<AtomicBool>,
+}
+
+impl TargetFollower {
+    /// Makes a follower that has read nothing yet; `known` is set once the list has been read.
+    pub fn new(state: Arc<State>, store: Arc<dyn Store>, known: Arc<AtomicBool>) -> Self {
+        Self { state, store, version: None, contact: Contact::new("targets"), known }
+    }
+
+    /// Has the next call read the whole list, with what news leave out.
+    pub fn read_anew(&mut self) {
+        self.version = None;
+    }
+
+    /// Returns the last moment as of which the list was known.
+    fn known_at(&self) -> Option<Time> {
+        self.state.followed().list_known_at().max(self.state.contacts().list)
+    }
+
+    /// Tells whether the list has been unknown for so long that entries may have lapsed with the
+    /// store away. If news have kept it known, it is this daemon alone that lost the store.
+    fn may_have_lapsed(&self, now: Time) -> bool {
+        self.known_at().is_none_or(|at| now.since(at) >= self.state.spans.lapse)
+    }
+
+    /// Returns how long to pause after a call that failed.
+    pub fn pause(&mut self) -> Duration {
+        self.contact.pause()
+    }
+
+    /// Makes a call, or two if the store has forgotten what came since the last one; tells
+    /// whether the store answered.
+    pub fn step(&mut self) -> bool {
+        let began = self.state.now();
+        let mark = {
+            let followed = self.state.followed();
+            // What the planner has told need not be asked for, and may be forgotten by the store.
+            self.version = self.version.map(|own| own.max(followed.list_version()));
+            followed.before_call()
+        };
+        let from = replay_from(self.version, self.known_at(), began);
+        let result = self.ask(from);
+        let now = self.state.now();
+        // Before the answer is taken in: an entry that it lacks may have lapsed with the store away.
+        if self.contact.take(&result, from, &self.state) && self.may_have_lapsed(now) {
+            self.state.fleet().store_returned(now);
+        }
+        let answer = match result {
+            Ok(Some(answer)) => answer,
+            Ok(None) => {
+                // The view is old already: the whole list is read at once.
+                self.read_anew();
+                return self.step();
+            }
+            Err(_) => return false,
+        };
+        let is_news = self.apply(answer, began, now);
+        self.state.followed().after_call(mark);
+        let is_first = !self.known.swap(true, Ordering::SeqCst);
+        if is_news || is_first {
+            self.state.targets_changed.raise();
+            self.state.demand_changed.raise();
+        }
+        true
+    }
+
+    /// Takes in the answer to a call that began at `began`; tells whether anything may have
+    /// changed.
+    fn apply(&mut self, answer: Answer, began: Time, now: Time) -> bool {
+        let mut fleet = self.state.fleet();
+        let (version, is_news) = match answer {
+            Answer::Whole(targets, version) => {
+                fleet.set_all(targets, now);
+                (version, true)
+            }
+            Answer::Changes(changes, version) => {
+                let is_news = !changes.is_empty();
+                changes.into_iter().for_each(|change| fleet.apply(change, now));
+                (version, is_news)
+            }
+        };
+        fleet.expire(now);
+        drop(fleet);
+        self.version = Some(version);
+        let mut contacts = self.state.contacts();
+        contacts.list = Some(began);
+        contacts.list_version = version;
+        is_news
+    }
+
+    /// Asks for the changes after `from`, or for the whole list; `None` if the store has forgotten
+    /// so far back.
+    fn ask(&self, from: Option<u64>) -> Result<Option<Answer>> {
+        let Some(from) = from else {
+            let (targets, version) = self.store.targets(self.contact.read_within())?;
+            return Ok(Some(Answer::Whole(targets, version)));
+        };
+        Ok(match self.store.target_changes(from)? {
+            TargetNews::Changes { changes, version } => Some(Answer::Changes(changes, version)),
+            TargetNews::HistoryLost => None,
+        })
+    }
+}
--- a/crates/tansyknotd/tests/launch/mod.rs
+++ b/crates/tansyknotd/tests/launch/mod.rs
@@ -6,7 +6,10 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::mpsc,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
     thread,
     time::Duration,
 };
@@ -24,9 +27,13 @@
     pub(crate) metrics: SocketAddr,
 }
 
+/// Settings files that this process has written: two tests may name their daemons alike.
+static FILES: AtomicU64 = AtomicU64::new(0);
+
 /// Writes the settings file of a daemon on loopback; the caller removes it.
 pub(crate) fn settings(name: &str, store: SocketAddr) -> PathBuf {
-    let file = format!("tansyknot-fleet-{name}-{}.yaml", std::process::id());
+    let n = FILES.fetch_add(1, Ordering::SeqCst);
+    let file = format!("tansyknot-fleet-{name}-{}-{n}.yaml", std::process::id());
     let path = std::env::temp_dir().join(file);
     let text = format!(
         "name: {name}\navailability_zone: z1\nlisten:\n  callers: 127.0.0.1:0\n  \
