Follow the store: one count of failures in place of three states that say the same

Cause: a follower's contact kept whether the store is lost, how many calls failed in a row, and a backoff that counts the same failures again. The first is 'the second is not zero', the third is the second less one. Change: one count; the pause is drawn from it by the function that the backoff uses too. The pair of signals that a changed view raises stood in three places and is State::view_changed now. Ruled out: taking the count from the backoff, which counts pauses, not calls.

--- a/crates/tansyknot-fleet/src/backoff.rs
+++ b/crates/tansyknot-fleet/src/backoff.rs
@@ -15,6 +15,11 @@
     first.saturating_mul(GROWTH.saturating_pow(failures)).min(most)
 }
 
+/// Returns a pause of about `span`, drawn so that not all pause alike.
+pub fn spread(span: Duration, rng: &mut impl Rng) -> Duration {
+    span.mul_f64(rng.random_range(SPREAD_FROM..=1.0))
+}
+
 /// The pauses after failed calls: they grow up to a most, and begin anew after a success.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Backoff {
@@ -33,7 +38,7 @@
     pub fn failed(&mut self, rng: &mut impl Rng) -> Duration {
         let pause = grown(self.least, self.failures, self.most);
         self.failures = self.failures.saturating_add(1);
-        pause.mul_f64(rng.random_range(SPREAD_FROM..=1.0))
+        spread(pause, rng)
     }
 
     /// Takes in that a call succeeded.
--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -73,8 +73,7 @@
                 let number = catalog.version;
                 if self.state.set_catalog(catalog) {
                     event::FLEET_CONFIG.emit(&[("version", &number), ("store_version", &version)]);
-                    self.state.targets_changed.raise();
-                    self.state.demand_changed.raise();
+                    self.state.view_changed();
                 }
                 Duration::ZERO
             }
--- a/crates/tansyknot-fleet/src/follow/contact.rs
+++ b/crates/tansyknot-fleet/src/follow/contact.rs
@@ -4,10 +4,7 @@
 
 use tansyknot_core::{Error, Result, event};
 
-use crate::{
-    backoff::{self, Backoff},
-    state::State,
-};
+use crate::{backoff, state::State};
 
 /// The first pause after a call that the store did not answer.
 const RETRY_FIRST: Duration = Duration::from_millis(250);
@@ -28,15 +25,13 @@
 #[derive(Debug)]
 pub(super) struct Contact {
     what: &'static str,
-    lost: bool,
-    /// Calls that failed in a row.
+    /// Calls that failed in a row; the store is lost while there are any.
     failures: u32,
-    backoff: Backoff,
 }
 
 impl Contact {
     pub(super) fn new(what: &'static str) -> Self {
-        Self { what, lost: false, failures: 0, backoff: Backoff::new(RETRY_FIRST, RETRY_MOST) }
+        Self { what, failures: 0 }
     }
 
     /// Returns how long the next reading of a whole table may take.
@@ -45,49 +40,46 @@
     }
 
     /// Returns how long to pause after a call that failed.
-    pub(super) fn pause(&mut self) -> Duration {
-        self.backoff.failed(&mut rand::rng())
+    pub(super) fn pause(&self) -> Duration {
+        let before = self.failures.saturating_sub(1);
+        backoff::spread(backoff::grown(RETRY_FIRST, before, RETRY_MOST), &mut rand::rng())
     }
 
     /// Takes in how a call that asked for changes after `from`, or for all, ended; tells whether
     /// the store has just come back.
     pub(super) fn take<T>(&mut self, result: &Result<T>, from: Option<u64>, state: &State) -> bool {
-        self.failures = if result.is_ok() { 0 } else { self.failures + 1 };
-        if result.is_ok() {
-            self.backoff.succeeded();
-        }
         match result {
-            Ok(_) if self.lost => {
-                self.lost = false;
-                event::FLEET_STORE_BACK.emit(&[("for", &self.what)]);
-                state.store_returned();
-                true
-            }
-            Err(e) if !self.lost => {
-                self.lost = true;
-                event::FLEET_STORE_LOST.emit(&[("for", &self.what), ("error", e)]);
-                state.store_lost();
-                false
-            }
+            Ok(_) => self.answered(state),
             Err(e) => {
-                self.tell_failures(e, from);
+                self.failed(e, from, state);
                 false
             }
-            Ok(_) => false,
         }
     }
 
-    /// Logs the second failure in a row, the fourth, the eighth and so on.
-    fn tell_failures(&self, e: &Error, from: Option<u64>) {
-        if !self.failures.is_power_of_two() {
-            return;
+    fn answered(&mut self, state: &State) -> bool {
+        let was_lost = std::mem::take(&mut self.failures) > 0;
+        if was_lost {
+            event::FLEET_STORE_BACK.emit(&[("for", &self.what)]);
+            state.store_returned();
+        }
+        was_lost
+    }
+
+    /// Logs the first failure in a row, the second, the fourth, the eighth and so on.
+    fn failed(&mut self, e: &Error, from: Option<u64>, state: &State) {
+        self.failures += 1;
+        if self.failures == 1 {
+            event::FLEET_STORE_LOST.emit(&[("for", &self.what), ("error", e)]);
+            state.store_lost();
+        } else if self.failures.is_power_of_two() {
+            let from = from.map_or_else(|| "all".to_owned(), |version| version.to_string());
+            event::FLEET_STORE_STILL_LOST.emit(&[
+                ("for", &self.what),
+                ("failures", &self.failures),
+                ("from", &from),
+                ("error", e),
+            ]);
         }
-        let from = from.map_or_else(|| "all".to_owned(), |version| version.to_string());
-        event::FLEET_STORE_STILL_LOST.emit(&[
-            ("for", &self.what),
-            ("failures", &self.failures),
-            ("from", &from),
-            ("error", e),
-        ]);
     }
 }
--- a/crates/tansyknot-fleet/src/follow/list.rs
+++ b/crates/tansyknot-fleet/src/follow/list.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns how long to pause after a call that failed.
-    pub fn pause(&mut self) -> Duration {
+    pub fn pause(&self) -> Duration {
         self.contact.pause()
     }
 
@@ -91,8 +91,7 @@
         self.state.followed().after_call(mark);
         let is_first = !self.known.swap(true, Ordering::SeqCst);
         if is_news || is_first {
-            self.state.targets_changed.raise();
-            self.state.demand_changed.raise();
+            self.state.view_changed();
         }
         true
     }
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -172,6 +172,12 @@
         self.contacts.lock().expect("no holder of the lock panics")
     }
 
+    /// Wakes the requests that wait for a target, and the planner, as the view has changed.
+    pub fn view_changed(&self) {
+        self.targets_changed.raise();
+        self.demand_changed.raise();
+    }
+
     /// Takes in that the store does not answer.
     pub fn store_lost(&self) {
         self.contacts().is_lost = true;
--- a/crates/tansyknot-fleet/src/task.rs
+++ b/crates/tansyknot-fleet/src/task.rs
@@ -373,8 +373,7 @@
         let Some(state) = fleet.target(&target).map(|t| t.state) else { return };
         fleet.note(&TargetNote { target, revision, state, models }, fence, now);
         drop(fleet);
-        self.state.targets_changed.raise();
-        self.state.demand_changed.raise();
+        self.state.view_changed();
     }
 
     fn pause(&self, span: Duration) {
