Tests of processes: one way to ask a daemon for its figures

Cause: the soak's test of narrow links had its own copy of the request for the page of figures. Change: asking a daemon stands beside starting one, and both test programs call it. Assertions stay.

--- a/crates/tansyknotd/tests/fleet.rs
+++ b/crates/tansyknotd/tests/fleet.rs
@@ -5,8 +5,7 @@
 
 use std::{
     collections::BTreeSet,
-    io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     path::PathBuf,
     process::Child,
     thread,
@@ -39,7 +38,7 @@
         let launch::Started { child, callers, ready, metrics } = launch::spawn(&settings);
         let daemon = Self { child, callers, ready, metrics, settings };
         await_that(|| {
-            ask(daemon.ready, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").contains("200")
+            launch::ask(daemon.ready, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").contains("200")
         });
         daemon
     }
@@ -67,18 +66,9 @@
     }
 }
 
-fn ask(address: SocketAddr, text: &str) -> String {
-    let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    stream.write_all(text.as_bytes()).expect("the daemon reads");
-    let mut answer = Vec::new();
-    // A reset ends the answer as well.
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
-}
-
 fn dossier(address: SocketAddr, id: &str, model: &str) -> String {
     let req = Request::new("/dossier/", id, Some(model), 20_000);
-    ask(address, &Request { more: "Connection: close\r\n", ..req }.text())
+    launch::ask(address, &Request { more: "Connection: close\r\n", ..req }.text())
 }
 
 /// A store with one engine, which holds one model at a time and has all of them on its disk.
@@ -115,7 +105,7 @@
     let (store, _runner) = platform();
     let daemon = Daemon::start("d3", store.door().address);
     assert!(dossier(daemon.callers, "id-1", "m1").contains("token 6"));
-    let page = ask(daemon.metrics, "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let page = launch::figures(daemon.metrics);
     let names: BTreeSet<&str> = page
         .lines()
         .filter(|line| line.starts_with("tansyknot_"))
--- a/crates/tansyknotd/tests/launch/mod.rs
+++ b/crates/tansyknotd/tests/launch/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code, reason = "each test file uses its part")]
 
 use std::{
-    io::{BufRead, BufReader},
-    net::SocketAddr,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -72,6 +72,21 @@
     Started { child, callers, ready, metrics }
 }
 
+/// Sends `text` to a daemon; returns what it answers until it closes.
+pub(crate) fn ask(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    stream.write_all(text.as_bytes()).expect("the daemon reads");
+    let mut answer = Vec::new();
+    // A reset ends the answer as well.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Returns the page of a daemon's figures.
+pub(crate) fn figures(metrics: SocketAddr) -> String {
+    ask(metrics, "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
+}
+
 /// Waits for the line that says where a daemon listens.
 fn addresses(rx: &mpsc::Receiver<String>) -> [SocketAddr; 3] {
     loop {
--- a/crates/tansyknotd/tests/soak/storm.rs
+++ b/crates/tansyknotd/tests/soak/storm.rs
@@ -1,8 +1,6 @@
 //! Daemons behind narrow links that are cut off from the store while operators make many changes.
 
 use std::{
-    io::{Read, Write},
-    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
@@ -10,6 +8,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
+    launch,
     proxy::Weather,
     world::{Daemon, World},
 };
@@ -55,7 +54,7 @@
 fn has_in_force(daemon: &Daemon, version: u64, until: Instant) -> bool {
     let line = format!("tansyknot_config_version{{of=\"daemon\"}} {version}\n");
     loop {
-        if page(daemon).is_some_and(|page| page.contains(&line)) {
+        if launch::figures(daemon.metrics()).contains(&line) {
             return true;
         }
         if Instant::now() >= until {
@@ -64,12 +63,3 @@
         thread::sleep(Duration::from_millis(100));
     }
 }
-
-/// Returns the page of a daemon's figures.
-fn page(daemon: &Daemon) -> Option<String> {
-    let mut stream = TcpStream::connect_timeout(&daemon.metrics(), Duration::from_secs(1)).ok()?;
-    stream.write_all(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n").ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    Some(text)
-}
