Failing test: daemons killed after targets begin to fail exceed the retry budget

Played again on the untouched code: 242 where 240 are; so the dissemination is ruled out. Cause, by the log of all daemons: until the kill they spend U(rF+S) (162 logged), much of it for requests before the failures; the runs that start know nothing of that and spend r for each request again (70 logged, the rest by runs that were killed before they logged). The earlier tests let targets fail all the time, where the ratio is spread.

--- a/crates/tansyknot-fleet/tests/retry_budget.rs
+++ b/crates/tansyknot-fleet/tests/retry_budget.rs
@@ -131,6 +131,18 @@
         self.serve_each(Duration::from_millis(20), span);
     }
 
+    /// Lets requests come for `span`, fifty a second at all daemons in turn, none of which fails.
+    fn succeed(&mut self, span: Duration) {
+        let until = self.clock.now() + span;
+        let mut n = 0;
+        while self.clock.now() < until {
+            self.daemons[n % self.daemons.len()].count_first_send(&self.service);
+            self.sends.first.push(self.clock.now());
+            n += 1;
+            self.advance(Duration::from_millis(20));
+        }
+    }
+
     /// Lets a request come each `gap` for `span`, at all daemons in turn.
     fn serve_each(&mut self, gap: Duration, span: Duration) {
         let until = self.clock.now() + span;
@@ -154,6 +166,25 @@
     rig.sends.assert_bound(Time::default(), rig.clock.now(), "all daemons killed three times");
 }
 
+// What users saw: targets begin to refuse part of their requests, nine in ten daemons are killed 5 s
+// later, and the service gets 242 second sends in 10 s where 240 are allowed. Until the kill the
+// daemons send again for the sake of requests that came before targets failed; after it they send
+// again for those that come, as if none of that had been.
+#[parameterized(
+    at_once = { 500 },
+    soon = { 2_000 },
+    halfway = { 4_800 },
+    late = { 8_000 },
+)]
+fn daemons_that_are_killed_after_targets_begin_to_fail_stay_within_the_bound(killed_after: u64) {
+    let mut rig = Rig::new();
+    rig.succeed(Duration::from_secs(12));
+    rig.serve(Duration::from_millis(killed_after));
+    (0..DAEMONS).for_each(|daemon| rig.kill(daemon));
+    rig.serve(Duration::from_secs(10));
+    rig.sends.assert_bound(Time::default(), rig.clock.now(), "killed in a bout of failures");
+}
+
 #[test]
 fn daemons_stay_within_the_bound_while_a_new_planner_has_not_heard_of_all() {
     let mut rig = Rig::new();
