A daemon that is not the planner any more has nothing that waits to be told

Cause, found in reading: something new that waited for the links stayed marked as waiting when the lease was lost, so the daemon's loop found it due at once, each time, and sent demand each 15 ms until it led again. Test first: 0 ns left in place of for ever.

--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -116,9 +116,7 @@
         self.count(metric::PEER_BYTES_IN, bytes.len());
         match datagram::decode(bytes) {
             Some(Message::Demand(demand)) => self.take_demand(demand, from, now),
-            Some(Message::News(news)) => {
-                self.take_news(news, now);
-            }
+            Some(Message::News(news)) => self.take_news(news, now),
             Some(Message::Forward(forward)) => self.take_forward(&forward, from, now),
             None => event::DATAGRAM_DROPPED.emit(&[("from", &from)]),
         }
@@ -169,6 +167,7 @@
         !self.lease.is_mine() && self.lease.hear(told, now)
     }
 
+    /// Takes in news of the planner that this daemon follows.
     fn follow(&self, news: News, now: Time) {
         let mine = self.state.catalog().map_or(0, |c| c.version);
         let (changes, is_due, begins_to_lack) = {
@@ -215,13 +214,14 @@
         let mut seen = 0;
         let mut pace = Pace::new(self.state.now());
         loop {
-            let left = pace.left(self.state.now()).min(self.told().left(self.state.now()));
+            let now = self.state.now();
+            let left = pace.left(now).min(self.left(now));
             let count = self.state.demand_changed.wait(seen, left);
             let has_changed = count != seen;
             seen = count;
             let now = self.state.now();
             let late = pace.late(now);
-            let is_due = has_changed || self.told().left(now).is_zero();
+            let is_due = has_changed || self.left(now).is_zero();
             if let Some(occasion) = pace.occasion(is_due, now) {
                 if occasion == Occasion::Beat {
                     self.account().lateness.add(late);
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Returns how long to wait until something new may be told; a long time if nothing waits.
+    pub fn left(&self, now: Time) -> Duration {
+        self.told().left(now)
+    }
+
     /// Does once what is due: demand to the planner, or planning and news.
     pub fn step(self: &Arc<Self>, occasion: Occasion) {
         let now = self.state.now();
@@ -239,7 +244,7 @@
         if self.lease.is_valid(now) {
             self.lead(demand, occasion, now);
         } else {
-            self.told().was_planner = false;
+            self.told().end();
             self.send_demand(demand);
         }
     }
--- a/crates/tansyknot-fleet/src/conduct/telling.rs
+++ b/crates/tansyknot-fleet/src/conduct/telling.rs
@@ -69,6 +69,12 @@
         self.beat
     }
 
+    /// Takes in that this daemon is not the planner: nothing waits to be told.
+    pub(super) fn end(&mut self) {
+        self.was_planner = false;
+        self.is_pending = false;
+    }
+
     /// Returns how long to wait until something new may be told; a long time if nothing waits.
     pub(super) fn left(&self, now: Time) -> Duration {
         if self.is_pending { self.links_busy_until.since(now) } else { Duration::MAX }
--- a/crates/tansyknot-fleet/tests/dissemination.rs
+++ b/crates/tansyknot-fleet/tests/dissemination.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use support::network::Network;
+use tansyknot_fleet::{dissemination::pace::Occasion, outside::TargetChange, target::Target};
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -131,6 +132,26 @@
     assert_eq!(network.in_step(), 340);
 }
 
+#[test]
+fn planner_that_has_lost_the_lease_has_nothing_to_tell() {
+    let mut network = started(340);
+    network.change();
+    network.run(network.planner().expect("there is one").state.spans.list_pace);
+    let planner = network.planner().expect("there is one");
+    let (conductor, state) = (Arc::clone(&planner.conductor), Arc::clone(&planner.state));
+    planner.cut(true);
+    // Its links have just had their share, so that what has changed since waits.
+    conductor.step(Occasion::Beat);
+    let target = support::target("t0", &["m9"], &[]);
+    let change = TargetChange::Put(Box::new(Target { version: u64::MAX, ..target }));
+    state.fleet().apply(change, state.now());
+    conductor.step(Occasion::Change);
+    assert!(conductor.left(state.now()) < SECOND, "it waits to be told");
+    network.clock.advance(SECOND * 2);
+    conductor.step(Occasion::Beat);
+    assert_eq!(conductor.left(state.now()), Duration::MAX);
+}
+
 #[test]
 fn third_of_the_fleet_without_the_store_follows_the_planner() {
     let mut network = started(340);
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -165,7 +165,7 @@
     pub(crate) state: Arc<State>,
     pub(crate) lease: Arc<SharedLease>,
     keeper: Arc<Keeper>,
-    conductor: Arc<Conductor>,
+    pub(crate) conductor: Arc<Conductor>,
     follower: TargetFollower,
     is_cut: Arc<AtomicBool>,
     pub(crate) is_dead: bool,
