Soak: a restart waits for the process that it told to end

Two restarts of one daemon overlapped: both told the same process to end, and the second waited for the one that the first had started. Seen: a thread in wait for a process without pending signals, three daemons alive and idle. Ruled out: a daemon that does not stop (none had been told). Change: the lock is held from the signal to the wait.

--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -20,7 +20,7 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use world::{Daemon, World};
+use world::{End, World};
 use yare::parameterized;
 
 /// How long faults strike.
@@ -66,8 +66,8 @@
     let daemon = &world.daemons[rng.random_range(0..world.daemons.len())];
     let runner = rng.random_range(0..world.runners.len());
     match rng.random_range(0..13) {
-        0 => daemon.restart(Daemon::kill),
-        1 => daemon.restart(Daemon::stop),
+        0 => daemon.restart(End::Kill),
+        1 => daemon.restart(End::Stop),
         2 => daemon.pause(Duration::from_millis(rng.random_range(50..5_000))),
         3 => daemon.door.set_mood(world::mood(rng)),
         4 => daemon.store_path.set(proxy::Weather::any(rng)),
--- a/crates/tansyknotd/tests/soak/world.rs
+++ b/crates/tansyknotd/tests/soak/world.rs
@@ -163,18 +163,7 @@
 
     pub(crate) fn signal(&self, signal: Signal) {
         let child = self.process.lock().expect("no holder of the lock panics");
-        // It may have ended a moment ago.
-        let _ = rustix::process::kill_process(Pid::from_child(&child), signal);
-    }
-
-    pub(crate) fn kill(&self) {
-        self.signal(Signal::KILL);
-    }
-
-    /// Stops it as an operator does; a stop that takes longer than its grace is killed.
-    pub(crate) fn stop(&self) {
-        self.signal(Signal::CONT);
-        self.signal(Signal::TERM);
+        send(&child, signal);
     }
 
     /// Freezes it for a while; other faults go on meanwhile.
@@ -191,9 +180,19 @@
     }
 
     /// Ends it by `end` and starts it again.
-    pub(crate) fn restart(&self, end: fn(&Self)) {
-        end(self);
+    ///
+    /// The process that is told to end is the one that is waited for: with the lock given back in
+    /// between, of two restarts at once the second waited for the process that the first had
+    /// started, which nobody had told to end.
+    pub(crate) fn restart(&self, end: End) {
         let mut child = self.process.lock().expect("no holder of the lock panics");
+        match end {
+            End::Kill => send(&child, Signal::KILL),
+            End::Stop => {
+                send(&child, Signal::CONT);
+                send(&child, Signal::TERM);
+            }
+        }
         child.wait().expect("it ends");
         let next = launch::spawn(&self.settings);
         *child = next.child;
@@ -202,6 +201,20 @@
     }
 }
 
+/// How a daemon's process ends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum End {
+    /// At once.
+    Kill,
+    /// As an operator stops it.
+    Stop,
+}
+
+/// Sends a signal to a process that may have ended a moment ago.
+fn send(child: &Child, signal: Signal) {
+    let _ = rustix::process::kill_process(Pid::from_child(child), signal);
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         let mut child = self.process.lock().expect("no holder of the lock panics");
