Sight: answers older than the view, targets that come back, when a request was sent

A call for the list has a begin and an end, so that tests in virtual time can let news arrive while its answer is under way. No change of what is decided.

--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -33,6 +33,9 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 /// A use is told to the planner for this long, as datagrams get lost.
 const USES_TOLD: Duration = Duration::from_millis(1000);
+/// How long a target that has gone is remembered: longer than the longest reading of the list, 14
+/// pages of 2 s each at 6,900 targets.
+const GONE_KEPT: Duration = Duration::from_secs(30);
 /// Uses remembered of models; a model asked for before that counts as not asked for.
 const USES_KEPT: Duration = Duration::from_secs(30);
 
@@ -88,6 +91,14 @@
     last: Time,
 }
 
+/// A target that has gone.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    /// The store's version as of which it was known to have gone.
+    version: u64,
+    at: Time,
+}
+
 type UseKey = (ServiceName, ModelName, Option<AdapterName>);
 
 /// Everything that a daemon knows of the targets.
@@ -96,6 +107,7 @@
     zone: Option<ZoneName>,
     spans: Spans,
     members: BTreeMap<TargetName, Member>,
+    gone: BTreeMap<TargetName, Gone>,
     uses: BTreeMap<UseKey, Use>,
     /// The planner's news that loads and coming models were taken from last.
     whole: Whole,
@@ -148,6 +160,11 @@
         self.list_version = self.list_version.max(version);
     }
 
+    /// Returns the newest version of the store as of which something of the list is known.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
     /// Takes in the whole list.
     pub fn set_all(&mut self, targets: Vec<Target>, now: Time) {
         let is_first = self.members.is_empty();
@@ -217,6 +234,7 @@
     fn put(&mut self, target: Target, now: Time) -> Option<Change> {
         let entry = Entry::of(&target);
         let Some(m) = self.members.get_mut(&target.name) else {
+            self.log_return(&entry);
             self.members.insert(target.name.clone(), Member::new(target));
             return Some(Change::Put(entry));
         };
@@ -243,14 +261,27 @@
             m.lapses_at.get_or_insert(lapse_until);
             return None;
         }
-        self.drop_member(name)
+        self.drop_member(name, now)
     }
 
-    fn drop_member(&mut self, name: &TargetName) -> Option<Change> {
+    fn drop_member(&mut self, name: &TargetName, now: Time) -> Option<Change> {
         self.members.remove(name)?;
+        self.gone.insert(name.clone(), Gone { version: self.list_version, at: now });
         Some(Change::Removed(name.clone()))
     }
 
+    /// Logs that a target is there again that had gone.
+    fn log_return(&mut self, entry: &Entry) {
+        if let Some(gone) = self.gone.remove(&entry.name) {
+            event::FLEET_TARGET_BACK.emit(&[
+                ("target", &entry.name),
+                ("version", &entry.version),
+                ("gone_version", &gone.version),
+                ("state", &entry.state.name()),
+            ]);
+        }
+    }
+
     /// Takes in a change that the planner with `fence` has told.
     pub fn apply_news(&mut self, change: Change, fence: u64, now: Time) {
         let change = match change {
@@ -260,7 +291,7 @@
             }
             Change::Models(entry) => self.put_models(entry, now),
             // The planner has waited for entries that lapsed while the store was away.
-            Change::Removed(name) => self.drop_member(&name),
+            Change::Removed(name) => self.drop_member(&name, now),
             Change::Note(note) => {
                 self.note(&note, fence, now);
                 None
@@ -281,11 +312,12 @@
         let lapsed = self.members.values().filter(|m| has_lapsed(m));
         let lapsed: Vec<TargetName> = lapsed.map(|m| m.target.name.clone()).collect();
         for name in lapsed {
-            let change = self.drop_member(&name);
+            let change = self.drop_member(&name, now);
             // Whoever has read the list since the entry lapsed has not been told that it is gone.
             self.tell_as_of(self.list_version + 1, change, now);
         }
         self.members.values_mut().for_each(|m| m.expire_note(now));
+        self.gone.retain(|_, gone| now.since(gone.at) < GONE_KEPT);
         self.uses.retain(|_, u| u.waiting > 0 || now.since(u.last) < USES_KEPT);
     }
 
--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -9,7 +9,7 @@
 use tansyknot_core::clock::Time;
 
 pub use config::ConfigFollower;
-pub use list::TargetFollower;
+pub use list::{Answer, Call, Outcome, TargetFollower};
 
 /// Changes are asked for one by one only after a version that was the newest within this span;
 /// whoever knows less reads the table. An answer with changes has every version in between, while
--- a/crates/tansyknot-fleet/src/follow/list.rs
+++ b/crates/tansyknot-fleet/src/follow/list.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use tansyknot_core::{Result, clock::Time};
+use tansyknot_core::{Result, clock::Time, event};
 
 use super::{contact::Contact, replay_from};
 use crate::{
@@ -18,13 +18,50 @@
 };
 
 /// What the store has answered of the list, and the version to go on from.
-enum Answer {
+pub enum Answer {
     /// Every target.
     Whole(Vec<Target>, u64),
     /// What has changed.
     Changes(Vec<TargetChange>, u64),
 }
 
+impl Answer {
+    /// Returns the store's version as of which it was made.
+    fn version(&self) -> u64 {
+        match self {
+            Answer::Whole(_, version) | Answer::Changes(_, version) => *version,
+        }
+    }
+}
+
+/// A call about the list that has begun, and what was known when it did.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    began: Time,
+    /// What the planner had told by then.
+    mark: (u64, u64),
+    /// The version after which it asks for changes, `None` for the whole list.
+    from: Option<u64>,
+}
+
+impl Call {
+    /// Returns when it began.
+    pub fn began(&self) -> Time {
+        self.began
+    }
+}
+
+/// What came of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The view is as of the call.
+    Answered,
+    /// The store did not answer.
+    Failed,
+    /// The store has forgotten what came since the last call: the whole list is to be read at once.
+    HistoryLost,
+}
+
 /// Follows the list of targets.
 pub struct TargetFollower {
     state: Arc<State>,
@@ -64,6 +101,19 @@
     /// Makes a call, or two if the store has forgotten what came since the last one; tells
     /// whether the store answered.
     pub fn step(&mut self) -> bool {
+        loop {
+            let call = self.begin();
+            let result = self.ask(call);
+            match self.end(call, result) {
+                Outcome::Answered => return true,
+                Outcome::Failed => return false,
+                Outcome::HistoryLost => {}
+            }
+        }
+    }
+
+    /// Begins a call.
+    pub fn begin(&mut self) -> Call {
         let began = self.state.now();
         let mark = {
             let followed = self.state.followed();
@@ -71,35 +121,45 @@
             self.version = self.version.map(|own| own.max(followed.list_version()));
             followed.before_call()
         };
-        let from = replay_from(self.version, self.known_at(), began);
-        let result = self.ask(from);
+        Call { began, mark, from: replay_from(self.version, self.known_at(), began) }
+    }
+
+    /// Takes in what came of a call.
+    pub fn end(&mut self, call: Call, result: Result<Option<Answer>>) -> Outcome {
         let now = self.state.now();
         // Before the answer is taken in: an entry that it lacks may have lapsed with the store away.
-        if self.contact.take(&result, from, &self.state) && self.may_have_lapsed(now) {
+        if self.contact.take(&result, call.from, &self.state) && self.may_have_lapsed(now) {
             self.state.fleet().store_returned(now);
         }
         let answer = match result {
             Ok(Some(answer)) => answer,
             Ok(None) => {
-                // The view is old already: the whole list is read at once.
                 self.read_anew();
-                return self.step();
+                return Outcome::HistoryLost;
             }
-            Err(_) => return false,
+            Err(_) => return Outcome::Failed,
         };
-        let is_news = self.apply(answer, began, now);
-        self.state.followed().after_call(mark, self.version.unwrap_or(0));
+        let is_news = self.apply(answer, call.began, now);
+        self.state.followed().after_call(call.mark, self.version.unwrap_or(0));
         let is_first = !self.known.swap(true, Ordering::SeqCst);
         if is_news || is_first {
             self.state.view_changed();
         }
-        true
+        Outcome::Answered
     }
 
     /// Takes in the answer to a call that began at `began`; tells whether anything may have
     /// changed.
     fn apply(&mut self, answer: Answer, began: Time, now: Time) -> bool {
         let mut fleet = self.state.fleet();
+        let known = fleet.list_version();
+        if answer.version() < known {
+            event::FLEET_ANSWER_OLDER.emit(&[
+                ("version", &answer.version()),
+                ("known", &known),
+                ("took_ms", &now.since(began).as_millis()),
+            ]);
+        }
         let (version, is_news) = match answer {
             Answer::Whole(targets, version) => {
                 fleet.set_list_version(version);
@@ -122,10 +182,14 @@
         is_news
     }
 
-    /// Asks for the changes after `from`, or for the whole list; `None` if the store has forgotten
-    /// so far back.
-    fn ask(&self, from: Option<u64>) -> Result<Option<Answer>> {
-        let Some(from) = from else {
+    /// Asks the store for what a call is about: the changes after a version, or the whole list;
+    /// `None` if the store has forgotten so far back.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer or answers nonsense.
+    pub fn ask(&self, call: Call) -> Result<Option<Answer>> {
+        let Some(from) = call.from else {
             let (targets, version) = self.store.targets(self.contact.read_within())?;
             return Ok(Some(Answer::Whole(targets, version)));
         };
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -37,6 +37,7 @@
             Exchange::open(target.address, &request, Some(run.caller.stream), until, &|| true);
         let sent = match opened {
             Ok(exchange) => {
+                run.note(format_args!("{} sent", target.name));
                 run.arrivals += 1;
                 self.answer(run, target, exchange)
             }
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod network;
 pub(crate) mod planner;
 pub(crate) mod store;
+pub(crate) mod table;
 
 use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
 
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -1,10 +1,14 @@
 //! Hundreds of daemons that talk over a network that delays and loses datagrams, in virtual time.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
+    ops::Range,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -12,132 +16,45 @@
 use tansyknot_core::{
     Error, Result,
     clock::{Clock, ManualClock, Time},
-    name::TargetName,
     telemetry::NoRecorder,
 };
 use tansyknot_fleet::{
     budget::BudgetOptions,
-    catalog::Catalog,
     conduct::{Conductor, Me},
     dissemination::pace::{BEAT, Occasion},
-    follow::TargetFollower,
+    follow::{Answer, Call, TargetFollower},
     keep::{Keeper, Reluctance, SharedLease},
     lease::{Holder, LeaseOptions},
-    outside::{Datagrams, LeaseRow, Store, TargetChange, TargetNews, Written},
+    outside::{Datagrams, Store},
     spans::{Bounds, Spans},
     state::{State, StateOptions},
-    target::Target,
     task::Orders,
 };
 
-use super::{TURN, engine::FakeTarget, target};
+use super::{
+    TURN,
+    engine::FakeTarget,
+    table::{Door, Table},
+    target,
+};
 
 const TICK: Duration = Duration::from_millis(5);
+/// How often a daemon without the store tries the planner's row.
+const KEEP_WITHOUT_STORE: Duration = Duration::from_millis(1000);
 /// Daemons with a good link, of every twenty.
 const GOOD: usize = 20;
 
-#[derive(Default)]
-struct Rows {
-    lease: Option<LeaseRow>,
-    targets: BTreeMap<TargetName, Target>,
-    changes: Vec<(u64, TargetChange)>,
-    version: u64,
-    calls: HashMap<&'static str, u64>,
-}
-
-/// A store that counts its calls.
-#[derive(Clone, Default)]
-pub(crate) struct Table {
-    rows: Arc<Mutex<Rows>>,
-}
-
-impl Table {
-    fn rows(&self) -> MutexGuard<'_, Rows> {
-        self.rows.lock().expect("no test panics with it")
-    }
-
-    fn counted(&self, what: &'static str) -> MutexGuard<'_, Rows> {
-        let mut rows = self.rows();
-        *rows.calls.entry(what).or_default() += 1;
-        rows
-    }
-
-    fn put(&self, mut entry: Target) {
-        let mut rows = self.rows();
-        rows.version += 1;
-        entry.version = rows.version;
-        let (version, change) = (rows.version, TargetChange::Put(Box::new(entry.clone())));
-        rows.changes.push((version, change));
-        rows.targets.insert(entry.name.clone(), entry);
-    }
-
-    /// Returns the calls since the last time, by kind.
-    pub(crate) fn take_calls(&self) -> HashMap<&'static str, u64> {
-        std::mem::take(&mut self.rows().calls)
-    }
-}
-
-/// One daemon's way to the store.
-struct Door {
-    table: Table,
-    is_cut: Arc<AtomicBool>,
-}
-
-impl Door {
-    fn pass(&self, what: &'static str) -> Result<MutexGuard<'_, Rows>> {
-        if self.is_cut.load(std::sync::atomic::Ordering::SeqCst) {
-            return Err(Error::unknown("store", "cut"));
-        }
-        Ok(self.table.counted(what))
-    }
-}
-
-impl Store for Door {
-    fn targets(&self, _: Duration) -> Result<(Vec<Target>, u64)> {
-        let rows = self.pass("all_targets")?;
-        Ok((rows.targets.values().cloned().collect(), rows.version))
-    }
-
-    fn target_changes(&self, after: u64) -> Result<TargetNews> {
-        let rows = self.pass("target_changes")?;
-        let newer = rows.changes.iter().filter(|(version, _)| *version > after);
-        let changes = newer.map(|(_, change)| change.clone()).collect();
-        Ok(TargetNews::Changes { changes, version: rows.version })
-    }
-
-    fn catalog(&self, _: Duration) -> Result<(Option<Catalog>, u64)> {
-        Err(Error::unknown("store", "no configuration here"))
-    }
-
-    fn catalog_changes(&self, _: u64, _: Duration) -> Result<Option<(Option<Catalog>, u64)>> {
-        Err(Error::unknown("store", "no configuration here"))
-    }
-
-    fn lease(&self) -> Result<Option<LeaseRow>> {
-        Ok(self.pass("read_planner")?.lease.clone())
-    }
-
-    fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written> {
-        let mut rows = self.pass("write_planner")?;
-        let current = rows.lease.as_ref().map_or(0, |row| row.version);
-        if current != expected {
-            return Ok(Written::Conflict(rows.lease.clone()));
-        }
-        rows.lease = Some(LeaseRow { value: value.to_vec(), version: expected + 1 });
-        Ok(Written::Done(expected + 1))
-    }
-}
-
 struct Datagram {
     at: Time,
     from: SocketAddr,
     to: SocketAddr,
     bytes: Vec<u8>,
+    is_on_its_way: bool,
 }
 
 #[derive(Default)]
 struct Traffic {
-    under_way: VecDeque<Datagram>,
+    under_way: Vec<Datagram>,
     sent: HashMap<SocketAddr, (u64, u64)>,
 }
 
@@ -154,7 +71,13 @@
         let sent = traffic.sent.entry(self.address).or_default();
         *sent = (sent.0 + 1, sent.1 + bytes.len() as u64);
         let at = self.clock.now() + TICK;
-        traffic.under_way.push_back(Datagram { at, from: self.address, to, bytes: bytes.to_vec() });
+        traffic.under_way.push(Datagram {
+            at,
+            from: self.address,
+            to,
+            bytes: bytes.to_vec(),
+            is_on_its_way: false,
+        });
         Ok(())
     }
 }
@@ -169,6 +92,10 @@
     follower: TargetFollower,
     is_cut: Arc<AtomicBool>,
     pub(crate) is_dead: bool,
+    /// Until then it does nothing.
+    pub(crate) frozen_until: Time,
+    /// Its call for the list that is under way.
+    pending: Option<Pending>,
     keep_at: Time,
     call_at: Time,
     beat_at: Time,
@@ -176,6 +103,26 @@
     was_planner: bool,
 }
 
+/// A call that is under way: it reaches the store, is answered there, and the answer comes back.
+struct Pending {
+    call: Call,
+    asked_at: Time,
+    ends_at: Time,
+    answer: Option<Result<Option<Answer>>>,
+}
+
+/// How long a call takes each way, in milliseconds.
+#[derive(Clone, Debug)]
+pub(crate) struct Latency {
+    /// To the store.
+    pub(crate) there: Range<u64>,
+    /// Back, while other news arrive.
+    pub(crate) back: Range<u64>,
+}
+
+/// Calls that take longer fail, as those of the store's client do.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// All daemons, their store and the network between them.
 pub(crate) struct Network {
     pub(crate) clock: ManualClock,
@@ -183,12 +130,17 @@
     pub(crate) nodes: Vec<Node>,
     /// The share of datagrams that are lost.
     pub(crate) loss: f64,
+    /// How much longer than the least datagrams take, in milliseconds; they overtake each other.
+    pub(crate) jitter: u64,
+    /// How long calls for the list take; without it they take no time.
+    pub(crate) latency: Option<Latency>,
     /// Daemons whose datagrams to others than the planner are lost.
     pub(crate) mute: Option<SocketAddr>,
     traffic: Arc<Mutex<Traffic>>,
-    rng: StdRng,
+    pub(crate) rng: StdRng,
     changes: u64,
-    spans: Spans,
+    runs: u64,
+    pub(crate) spans: Spans,
 }
 
 impl Network {
@@ -205,16 +157,25 @@
             table,
             nodes: Vec::new(),
             loss: 0.0,
+            jitter: 0,
+            latency: None,
             mute: None,
             traffic,
             rng: StdRng::seed_from_u64(5),
             changes: 0,
+            runs: 0,
             spans: Spans::of(&Bounds { leave_within, ..Bounds::default() }),
         };
         network.nodes = (0..daemons).map(|n| network.node(n)).collect();
         network
     }
 
+    /// Ends a daemon and starts it again, with nothing of what it knew.
+    pub(crate) fn restart(&mut self, n: usize) {
+        self.runs += 1;
+        self.nodes[n] = self.node(n);
+    }
+
     fn node(&self, n: usize) -> Node {
         let address: SocketAddr = ([10, 0, (n / 250) as u8, (n % 250) as u8], 7000).into();
         let budget = BudgetOptions { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
@@ -224,10 +185,11 @@
         let state = Arc::new(State::new(zone.clone(), options, clock));
         let lease = Arc::new(SharedLease::default());
         let daemon: Arc<str> = format!("d{n}").into();
+        let incarnation: Arc<str> = format!("d{n}-{}", self.runs).into();
         let is_good = n.is_multiple_of(GOOD);
         let holder = Holder {
             daemon: Arc::clone(&daemon),
-            incarnation: daemon.clone(),
+            incarnation: Arc::clone(&incarnation),
             address,
             fence: 0,
             released: false,
@@ -262,7 +224,7 @@
         let (clock, traffic) = (self.clock.clone(), Arc::clone(&self.traffic));
         let socket = Arc::new(Socket { clock, traffic, address });
         let link_mbps = Some(if is_good { 200 } else { 20 });
-        let me = Me { daemon: Arc::clone(&daemon), incarnation: daemon, address, zone, link_mbps };
+        let me = Me { daemon, incarnation, address, zone, link_mbps };
         let conductor = Arc::new(Conductor::new(Arc::clone(&state), orders, socket, me));
         let known = Arc::new(AtomicBool::new(false));
         let follower = TargetFollower::new(Arc::clone(&state), store, known);
@@ -278,6 +240,8 @@
             follower,
             is_cut,
             is_dead: false,
+            frozen_until: Time::default(),
+            pending: None,
             keep_at,
             call_at,
             beat_at,
@@ -301,22 +265,30 @@
             self.clock.advance(TICK);
             self.deliver();
             let now = self.clock.now();
-            self.nodes.iter_mut().filter(|n| !n.is_dead).for_each(|n| n.step(now));
+            let latency = self.latency.clone();
+            for n in self.nodes.iter_mut().filter(|n| n.runs_at(now)) {
+                n.step(now, latency.as_ref(), &mut self.rng);
+            }
         }
     }
 
     fn deliver(&mut self) {
         let now = self.clock.now();
-        loop {
-            let next = {
-                let mut traffic = self.traffic.lock().expect("no test panics with it");
-                let is_due = traffic.under_way.front().is_some_and(|d| d.at <= now);
-                if is_due { traffic.under_way.pop_front() } else { None }
-            };
-            let Some(datagram) = next else { return };
-            let planner = self.planner().map(|n| n.address);
+        let mut due: Vec<Datagram> = {
+            let mut traffic = self.traffic.lock().expect("no test panics with it");
+            for d in traffic.under_way.iter_mut().filter(|d| !d.is_on_its_way) {
+                d.is_on_its_way = true;
+                if self.jitter > 0 {
+                    d.at = d.at + Duration::from_millis(self.rng.random_range(0..self.jitter));
+                }
+            }
+            traffic.under_way.extract_if(.., |d| d.at <= now).collect()
+        };
+        due.sort_by_key(|d| d.at);
+        let planner = self.planner().map(|n| n.address);
+        for datagram in due {
             let is_mute = Some(datagram.from) == self.mute && Some(datagram.to) != planner;
-            let to = self.nodes.iter().find(|n| n.address == datagram.to && !n.is_dead);
+            let to = self.nodes.iter().find(|n| n.address == datagram.to && n.runs_at(now));
             if let Some(to) = to
                 && !is_mute
                 && !self.rng.random_bool(self.loss)
@@ -354,11 +326,18 @@
 }
 
 impl Node {
-    fn step(&mut self, now: Time) {
+    /// Tells whether it does something at `now`.
+    pub(crate) fn runs_at(&self, now: Time) -> bool {
+        !self.is_dead && now >= self.frozen_until
+    }
+
+    fn step(&mut self, now: Time, latency: Option<&Latency>, rng: &mut StdRng) {
         if now >= self.keep_at {
-            self.keep_at = now + self.keeper.step();
+            let pause = self.keeper.step();
+            // What a daemon without the store draws is not of the seed.
+            self.keep_at = now + if self.is_cut() { pause.max(KEEP_WITHOUT_STORE) } else { pause };
         }
-        self.call(now);
+        self.call(now, latency, rng);
         let count = self.state.demand_changed.count();
         if now >= self.beat_at {
             self.beat_at = now + BEAT;
@@ -370,7 +349,11 @@
     }
 
     /// Asks the store for the list when that is due.
-    fn call(&mut self, now: Time) {
+    fn call(&mut self, now: Time, latency: Option<&Latency>, rng: &mut StdRng) {
+        if let Some(pending) = self.pending.take() {
+            self.go_on(pending, now);
+            return;
+        }
         if now < self.call_at {
             return;
         }
@@ -379,14 +362,39 @@
             self.follower.read_anew();
         }
         if is_planner || self.state.followed().list_fresh_for(now).is_zero() {
-            self.follower.step();
-            let pace = self.state.list_pace();
-            self.call_at = now + if is_planner { self.state.spans.list_pace } else { pace };
+            let mut draw = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
+            let asked_at = now + latency.map_or(Duration::ZERO, |l| draw(l.there.clone()));
+            let ends_at = asked_at + latency.map_or(Duration::ZERO, |l| draw(l.back.clone()));
+            let call = self.follower.begin();
+            self.go_on(Pending { call, asked_at, ends_at, answer: None }, now);
+        }
+    }
+
+    /// Has a call reach the store, or its answer come back, when that is due.
+    fn go_on(&mut self, mut pending: Pending, now: Time) {
+        if pending.answer.is_none() && now >= pending.asked_at {
+            pending.answer = Some(self.follower.ask(pending.call));
         }
+        let Some(answer) = pending.answer.take_if(|_| now >= pending.ends_at) else {
+            self.pending = Some(pending);
+            return;
+        };
+        let is_late = now.since(pending.call.began()) > CALL_TIMEOUT;
+        let answer = if is_late { Err(Error::unknown("store", "timeout")) } else { answer };
+        self.follower.end(pending.call, answer);
+        let pace = match self.conductor.is_planner() {
+            true => self.state.spans.list_pace,
+            false => self.state.list_pace(),
+        };
+        self.call_at = now + pace;
+    }
+
+    fn is_cut(&self) -> bool {
+        self.is_cut.load(Ordering::SeqCst)
     }
 
     /// Cuts the daemon off from the store, or ends that.
     pub(crate) fn cut(&self, is_cut: bool) {
-        self.is_cut.store(is_cut, std::sync::atomic::Ordering::SeqCst);
+        self.is_cut.store(is_cut, Ordering::SeqCst);
     }
 }
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/support/table.rs
@@ -0,0 +1,119 @@
+//! A store whose answers are as of the moment at which it is asked.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tansyknot_core::{Error, Result, name::TargetName};
+use tansyknot_fleet::{
+    catalog::Catalog,
+    outside::{LeaseRow, Store, TargetChange, TargetNews, Written},
+    target::Target,
+};
+
+#[derive(Default)]
+pub(crate) struct Rows {
+    lease: Option<LeaseRow>,
+    pub(crate) targets: BTreeMap<TargetName, Target>,
+    changes: Vec<(u64, TargetChange)>,
+    version: u64,
+    calls: HashMap<&'static str, u64>,
+}
+
+/// A store that counts its calls.
+#[derive(Clone, Default)]
+pub(crate) struct Table {
+    rows: Arc<Mutex<Rows>>,
+}
+
+impl Table {
+    pub(crate) fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().expect("no test panics with it")
+    }
+
+    fn counted(&self, what: &'static str) -> MutexGuard<'_, Rows> {
+        let mut rows = self.rows();
+        *rows.calls.entry(what).or_default() += 1;
+        rows
+    }
+
+    /// Writes an entry.
+    pub(crate) fn put(&self, mut entry: Target) {
+        let mut rows = self.rows();
+        rows.version += 1;
+        entry.version = rows.version;
+        let (version, change) = (rows.version, TargetChange::Put(Box::new(entry.clone())));
+        rows.changes.push((version, change));
+        rows.targets.insert(entry.name.clone(), entry);
+    }
+
+    /// Drops an entry.
+    pub(crate) fn remove(&self, name: &TargetName) {
+        let mut rows = self.rows();
+        rows.version += 1;
+        let (version, change) = (rows.version, TargetChange::Removed(name.clone()));
+        rows.changes.push((version, change));
+        rows.targets.remove(name);
+    }
+
+    /// Returns the calls since the last time, by kind.
+    pub(crate) fn take_calls(&self) -> HashMap<&'static str, u64> {
+        std::mem::take(&mut self.rows().calls)
+    }
+}
+
+/// One daemon's way to the store.
+pub(crate) struct Door {
+    pub(crate) table: Table,
+    pub(crate) is_cut: Arc<AtomicBool>,
+}
+
+impl Door {
+    fn pass(&self, what: &'static str) -> Result<MutexGuard<'_, Rows>> {
+        if self.is_cut.load(Ordering::SeqCst) {
+            return Err(Error::unknown("store", "cut"));
+        }
+        Ok(self.table.counted(what))
+    }
+}
+
+impl Store for Door {
+    fn targets(&self, _: Duration) -> Result<(Vec<Target>, u64)> {
+        let rows = self.pass("all_targets")?;
+        Ok((rows.targets.values().cloned().collect(), rows.version))
+    }
+
+    fn target_changes(&self, after: u64) -> Result<TargetNews> {
+        let rows = self.pass("target_changes")?;
+        let newer = rows.changes.iter().filter(|(version, _)| *version > after);
+        let changes = newer.map(|(_, change)| change.clone()).collect();
+        Ok(TargetNews::Changes { changes, version: rows.version })
+    }
+
+    fn catalog(&self, _: Duration) -> Result<(Option<Catalog>, u64)> {
+        Err(Error::unknown("store", "no configuration here"))
+    }
+
+    fn catalog_changes(&self, _: u64, _: Duration) -> Result<Option<(Option<Catalog>, u64)>> {
+        Err(Error::unknown("store", "no configuration here"))
+    }
+
+    fn lease(&self) -> Result<Option<LeaseRow>> {
+        Ok(self.pass("read_planner")?.lease.clone())
+    }
+
+    fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written> {
+        let mut rows = self.pass("write_planner")?;
+        let current = rows.lease.as_ref().map_or(0, |row| row.version);
+        if current != expected {
+            return Ok(Written::Conflict(rows.lease.clone()));
+        }
+        rows.lease = Some(LeaseRow { value: value.to_vec(), version: expected + 1 });
+        Ok(Written::Done(expected + 1))
+    }
+}
