--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -89,7 +89,7 @@
     pub(crate) lease: Arc<SharedLease>,
     keeper: Arc<Keeper>,
     pub(crate) conductor: Arc<Conductor>,
-    follower: TargetFollower,
+    pub(crate) follower: TargetFollower,
     is_cut: Arc<AtomicBool>,
     pub(crate) is_dead: bool,
     /// Until then it does nothing.
@@ -250,6 +250,11 @@
         }
     }
 
+    /// Returns the time.
+    pub(crate) fn clock_now(&self) -> Time {
+        self.clock.now()
+    }
+
     /// Lets a target hold another model.
     pub(crate) fn change(&mut self) {
         self.changes += 1;
