--- /dev/null
+++ b/crates/tansyknot-fleet/tests/versions.rs
@@ -0,0 +1,178 @@
+//! As of which version of the store a view takes in what it is told, and for how long it keeps what
+//! may have lapsed.
+
+mod support;
+
+use std::time::Duration;
+
+use support::target;
+use tansyknot_core::{
+    clock::Time,
+    name::{TargetName, ZoneName},
+};
+use tansyknot_fleet::{
+    dissemination::{
+        changes::{Change, ChangeLog, Entry, ListRead, WholeRead},
+        followed::Followed,
+    },
+    fleet::{Fleet, LAPSE_GRACE},
+    outside::TargetChange,
+    spans::Spans,
+    target::{Removal, Target},
+};
+use yare::parameterized;
+
+const FENCE: u64 = 7;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(100_000 + ms)
+}
+
+fn entry(name: &str, version: u64) -> Target {
+    Target { version, ..target(name, &["m0"], &[]) }
+}
+
+fn put(name: &str, version: u64) -> TargetChange {
+    TargetChange::Put(Box::new(entry(name, version)))
+}
+
+fn removal(name: &str, version: u64) -> Removal {
+    Removal { name: TargetName::from(name), version }
+}
+
+/// Makes a view that has read `t1`, of version 5, as of version 10.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(ZoneName::from("z1"), Spans::default());
+    fleet.set_all(vec![entry("t1", 5)], 10, None, at(0));
+    fleet.read(10, at(0));
+    fleet
+}
+
+/// Makes one that has lost the store since, and reads the list again as of version 20.
+fn returned() -> Fleet {
+    let mut fleet = fleet();
+    fleet.store_returned(at(3_900), at(4_000));
+    fleet.set_all(vec![entry("t1", 5)], 20, Some(10), at(4_000));
+    fleet.read(20, at(4_000));
+    fleet
+}
+
+fn takes_work(fleet: &Fleet, name: &str, now: Time) -> bool {
+    fleet.takes_work(&TargetName::from(name), now)
+}
+
+#[parameterized(
+    older_than_the_reading = { 9, false },
+    newer = { 11, true },
+)]
+fn entry_that_a_reading_did_not_have_counts_if_it_is_newer(version: u64, counts: bool) {
+    let mut fleet = fleet();
+    let told = Entry::of(&entry("t2", version));
+    fleet.apply_news(Change::Put(told), FENCE, at(10));
+    assert_eq!(takes_work(&fleet, "t2", at(10)), counts);
+}
+
+#[parameterized(
+    older = { 4, true },
+    newer = { 6, false },
+)]
+fn removal_counts_if_it_is_newer_than_the_entry(version: u64, stays: bool) {
+    let mut fleet = fleet();
+    fleet.apply_news(Change::Removed(removal("t1", version)), FENCE, at(10));
+    assert_eq!(takes_work(&fleet, "t1", at(10)), stays);
+}
+
+// Another daemon may have read the list while the target was there.
+#[test]
+fn removal_of_a_target_that_is_not_known_is_told() {
+    let mut fleet = fleet();
+    let before = fleet.log.last();
+    fleet.apply(TargetChange::Removed(removal("t2", 12)), at(10));
+    let news = fleet.log.news(before, ListRead::default(), at(10));
+    assert_eq!(news.changes, vec![(before + 1, Change::Removed(removal("t2", 12)))]);
+}
+
+#[test]
+fn planner_that_has_not_read_the_list_is_not_joined() {
+    let mut follower = Followed::default();
+    let mark = follower.before_call();
+    follower.after_call(mark, 9);
+    let mut log = ChangeLog::unread();
+    follower.list(FENCE, log.news(0, ListRead::default(), at(0)), at(0));
+    assert!(follower.is_missing());
+    assert_eq!(log.known_at(9), None);
+    log.skip(9);
+    follower.list(FENCE, log.news(0, ListRead::default(), at(0)), at(0));
+    assert!(!follower.is_missing());
+}
+
+#[parameterized(
+    before = { 8, false },
+    as_of_the_version_before = { 12, false },
+    in_between = { 13, true },
+    as_of_the_whole_reading = { 20, false },
+)]
+fn daemon_that_read_the_list_between_two_readings_of_its_planner_reads_it_again(
+    version: u64,
+    is_gapped: bool,
+) {
+    let mut fleet = Fleet::new(ZoneName::from("z1"), Spans::default());
+    fleet.set_all(vec![entry("t1", 5)], version, None, at(0));
+    fleet.read(version, at(0));
+    let whole = WholeRead { after: 12, version: 20 };
+    fleet.apply_news(Change::Whole(whole), FENCE, at(10));
+    assert_eq!(fleet.is_gapped(), is_gapped);
+    fleet.set_all(vec![entry("t1", 5)], 21, Some(version), at(20));
+    assert!(!fleet.is_gapped());
+}
+
+#[test]
+fn what_was_gone_by_the_stores_return_is_kept_as_long_as_it_may_take_to_come_back() {
+    let mut fleet = fleet();
+    fleet.store_returned(at(3_900), at(4_000));
+    fleet.set_all(Vec::new(), 20, Some(10), at(4_000));
+    fleet.read(20, at(4_000));
+    let end = at(4_000) + LAPSE_GRACE;
+    assert!(takes_work(&fleet, "t1", end.before(Duration::from_millis(1))));
+    assert!(!takes_work(&fleet, "t1", end));
+    assert_eq!(fleet.told(end).version, 10, "others are not told as of what is held back");
+}
+
+// A host that was cut off keeps the bounds again 3 s after that, and its call failed by then.
+#[test]
+fn nothing_is_kept_once_the_daemon_is_held_to_the_bounds_again() {
+    let mut fleet = fleet();
+    fleet.store_returned(at(2_500), at(4_000));
+    fleet.set_all(Vec::new(), 20, Some(10), at(4_000));
+    assert!(takes_work(&fleet, "t1", at(5_000)));
+    assert!(!takes_work(&fleet, "t1", at(5_500)));
+}
+
+#[test]
+fn what_goes_after_the_stores_return_is_kept_for_less_than_a_view_may_be_old() {
+    let mut fleet = returned();
+    fleet.apply(TargetChange::Removed(removal("t1", 21)), at(4_600));
+    assert!(takes_work(&fleet, "t1", at(4_700)));
+    let spans = Spans::default();
+    let end = at(4_600) + (spans.list - spans.list_pace);
+    assert!(!takes_work(&fleet, "t1", end));
+}
+
+#[test]
+fn entry_that_was_written_since_the_stores_return_has_not_lapsed() {
+    let mut fleet = returned();
+    fleet.apply(put("t1", 21), at(4_300));
+    fleet.apply(TargetChange::Removed(removal("t1", 22)), at(4_600));
+    assert!(!takes_work(&fleet, "t1", at(4_600)));
+}
+
+#[test]
+fn older_entry_does_not_end_the_wait_for_one_that_is_gone() {
+    let mut fleet = returned();
+    fleet.apply(TargetChange::Removed(removal("t1", 23)), at(4_600));
+    fleet.apply(put("t1", 22), at(4_610));
+    fleet.expire(at(9_000));
+    assert!(!takes_work(&fleet, "t1", at(9_000)));
+    fleet.apply(put("t1", 24), at(9_010));
+    assert!(takes_work(&fleet, "t1", at(9_010)), "a newer one counts");
+}
