The configuration's view is as old as the answer that shows it

A call that waited and brought nothing counted as of 0.1 s before its answer came, however long that was on its way; and the moment was noted before the configuration that came with it was in force, so that others could be told of the earlier one as young. Now it counts as of the end of its wait, and is noted last. Test: an answer that takes 0.5 s beside the wait; it failed before.

--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -5,7 +5,9 @@
 use tansyknot_core::{clock::Time, event};
 
 use super::{contact::Contact, replay_from};
-use crate::{dissemination::relays::FOLLOWERS_MOST, outside::Store, state::State};
+use crate::{
+    catalog::Catalog, dissemination::relays::FOLLOWERS_MOST, outside::Store, state::State,
+};
 
 /// An answer shows the store as it was at most this long before it arrived.
 const ANSWER_SPAN: Duration = Duration::from_millis(100);
@@ -71,6 +73,19 @@
         }
     }
 
+    fn now(&self) -> Time {
+        self.state.now()
+    }
+
+    /// Puts a configuration in force, if it is newer.
+    fn apply(&self, catalog: Catalog, store_version: u64) {
+        let version = catalog.version;
+        if self.state.set_catalog(catalog) {
+            event::FLEET_CONFIG.emit(&[("version", &version), ("store_version", &store_version)]);
+            self.state.view_changed();
+        }
+    }
+
     /// Makes one call; tells how long to pause before the next.
     pub fn step(&mut self) -> Duration {
         let began = self.state.now();
@@ -81,29 +96,18 @@
             None => self.store.catalog(self.read_within()).map(Some),
         };
         self.contact.take(&result, from, &self.state);
-        if matches!(result, Ok(Some(_))) {
-            // A call that waits shows what was so until shortly before its end; a reading of the
-            // table, which may take long on a narrow link, what was so at its start.
-            let known_at = match from {
-                Some(_) => began.max(self.state.now().before(ANSWER_SPAN)),
-                None => began,
-            };
-            self.state.contacts().config = Some(known_at);
-        }
         match result {
             Ok(Some((catalog, version))) => {
-                let is_first = self.version.is_none();
-                self.version = Some(version);
-                let Some(catalog) = catalog else {
-                    // Before the first configuration there is nothing to follow from.
-                    return if is_first { FIRST_LOOK } else { Duration::ZERO };
-                };
-                let number = catalog.version;
-                if self.state.set_catalog(catalog) {
-                    event::FLEET_CONFIG.emit(&[("version", &number), ("store_version", &version)]);
-                    self.state.view_changed();
+                let shown_at = shown_at(began, from.map(|_| wait), catalog.is_some(), self.now());
+                let is_first = self.version.replace(version).is_none();
+                let has_begun = catalog.is_some() || !is_first;
+                if let Some(catalog) = catalog {
+                    self.apply(catalog, version);
                 }
-                Duration::ZERO
+                // Only now: others may be told at any moment how fresh the one in force is.
+                self.state.contacts().config = Some(shown_at);
+                // Before the first configuration there is nothing to follow from.
+                if has_begun { Duration::ZERO } else { FIRST_LOOK }
             }
             Ok(None) => {
                 self.version = None;
@@ -113,3 +117,16 @@
         }
     }
 }
+
+/// Returns the moment as of which an answer shows the configuration that has come `now` to a call
+/// of `began`, which was to wait for `wait` if it did.
+///
+/// A reading of the table, which may take long on a narrow link, shows what was so at its start. A
+/// call that waits shows what was so until shortly before its end; if it brings nothing, it has left
+/// the store when its wait was over, however long it was on its way since.
+fn shown_at(began: Time, wait: Option<Duration>, has_changed: bool, now: Time) -> Time {
+    let Some(wait) = wait else { return began };
+    let latest = now.before(ANSWER_SPAN);
+    let shown = if has_changed { latest } else { latest.min(began + wait) };
+    began.max(shown)
+}
--- a/crates/tansyknot-fleet/tests/follow.rs
+++ b/crates/tansyknot-fleet/tests/follow.rs
@@ -21,7 +21,7 @@
         changes::{ChangeLog, ListRead},
         followed::Followed,
     },
-    follow::TargetFollower,
+    follow::{ConfigFollower, TargetFollower},
     outside::{TargetChange, TargetNews},
     state::State,
     target::Removal,
@@ -91,6 +91,20 @@
     assert_eq!(door.followed_from(), 77);
 }
 
+// News say to all daemons how old the planner's view of the configuration is: an answer that was long
+// on its way must not count as young.
+#[test]
+fn view_of_the_configuration_is_as_old_as_the_answer_that_shows_it() {
+    let Rig { door, clock, state, .. } = rig();
+    let mut follower = ConfigFollower::new(Arc::clone(&state), Arc::new(door.clone()));
+    follower.step();
+    let on_its_way = Duration::from_millis(500);
+    door.delay(&clock, on_its_way);
+    follower.step();
+    let shown_at = state.contacts().config.expect("the store has answered");
+    assert!(state.now().since(shown_at) >= on_its_way);
+}
+
 #[test]
 fn store_that_is_away_leaves_the_view() {
     let Rig { store, door, clock, state, mut follower } = rig();
--- a/crates/tansyknot-fleet/tests/support/store.rs
+++ b/crates/tansyknot-fleet/tests/support/store.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use tansyknot_core::{Error, Result};
+use tansyknot_core::{Error, Result, clock::ManualClock};
 use tansyknot_fleet::{
     catalog::Catalog,
     outside::{LeaseRow, Store, TargetNews, Written},
@@ -56,6 +56,14 @@
     list_calls: Arc<Mutex<u64>>,
     read_within: Arc<Mutex<Vec<Duration>>>,
     followed_from: Arc<Mutex<u64>>,
+    way_back: Arc<Mutex<Option<WayBack>>>,
+}
+
+/// How long answers to calls that wait are on their way.
+#[derive(Clone)]
+struct WayBack {
+    clock: ManualClock,
+    takes: Duration,
 }
 
 impl FakeStore {
@@ -90,6 +98,12 @@
         *self.fault.lock().expect("no test panics with it") = fault;
     }
 
+    /// Lets calls that wait take their time, and their answers `takes` beside that.
+    pub(crate) fn delay(&self, clock: &ManualClock, takes: Duration) {
+        let way_back = WayBack { clock: clock.clone(), takes };
+        *self.way_back.lock().expect("no test panics with it") = Some(way_back);
+    }
+
     /// Returns how often the list was asked for.
     pub(crate) fn list_calls(&self) -> u64 {
         *self.list_calls.lock().expect("no test panics with it")
@@ -144,8 +158,11 @@
         Self::answer(fault, (None, 1))
     }
 
-    fn catalog_changes(&self, v: u64, _: Duration) -> Result<Option<(Option<Catalog>, u64)>> {
+    fn catalog_changes(&self, v: u64, wait: Duration) -> Result<Option<(Option<Catalog>, u64)>> {
         let fault = self.pass()?;
+        if let Some(way) = &*self.way_back.lock().expect("no test panics with it") {
+            way.clock.advance(wait + way.takes);
+        }
         Self::answer(fault, Some((None, v)))
     }
 
--- a/crates/tansyknot-fleet/tests/versions.rs
+++ b/crates/tansyknot-fleet/tests/versions.rs
@@ -12,7 +12,7 @@
 };
 use tansyknot_fleet::{
     dissemination::{
-        changes::{Change, ChangeLog, Entry, ListRead, WholeRead},
+        changes::{Change, Entry, ListRead, WholeRead},
         followed::Followed,
     },
     fleet::{Fleet, LAPSE_GRACE},
@@ -97,7 +97,7 @@
     let mut follower = Followed::default();
     let mark = follower.before_call();
     follower.after_call(mark, 9);
-    let mut log = ChangeLog::unread();
+    let mut log = Fleet::new(ZoneName::from("z1"), Spans::default()).log;
     follower.list(FENCE, log.news(0, ListRead::default(), at(0)), at(0));
     assert!(follower.is_missing());
     assert_eq!(log.known_at(9), None);
