A note that a target leaves stands until the list says so too

An entry with the same models, written before the target began to leave, undid the note. Test first failed so; found while reading for the same cause elsewhere.

--- a/crates/tansyknot-fleet/src/fleet/member.rs
+++ b/crates/tansyknot-fleet/src/fleet/member.rs
@@ -86,7 +86,9 @@
             *self = Self { in_flight, logged, ..Self::new(entry) };
             return;
         }
-        let is_past = |n: &Noted| now >= n.until || n.note.models == entry.models;
+        // An entry that was written before the target began to leave does not undo a note of it.
+        let agrees = |n: &TargetNote| n.models == entry.models && n.state == entry.state;
+        let is_past = |n: &Noted| now >= n.until || agrees(&n.note);
         self.note.take_if(|n| is_past(n));
         self.entry = Arc::new(entry);
         self.lapse = None;
--- a/crates/tansyknot-fleet/tests/versions.rs
+++ b/crates/tansyknot-fleet/tests/versions.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use support::target;
+use support::{held, target};
 use tansyknot_core::{
     clock::Time,
     name::{TargetName, ZoneName},
@@ -14,11 +14,12 @@
     dissemination::{
         changes::{Change, Entry, ListRead, WholeRead},
         followed::Followed,
+        message::TargetNote,
     },
     fleet::{Fleet, LAPSE_GRACE},
     outside::TargetChange,
     spans::Spans,
-    target::{Removal, Target},
+    target::{Removal, Target, TargetState},
 };
 use yare::parameterized;
 
@@ -82,6 +83,22 @@
     assert_eq!(takes_work(&fleet, "t1", at(10)), stays);
 }
 
+#[test]
+fn entry_written_before_a_target_began_to_leave_does_not_undo_a_note_of_it() {
+    let mut fleet = fleet();
+    let note = TargetNote {
+        target: TargetName::from("t1"),
+        born: None,
+        revision: 1,
+        state: TargetState::Draining,
+        models: vec![held("m0", &[])],
+    };
+    fleet.note(&note, FENCE, at(10));
+    assert!(!takes_work(&fleet, "t1", at(10)));
+    fleet.apply(put("t1", 11), at(20));
+    assert!(!takes_work(&fleet, "t1", at(20)));
+}
+
 // Another daemon may have read the list while the target was there.
 #[test]
 fn removal_of_a_target_that_is_not_known_is_told() {
