--- a/crates/tansyknot-fleet/tests/older_answers.rs
+++ b/crates/tansyknot-fleet/tests/older_answers.rs
@@ -56,14 +56,14 @@
     let node = &mut network.nodes[FOLLOWER];
     let state = Arc::clone(&node.state);
     if is_whole {
-        node.follower.read_anew();
+        node.calls.follower.read_anew();
     }
-    let call = node.follower.begin();
-    let answer = node.follower.ask(call);
+    let call = node.calls.follower.begin();
+    let answer = node.calls.follower.ask(call);
     network.table.remove(&t0());
     network.run(SECOND);
     assert!(!knows(&state, &t0()), "the planner has told that it is gone");
-    network.nodes[FOLLOWER].follower.end(call, answer);
+    network.nodes[FOLLOWER].calls.follower.end(call, answer);
     assert!(!knows(&state, &t0()), "an older answer has brought it back");
     network.run(SECOND * 5);
     assert!(!knows(&state, &t0()));
@@ -74,14 +74,14 @@
     let mut network = started();
     let node = &mut network.nodes[FOLLOWER];
     let state = Arc::clone(&node.state);
-    node.follower.read_anew();
-    let call = node.follower.begin();
-    let answer = node.follower.ask(call);
+    node.calls.follower.read_anew();
+    let call = node.calls.follower.begin();
+    let answer = node.calls.follower.ask(call);
     let new = target("t9", &["m0"], &[]);
     network.table.put(new.clone());
     network.run(SECOND);
     assert!(knows(&state, &new.name), "the planner has told that it is there");
-    network.nodes[FOLLOWER].follower.end(call, answer);
+    network.nodes[FOLLOWER].calls.follower.end(call, answer);
     assert!(knows(&state, &new.name), "an older answer has dropped it");
     network.run(SECOND * 5);
     assert!(knows(&state, &new.name));
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -1,9 +1,11 @@
 //! A store, targets and daemons that live in one thread and in virtual time.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod calls;
 pub(crate) mod engine;
 pub(crate) mod network;
 pub(crate) mod planner;
+pub(crate) mod simulation;
 pub(crate) mod store;
 pub(crate) mod table;
 
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -4,7 +4,6 @@
     collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
-    ops::Range,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -14,16 +13,14 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tansyknot_core::{
-    Error, Result,
     clock::{Clock, ManualClock, Time},
     telemetry::NoRecorder,
 };
 use tansyknot_fleet::{
-    backoff,
     budget::BudgetOptions,
     conduct::{Conductor, Me},
     dissemination::pace::{BEAT, Occasion},
-    follow::{Answer, Call, Outcome, TargetFollower},
+    follow::TargetFollower,
     keep::{Keeper, Reluctance, SharedLease},
     lease::{Holder, LeaseOptions},
     outside::{Datagrams, Store},
@@ -34,6 +31,7 @@
 
 use super::{
     TURN,
+    calls::{Calls, Latency},
     engine::FakeTarget,
     table::{Door, Table},
     target,
@@ -90,45 +88,16 @@
     pub(crate) lease: Arc<SharedLease>,
     keeper: Arc<Keeper>,
     pub(crate) conductor: Arc<Conductor>,
-    pub(crate) follower: TargetFollower,
+    pub(crate) calls: Calls,
     is_cut: Arc<AtomicBool>,
     pub(crate) is_dead: bool,
     /// Until then it does nothing.
     pub(crate) frozen_until: Time,
-    /// Its call for the list that is under way.
-    pending: Option<Pending>,
-    /// Its calls that failed in a row.
-    failures: u32,
     keep_at: Time,
-    call_at: Time,
     beat_at: Time,
     seen: u64,
-    was_planner: bool,
 }
 
-/// A call that is under way: it reaches the store, is answered there, and the answer comes back.
-struct Pending {
-    call: Call,
-    asked_at: Time,
-    ends_at: Time,
-    answer: Option<Result<Option<Answer>>>,
-}
-
-/// How long a call takes each way, in milliseconds.
-#[derive(Clone, Debug)]
-pub(crate) struct Latency {
-    /// To the store.
-    pub(crate) there: Range<u64>,
-    /// Back, while other news arrive.
-    pub(crate) back: Range<u64>,
-}
-
-/// The pauses after calls that fail are those of the daemon, undrawn.
-const RETRY_FIRST: Duration = Duration::from_millis(250);
-const RETRY_MOST: Duration = Duration::from_millis(1000);
-/// Calls that take longer fail, as those of the store's client do.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// All daemons, their store and the network between them.
 pub(crate) struct Network {
     pub(crate) clock: ManualClock,
@@ -234,26 +203,23 @@
         let conductor = Arc::new(Conductor::new(Arc::clone(&state), orders, socket, me));
         let known = Arc::new(AtomicBool::new(false));
         let follower = TargetFollower::new(Arc::clone(&state), store, known);
+        let calls = Calls::new(follower, Arc::clone(&state), Arc::clone(&conductor));
         // Beats of daemons are spread.
         let beat_at = self.clock.now() + TICK * (n % 60) as u32;
-        let (keep_at, call_at) = (self.clock.now(), self.clock.now());
+        let keep_at = self.clock.now();
         Node {
             address,
             state,
             lease,
             keeper,
             conductor,
-            follower,
+            calls,
             is_cut,
             is_dead: false,
             frozen_until: Time::default(),
-            pending: None,
-            failures: 0,
             keep_at,
-            call_at,
             beat_at,
             seen: 0,
-            was_planner: false,
         }
     }
 
@@ -349,7 +315,7 @@
             // What a daemon without the store draws is not of the seed.
             self.keep_at = now + if self.is_cut() { pause.max(KEEP_WITHOUT_STORE) } else { pause };
         }
-        self.call(now, latency, rng);
+        self.calls.step(now, latency, rng);
         let count = self.state.demand_changed.count();
         if now >= self.beat_at {
             self.beat_at = now + BEAT;
@@ -360,54 +326,6 @@
         self.seen = count;
     }
 
-    /// Asks the store for the list when that is due.
-    fn call(&mut self, now: Time, latency: Option<&Latency>, rng: &mut StdRng) {
-        if let Some(pending) = self.pending.take() {
-            self.go_on(pending, now);
-            return;
-        }
-        if now < self.call_at {
-            return;
-        }
-        let is_planner = self.conductor.is_planner();
-        if is_planner && !std::mem::replace(&mut self.was_planner, is_planner) {
-            self.follower.read_anew();
-        }
-        if is_planner || self.state.followed().list_fresh_for(now).is_zero() {
-            let mut draw = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
-            let asked_at = now + latency.map_or(Duration::ZERO, |l| draw(l.there.clone()));
-            let ends_at = asked_at + latency.map_or(Duration::ZERO, |l| draw(l.back.clone()));
-            let call = self.follower.begin();
-            self.go_on(Pending { call, asked_at, ends_at, answer: None }, now);
-        }
-    }
-
-    /// Has a call reach the store, or its answer come back, when that is due.
-    fn go_on(&mut self, mut pending: Pending, now: Time) {
-        if pending.answer.is_none() && now >= pending.asked_at {
-            pending.answer = Some(self.follower.ask(pending.call));
-        }
-        let Some(answer) = pending.answer.take_if(|_| now >= pending.ends_at) else {
-            self.pending = Some(pending);
-            return;
-        };
-        let is_late = now.since(pending.call.began()) > CALL_TIMEOUT;
-        let answer = if is_late { Err(Error::unknown("store", "timeout")) } else { answer };
-        let outcome = self.follower.end(pending.call, answer);
-        self.failures = if outcome == Outcome::Failed { self.failures + 1 } else { 0 };
-        self.call_at = now + self.pause(outcome);
-    }
-
-    /// Returns how long to pause after a call.
-    fn pause(&self, outcome: Outcome) -> Duration {
-        match outcome {
-            Outcome::HistoryLost => Duration::ZERO,
-            Outcome::Failed => backoff::grown(RETRY_FIRST, self.failures - 1, RETRY_MOST),
-            Outcome::Answered if self.conductor.is_planner() => self.state.spans.list_pace,
-            Outcome::Answered => self.state.list_pace(),
-        }
-    }
-
     fn is_cut(&self) -> bool {
         self.is_cut.load(Ordering::SeqCst)
     }
