--- a/crates/tansyknot-fleet/src/dissemination/changes.rs
+++ b/crates/tansyknot-fleet/src/dissemination/changes.rs
@@ -141,6 +141,11 @@
     pub fn leaves_out(&self, version: u64) -> bool {
         self.after < version && version < self.version
     }
+
+    /// Returns what both readings together leave out.
+    pub fn with(self, earlier: Self) -> Self {
+        Self { after: earlier.after.min(self.after), version: earlier.version.max(self.version) }
+    }
 }
 
 /// What an entry that is known holds now.
@@ -258,7 +263,7 @@
         let change = match (before.map(|kept| kept.change), change) {
             (Some(Change::Put(entry)), Change::Models(newer)) => Change::Put(entry.with(newer)),
             (Some(Change::Whole(earlier)), Change::Whole(read)) => {
-                Change::Whole(WholeRead { after: earlier.after.min(read.after), ..read })
+                Change::Whole(read.with(earlier))
             }
             (_, change) => change,
         };
--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -54,6 +54,8 @@
     told: Option<Told>,
     /// The version as of which this daemon has read the list itself last.
     read_version: u64,
+    /// The whole readings that the planner has told of.
+    whole: Option<WholeRead>,
     /// Whether changes may be missing that nobody can tell.
     is_gapped: bool,
     /// Until when entries that go missing are taken for lapsed and not for gone.
@@ -91,6 +93,8 @@
     pub fn read(&mut self, version: u64, began: Time) {
         self.set_list_version(version);
         self.list.read_version = version;
+        // The planner may have told of its reading while this older answer was on its way.
+        self.list.is_gapped |= self.list.whole.is_some_and(|read| read.leaves_out(version));
         self.list.returned_as_of.get_or_insert(version);
         if self.members.values().all(|m| m.lapse.is_none()) {
             self.list.told = Some(Told { version, at: began });
@@ -315,6 +319,8 @@
             }
             Change::Whole(read) => {
                 self.list.is_gapped |= read.leaves_out(self.list.read_version);
+                let earlier = self.list.whole.unwrap_or(read);
+                self.list.whole = Some(read.with(earlier));
                 Some(Change::Whole(read))
             }
         };
--- a/crates/tansyknot-fleet/tests/leaving.rs
+++ b/crates/tansyknot-fleet/tests/leaving.rs
@@ -56,3 +56,13 @@
     }
     assert!(broken.is_empty(), "{} seeds:\n{}", broken.len(), broken.join("\n"));
 }
+
+// An answer that a daemon had asked for before its planner read the whole list came in after the news
+// of it, with a target that had come and gone in between.
+#[parameterized(
+    answer_overtaken_by_a_whole_reading = { 95, SLOW_ANSWERS },
+)]
+fn failed_before(seed: u64, troubles: Troubles) {
+    let result = Simulation::new(seed, FEW, LEAVE_WITHIN, troubles).run(SPAN);
+    assert_eq!(result, Ok(()));
+}
--- a/crates/tansyknot-fleet/tests/versions.rs
+++ b/crates/tansyknot-fleet/tests/versions.rs
@@ -143,6 +143,23 @@
     assert!(!fleet.is_gapped());
 }
 
+// The answer was made between the planner's readings and came in after the news of the second one.
+#[parameterized(
+    in_between = { 13, true },
+    as_of_the_whole_reading = { 20, false },
+)]
+fn answer_that_was_on_its_way_while_the_planner_told_of_a_whole_reading_is_read_again(
+    version: u64,
+    is_gapped: bool,
+) {
+    let mut fleet = fleet();
+    fleet.apply_news(Change::Whole(WholeRead { after: 12, version: 20 }), FENCE, at(10));
+    assert!(!fleet.is_gapped());
+    fleet.apply(put("t2", 13), at(20));
+    fleet.read(version, at(5));
+    assert_eq!(fleet.is_gapped(), is_gapped);
+}
+
 #[test]
 fn what_was_gone_by_the_stores_return_is_kept_as_long_as_it_may_take_to_come_back() {
     let mut fleet = fleet();
