--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! Randomized faults against real daemons, checked from what callers and runners see.
 //!
-//! CI runs a few seeds. By hand: `SOAK_SEEDS=1..51 cargo test -p tansyknotd --test soak -- --nocapture`.
+//! CI runs a few seeds. By hand: `SOAK_SEEDS=1..51 cargo test -p tansyknotd --test soak -- --nocapture`;
+//! `SOAK_DAEMONS=20` sets how many processes the targets come and go before.
 //! A seed fixes the faults and requests, not the scheduling. Seeds that ever failed stay in
 //! `failed_before`, with the cause.
 #![cfg(feature = "services")]
