Whether the list may lack changes is kept once

Cause: the view and what follows the planner each had a flag for the same thing; the second was set from the first with each of the news, carried over a change of the planner and reset by a call. Change: State::list_fresh_for asks the view, as config_fresh_for asks the calls, and all who wait for a call ask it; the flag, its setter and its copy in followed.rs are gone. A call that the flag outlives is followed by the next one without waiting for news.

--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -170,14 +170,14 @@
     /// Takes in news of the planner that this daemon follows.
     fn follow(&self, news: News, now: Time) {
         let mine = self.state.catalog().map_or(0, |c| c.version);
-        let (changes, is_due, begins_to_lack) = {
+        let (changes, is_behind, begins_to_lack) = {
             let mut followed = self.state.followed();
             let config_age = Duration::from_millis(news.config_age_ms.into());
             followed.config(news.config, config_age, now);
             let lacked = followed.is_missing();
             let changes = followed.list(news.fence, news.list.clone(), now);
-            let is_due = followed.list_fresh_for(now).is_zero() || mine < followed.config_version();
-            (changes, is_due, followed.is_missing() && !lacked)
+            let is_behind = mine < followed.config_version();
+            (changes, is_behind, followed.is_missing() && !lacked)
         };
         {
             let mut peers = self.state.peers();
@@ -197,15 +197,11 @@
             }
             Extent::Changes => fleet.note_changes(&news.loads, &news.coming, now),
         }
-        let is_gapped = fleet.is_gapped();
         drop(fleet);
         if is_changed {
             self.state.targets_changed.raise();
         }
-        if is_gapped {
-            self.state.followed().list_is_gapped();
-        }
-        if is_due || is_gapped {
+        if is_behind || self.state.list_fresh_for(now).is_zero() {
             self.state.call_due.raise();
         }
         if begins_to_lack {
--- a/crates/tansyknot-fleet/src/dissemination/followed.rs
+++ b/crates/tansyknot-fleet/src/dissemination/followed.rs
@@ -92,8 +92,6 @@
     /// The same by calls, or under an earlier planner.
     list_known_at: Option<Time>,
     list_version: u64,
-    /// Whether changes may be missing that the planner can't tell.
-    is_gapped: bool,
     config_at: Option<Time>,
     config_version: u64,
 }
@@ -109,16 +107,9 @@
     pub fn list(&mut self, fence: u64, news: ListNews, now: Time) -> Vec<Change> {
         if self.fence != fence {
             // What is known of the store stays known under another planner.
-            let Self { spans, list_version, list_at, config_version, is_gapped, .. } = *self;
+            let Self { spans, list_version, list_at, config_version, .. } = *self;
             let list_known_at = list_at.max(self.list_known_at);
-            *self = Self {
-                fence,
-                list_version,
-                list_known_at,
-                config_version,
-                is_gapped,
-                ..Self::new(spans)
-            };
+            *self = Self { fence, list_version, list_known_at, config_version, ..Self::new(spans) };
         }
         self.heard = now;
         self.newest = self.newest.max(news.newest);
@@ -155,11 +146,6 @@
         (self.list_version > 0 && self.list_version >= news.base).then_some(news.from)
     }
 
-    /// Takes in that changes may be missing that the planner can't tell: a call is due.
-    pub fn list_is_gapped(&mut self) {
-        self.is_gapped = true;
-    }
-
     /// Returns what this daemon has of the planner's news.
     pub fn known(&self, now: Time) -> Known {
         Known {
@@ -211,7 +197,6 @@
     /// Takes in that a call that began at `mark` has shown the list as of `version`.
     pub fn after_call(&mut self, mark: (u64, u64), version: u64) {
         let (fence, number) = mark;
-        self.is_gapped = false;
         self.list_version = self.list_version.max(version);
         if fence == self.fence {
             let number = self.ahead.join(self.number.unwrap_or(0).max(number));
@@ -228,9 +213,6 @@
     /// at which none was missing. A daemon that can't join this planner's numbers soon asks the
     /// store.
     pub fn list_fresh_for(&self, now: Time) -> Duration {
-        if self.is_gapped {
-            return Duration::ZERO;
-        }
         let known = self
             .list_known_at()
             .map_or(Duration::ZERO, |at| self.spans.list.saturating_sub(now.since(at)));
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -191,6 +191,12 @@
         fair.clamp(self.spans.list_pace, self.spans.list)
     }
 
+    /// Returns how long the view of the list is fresh enough without a call.
+    pub fn list_fresh_for(&self, now: Time) -> Duration {
+        let is_gapped = self.fleet().is_gapped();
+        if is_gapped { Duration::ZERO } else { self.followed().list_fresh_for(now) }
+    }
+
     /// Returns how long version `mine` of the configuration is fresh enough without a call: by the
     /// planner's news, or by this daemon's own last call if the planner has told of no newer one.
     pub fn config_fresh_for(&self, mine: u64) -> Duration {
--- a/crates/tansyknot-fleet/tests/support/calls.rs
+++ b/crates/tansyknot-fleet/tests/support/calls.rs
@@ -71,7 +71,7 @@
         if is_planner && !was_planner {
             self.follower.read_anew();
         }
-        if is_planner || self.state.followed().list_fresh_for(now).is_zero() {
+        if is_planner || self.state.list_fresh_for(now).is_zero() {
             let mut draw = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
             let asked_at = now + latency.map_or(Duration::ZERO, |l| draw(l.there.clone()));
             let ends_at = asked_at + latency.map_or(Duration::ZERO, |l| draw(l.back.clone()));
--- a/crates/tansyknotd/src/fleet/calls.rs
+++ b/crates/tansyknotd/src/fleet/calls.rs
@@ -118,7 +118,7 @@
     loop {
         let seen = state.call_due.count();
         let now = state.now();
-        let left = state.followed().list_fresh_for(now).max(until.since(now));
+        let left = state.list_fresh_for(now).max(until.since(now));
         if conductor.is_planner() || left.is_zero() {
             return;
         }
