Sight: whether two attempts are the same request, and what targets cut off

The logs could not tell that an attempt was the same request as one before: identifiers change, and path, body and caller were not in the line. Events 1601 and 1602 have `key` now, a hash of what stays (method, host, path, query, body, the address that the caller connects from); the counter cut_off says how many sends targets ended. No decision changes. What was weighed: a hash of the body alone (two callers with the same question would be one), the headers as well (several change each time).

--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -65,6 +65,7 @@
     GAP = "gap", Spans, "route", "The longest pause between two events of a stream.";
     WAITED = "waited", Spans, "route", "How long requests waited for a load or a free place.";
     SENDS_AGAIN = "sends_again", Counter, "route", "Sends of requests beyond the first.";
+    CUT_OFF = "cut_off", Counter, "service", "Sends whose target closed or reset the connection before its whole answer.";
     ORDERS = "orders", Counter, "service", "Orders that targets accepted.";
     ORDERS_FAILED = "orders_failed", Counter, "service", "Tasks that stopped before their last order was done.";
     LOAD = "load", Spans, "service", "From a load's acceptance to its being there.";
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod outside;
 pub mod plan;
+pub mod poison;
 pub mod relay;
 pub mod serve;
 pub mod spans;
--- /dev/null
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -0,0 +1,3 @@
+//! Requests under which targets crash.
+
+pub mod key;
--- /dev/null
+++ b/crates/tansyknot-fleet/src/poison/key.rs
@@ -0,0 +1,46 @@
+//! What makes two attempts of callers the same request.
+
+use std::{fmt, net::IpAddr};
+
+use tansyknot_http::server::Request;
+use xxhash_rust::xxh3::Xxh3;
+
+/// What stays of a request from attempt to attempt: who asks, where, and for what.
+///
+/// Its identifier, the time left and the event to go on after are different each time. A caller is
+/// known by the address that it connects from; no header names it.
+///
+/// The hash is not keyed. Who makes a request collide with another caller's has to know that one's
+/// address and body, and gains that this one request is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestKey(pub u128);
+
+impl RequestKey {
+    /// Returns the key of a request.
+    pub fn of(req: &Request) -> Self {
+        let head = &req.head;
+        let host = head.header("host").unwrap_or("");
+        let mut hasher = Xxh3::new();
+        for part in [&head.method, host, &head.target] {
+            update(&mut hasher, part.as_bytes());
+        }
+        match req.from {
+            IpAddr::V4(from) => update(&mut hasher, &from.octets()),
+            IpAddr::V6(from) => update(&mut hasher, &from.octets()),
+        }
+        hasher.update(&req.body);
+        Self(hasher.digest128())
+    }
+}
+
+/// Takes in a part after its length, so that no part runs into the next.
+fn update(hasher: &mut Xxh3, part: &[u8]) {
+    hasher.update(&(part.len() as u64).to_le_bytes());
+    hasher.update(part);
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -24,6 +24,7 @@
     exchange::Failure,
     fleet::Pick,
     outside::{Ask, Dialect},
+    poison::key::RequestKey,
     relay::{CallerSide, EventRelay},
     state::State,
     target::Target,
@@ -291,6 +292,7 @@
         let adapter = run.ask.adapter.as_ref().map_or("", |a| a.as_str());
         kind.emit(&[
             ("request", &run.ask.id),
+            ("key", &run.key),
             ("route", &run.route.name),
             ("config", &version),
             ("service", &run.service),
@@ -345,6 +347,7 @@
         let caller = CallerSide { stream: &caller_stream, http_1_1: req.head.http_1_1, after };
         let mut run = Run {
             req: &req,
+            key: RequestKey::of(&req),
             ask,
             route,
             service,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use tansyknot_core::metric;
 use tansyknot_http::respond::Whole;
 
 use super::{
@@ -193,6 +194,9 @@
 
     /// Takes what a send has shown into the view of the target.
     fn learn(&self, run: &Run<'_>, target: &Target, sent: &Sent) {
+        if let Sent::MayHaveRun(Failure::CutOff) = sent {
+            self.recorder.count(metric::CUT_OFF.name, &target.service, 1);
+        }
         let now = self.state.now();
         let mut fleet = self.state.fleet();
         match sent {
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -21,6 +21,7 @@
     exchange::Failure,
     fleet::{Prefix, Want},
     outside::Ask,
+    poison::key::RequestKey,
     relay::{CallerSide, EventRelay},
     target::Target,
 };
@@ -142,6 +143,7 @@
 /// One request on its way.
 pub(super) struct Run<'a> {
     pub(super) req: &'a Request,
+    pub(super) key: RequestKey,
     pub(super) ask: Ask,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
