Failing tests: a request under which targets crash is sent on for ever

Three daemons as processes, six targets that end under one request and start again 0.4 s later at their address under another name; the request comes each 120 ms at the daemons in turn. Nothing of a request outlives its attempt.

--- /dev/null
+++ b/crates/tansyknotd/tests/poison.rs
@@ -0,0 +1,150 @@
+//! Requests under which targets crash, with daemons as processes.
+//!
+//! What users saw: a request that crashed each target that ran it came again and again, at any
+//! daemon, and was handed to one target after the other. Twenty ended, and what others had there
+//! ended with them. After the third, three more sends are allowed once word of it has had time to
+//! reach every daemon.
+#![cfg(feature = "services")]
+
+mod launch;
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::Child,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use tansyknot_adapter_standins::{
+    caller::Request,
+    crash::{self, Record},
+    operator::Configuration,
+    store::Store,
+};
+
+const DAEMONS: usize = 3;
+const TARGETS: usize = 6;
+/// How often the request comes again.
+const EVERY: Duration = Duration::from_millis(120);
+/// Daemons know what has happened this long after it.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Sends that are allowed later than that.
+const LATE_SENDS: usize = 3;
+/// How long the request goes on coming after that.
+const GOES_ON: Duration = Duration::from_secs(4);
+/// Crashes after which a request is known.
+const KNOWN: usize = 3;
+/// Nothing here takes this long; what does has failed.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Daemon {
+    child: Child,
+    callers: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Daemon {
+    fn start(name: &str, store: SocketAddr) -> Self {
+        let settings = launch::settings(name, store);
+        let started = launch::spawn(&settings);
+        let ask = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+        await_that(|| launch::ask(started.ready, ask).contains("200"));
+        Self { child: started.child, callers: started.callers, settings }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn await_that(holds: impl Fn() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "it did not come true in time");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A store with targets that crash, and daemons before them.
+struct World {
+    store: Store,
+    record: Arc<Record>,
+    daemons: Vec<Daemon>,
+    sent: usize,
+}
+
+impl World {
+    fn start(name: &str) -> Self {
+        let store = Store::new();
+        let configuration = Configuration {
+            version: 1,
+            timeout_ms: 2_000,
+            objective_ms: 300,
+            gap_ms: 300,
+            models_at_once: 1,
+            models: 1,
+        };
+        configuration.write(&store);
+        let record = Arc::new(Record::default());
+        (0..TARGETS).for_each(|_| crash::start(&store, &record));
+        let mut world = Self { store, record, daemons: Vec::new(), sent: 0 };
+        world.start_daemons(name);
+        world
+    }
+
+    fn start_daemons(&mut self, name: &str) {
+        let start = |n| Daemon::start(&format!("{name}{n}"), self.store.door().address);
+        self.daemons = (0..DAEMONS).map(start).collect();
+    }
+
+    /// Has the request come again, at the next daemon, until `is_over`.
+    fn ask_until(&mut self, is_over: impl Fn(&Record) -> bool) {
+        let began = Instant::now();
+        while !is_over(&self.record) {
+            assert!(began.elapsed() < PATIENCE, "it did not come true in time");
+            self.sent += 1;
+            let id = format!("id-{}", self.sent);
+            let callers = self.daemons[self.sent % DAEMONS].callers;
+            thread::spawn(move || ask(callers, "/lookup/crash", &id));
+            thread::sleep(EVERY);
+        }
+    }
+
+    fn late_sends(&self, since: Instant) -> usize {
+        self.record.arrivals().iter().filter(|at| **at > since + CONTACT).count()
+    }
+}
+
+fn ask(callers: SocketAddr, path: &str, id: &str) -> String {
+    let req = Request::new(path, id, None, 1_500);
+    launch::ask(callers, &Request { more: "Connection: close\r\n", ..req }.text())
+}
+
+#[test]
+fn poison_request_reaches_no_target_once_three_have_crashed_under_it() {
+    let mut world = World::start("poison");
+    world.ask_until(|record| record.crashes().len() >= KNOWN);
+    let third = world.record.crashes()[KNOWN - 1];
+    world.ask_until(|_| third.elapsed() > CONTACT + GOES_ON);
+    assert!(world.late_sends(third) <= LATE_SENDS, "{} late sends", world.late_sends(third));
+}
+
+#[test]
+fn poison_request_is_known_after_all_daemons_have_ended_at_once() {
+    let mut world = World::start("ended");
+    world.ask_until(|record| record.crashes().len() >= KNOWN);
+    let third = world.record.crashes()[KNOWN - 1];
+    world.ask_until(|_| third.elapsed() > Duration::from_secs(2));
+    world.daemons.clear();
+    world.start_daemons("again");
+    let began = Instant::now();
+    world.ask_until(|_| began.elapsed() > CONTACT + GOES_ON);
+    assert!(world.late_sends(began) <= LATE_SENDS, "{} late sends", world.late_sends(began));
+}
