The store's client reads and writes own rows by name

Preparation, no change of behaviour: the planner's row was the only one and had calls of its own. A row for requests under which targets crash comes next; it has a table of its own, as the planner's is read and written twice a second and would carry the other one along. Ways weighed: a second pair of calls (the same twice), one row for both (two writers on the lease's row).

--- a/crates/tansyknot-fleet/src/counted.rs
+++ b/crates/tansyknot-fleet/src/counted.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     catalog::Catalog,
-    outside::{LeaseRow, Store, TargetNews, Written},
+    outside::{OwnRow, RowName, Store, TargetNews, Written},
     target::Target,
 };
 
@@ -64,15 +64,22 @@
         self.counted("config_changes", |s| s.catalog_changes(version, wait))
     }
 
-    fn lease(&self) -> Result<Option<LeaseRow>> {
-        self.counted("read_planner", |s| s.lease())
+    fn row(&self, name: RowName) -> Result<Option<OwnRow>> {
+        let kind = match name {
+            RowName::Planner => "read_planner",
+            RowName::Poison => "read_poison",
+        };
+        self.counted(kind, |s| s.row(name))
     }
 
-    fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written> {
-        let written = self.counted("write_planner", |s| s.write_lease(expected, value))?;
+    fn write_row(&self, name: RowName, expected: u64, value: &[u8]) -> Result<Written> {
+        let kind = match name {
+            RowName::Planner => "write_planner",
+            RowName::Poison => "write_poison",
+        };
+        let written = self.counted(kind, |s| s.write_row(name, expected, value))?;
         if matches!(written, Written::Conflict(_)) {
-            let kind = ServiceName::from("write_planner");
-            self.recorder.count(metric::STORE_CONFLICTS.name, &kind, 1);
+            self.recorder.count(metric::STORE_CONFLICTS.name, &ServiceName::from(kind), 1);
         }
         Ok(written)
     }
--- a/crates/tansyknot-fleet/src/keep.rs
+++ b/crates/tansyknot-fleet/src/keep.rs
@@ -11,7 +11,7 @@
 use crate::{
     backoff::Backoff,
     lease::{self, Claim, Holder, Lease, LeaseOptions, RENEW_EVERY},
-    outside::{LeaseRow, PeerAddress, Store, Written},
+    outside::{OwnRow, PeerAddress, RowName, Store, Written},
     state::State,
 };
 
@@ -317,7 +317,7 @@
 
     /// Reads the row; tells whether the store answered.
     fn look(&self) -> bool {
-        let result = self.store.lease();
+        let result = self.store.row(RowName::Planner);
         let now = self.state.now();
         match result {
             Ok(row) => {
@@ -331,7 +331,7 @@
         }
     }
 
-    fn take_in(&self, row: Option<LeaseRow>, now: Time) {
+    fn take_in(&self, row: Option<OwnRow>, now: Time) {
         let before = self.shared.planner();
         let (holder, version) = match row {
             Some(row) => (Some(decode(&row, self.options)), row.version),
@@ -352,7 +352,7 @@
         let was_mine = self.shared.is_mine();
         let fence = claim.holder.fence;
         let value = encode(&claim.holder);
-        let result = self.store.write_lease(claim.expected, &value);
+        let result = self.store.write_row(RowName::Planner, claim.expected, &value);
         let now = self.state.now();
         match result {
             Ok(Written::Done(version)) => {
@@ -390,7 +390,7 @@
         let now = self.state.now();
         let released = self.shared.lease().release(&self.me, now);
         let Some((version, holder)) = released else { return };
-        match self.store.write_lease(version, &encode(&holder)) {
+        match self.store.write_row(RowName::Planner, version, &encode(&holder)) {
             Ok(_) => {}
             Err(e) => log::debug!("the planner's row can't be released: {e}"),
         }
@@ -414,7 +414,7 @@
 /// Decodes the row; one that can't be read counts as that of an unknown holder.
 ///
 /// Versions of the store rise with every write, and no token was ever above them.
-fn decode(row: &LeaseRow, options: LeaseOptions) -> Holder {
+fn decode(row: &OwnRow, options: LeaseOptions) -> Holder {
     serde_json::from_slice(&row.value).unwrap_or_else(|e| {
         event::FLEET_BAD_ENTRY.emit(&[("error", &e)]);
         Holder {
--- a/crates/tansyknot-fleet/src/outside.rs
+++ b/crates/tansyknot-fleet/src/outside.rs
@@ -41,9 +41,18 @@
     HistoryLost,
 }
 
+/// Which of this project's own rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowName {
+    /// Who the planner is, and what it may order.
+    Planner,
+    /// Requests under which targets have crashed.
+    Poison,
+}
+
 /// A row of this project's own.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseRow {
+pub struct OwnRow {
     /// Its value.
     pub value: Vec<u8>,
     /// Its version.
@@ -56,7 +65,7 @@
     /// It took effect; the row has this version.
     Done(u64),
     /// The row had another version; this is the row, if there is one.
-    Conflict(Option<LeaseRow>),
+    Conflict(Option<OwnRow>),
 }
 
 /// A client of the platform's store.
@@ -93,19 +102,19 @@
         wait: Duration,
     ) -> Result<Option<(Option<Catalog>, u64)>>;
 
-    /// Reads the planner's row.
+    /// Reads a row of this project's own; `None` if there is none yet.
     ///
     /// # Errors
     ///
     /// Fails as [`Store::targets`] does.
-    fn lease(&self) -> Result<Option<LeaseRow>>;
+    fn row(&self, name: RowName) -> Result<Option<OwnRow>>;
 
-    /// Writes the planner's row if it has version `expected`; 0 means that there is none.
+    /// Writes a row of this project's own if it has version `expected`; 0 means that there is none.
     ///
     /// # Errors
     ///
     /// Fails as [`Store::targets`] does; the write may then have taken effect.
-    fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written>;
+    fn write_row(&self, name: RowName, expected: u64, value: &[u8]) -> Result<Written>;
 }
 
 /// What a target is told to do.
--- a/crates/tansyknot-fleet/tests/catch_up.rs
+++ b/crates/tansyknot-fleet/tests/catch_up.rs
@@ -29,7 +29,7 @@
 use tansyknot_fleet::{
     catalog::Catalog,
     follow::{ConfigFollower, TargetFollower},
-    outside::{LeaseRow, Store, TargetChange, TargetNews, Written},
+    outside::{OwnRow, RowName, Store, TargetChange, TargetNews, Written},
     state::State,
     target::Target,
 };
@@ -153,11 +153,11 @@
         Ok(Some((catalog.filter(|_| news > 0), version)))
     }
 
-    fn lease(&self) -> Result<Option<LeaseRow>> {
+    fn row(&self, _: RowName) -> Result<Option<OwnRow>> {
         Ok(None)
     }
 
-    fn write_lease(&self, _: u64, _: &[u8]) -> Result<Written> {
+    fn write_row(&self, _: RowName, _: u64, _: &[u8]) -> Result<Written> {
         Ok(Written::Conflict(None))
     }
 }
--- a/crates/tansyknot-fleet/tests/counted.rs
+++ b/crates/tansyknot-fleet/tests/counted.rs
@@ -10,7 +10,10 @@
 
 use support::store::{FakeStore, StoreFault};
 use tansyknot_core::{name::ServiceName, telemetry::Recorder};
-use tansyknot_fleet::{counted::CountedStore, outside::Store};
+use tansyknot_fleet::{
+    counted::CountedStore,
+    outside::{RowName, Store},
+};
 
 #[derive(Default)]
 struct Figures(Mutex<BTreeMap<String, u64>>);
@@ -44,9 +47,9 @@
     let door = store.door();
     let figures = Arc::new(Figures::default());
     let counted = CountedStore::new(Arc::new(door.clone()), Arc::clone(&figures) as _);
-    assert!(counted.lease().is_ok());
-    assert!(counted.write_lease(0, b"a").is_ok());
-    assert!(counted.write_lease(0, b"b").is_ok(), "a conflict is an answer");
+    assert!(counted.row(RowName::Planner).is_ok());
+    assert!(counted.write_row(RowName::Planner, 0, b"a").is_ok());
+    assert!(counted.write_row(RowName::Planner, 0, b"b").is_ok(), "a conflict is an answer");
     door.set(StoreFault::Silent);
     assert!(counted.targets(std::time::Duration::from_secs(1)).is_err());
     assert_eq!(figures.of("store_calls read_planner"), 1);
--- a/crates/tansyknot-fleet/tests/support/store.rs
+++ b/crates/tansyknot-fleet/tests/support/store.rs
@@ -9,7 +9,7 @@
 use tansyknot_core::{Error, Result, clock::ManualClock};
 use tansyknot_fleet::{
     catalog::Catalog,
-    outside::{LeaseRow, Store, TargetNews, Written},
+    outside::{OwnRow, RowName, Store, TargetNews, Written},
     target::Target,
 };
 
@@ -33,6 +33,12 @@
     version: u64,
 }
 
+impl Row {
+    fn found(&self) -> Option<OwnRow> {
+        self.value.clone().map(|value| OwnRow { value, version: self.version })
+    }
+}
+
 /// The list as of a version, which rises with each write.
 #[derive(Clone, Default)]
 struct List {
@@ -44,6 +50,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct FakeStore {
     row: Arc<Mutex<Row>>,
+    poison: Arc<Mutex<Row>>,
     list: Arc<Mutex<List>>,
     news: Arc<Mutex<VecDeque<TargetNews>>>,
 }
@@ -75,6 +82,13 @@
         Door { store: self.clone(), ..Door::default() }
     }
 
+    fn row_of(&self, name: RowName) -> &Mutex<Row> {
+        match name {
+            RowName::Planner => &self.row,
+            RowName::Poison => &self.poison,
+        }
+    }
+
     pub(crate) fn set_row(&self, value: &[u8]) {
         let mut row = self.row.lock().expect("no test panics with it");
         row.version += 1;
@@ -166,19 +180,17 @@
         Self::answer(fault, Some((None, v)))
     }
 
-    fn lease(&self) -> Result<Option<LeaseRow>> {
+    fn row(&self, name: RowName) -> Result<Option<OwnRow>> {
         let fault = self.pass()?;
-        let row = self.store.row.lock().expect("no test panics with it");
-        let found = row.value.clone().map(|value| LeaseRow { value, version: row.version });
+        let found = self.store.row_of(name).lock().expect("no test panics with it").found();
         Self::answer(fault, found)
     }
 
-    fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written> {
+    fn write_row(&self, name: RowName, expected: u64, value: &[u8]) -> Result<Written> {
         let fault = self.pass()?;
-        let mut row = self.store.row.lock().expect("no test panics with it");
+        let mut row = self.store.row_of(name).lock().expect("no test panics with it");
         if row.version != expected {
-            let current = row.value.clone().map(|value| LeaseRow { value, version: row.version });
-            return Self::answer(fault, Written::Conflict(current));
+            return Self::answer(fault, Written::Conflict(row.found()));
         }
         row.version += 1;
         row.value = Some(value.to_vec());
--- a/crates/tansyknot-fleet/tests/support/table.rs
+++ b/crates/tansyknot-fleet/tests/support/table.rs
@@ -12,19 +12,29 @@
 use tansyknot_core::{Error, Result, name::TargetName};
 use tansyknot_fleet::{
     catalog::Catalog,
-    outside::{LeaseRow, Store, TargetChange, TargetNews, Written},
+    outside::{OwnRow, RowName, Store, TargetChange, TargetNews, Written},
     target::{Removal, Target},
 };
 
 #[derive(Default)]
 pub(crate) struct Rows {
-    lease: Option<LeaseRow>,
+    planner: Option<OwnRow>,
+    poison: Option<OwnRow>,
     pub(crate) targets: BTreeMap<TargetName, Target>,
     changes: Vec<(u64, TargetChange)>,
     version: u64,
     calls: HashMap<&'static str, u64>,
 }
 
+impl Rows {
+    fn own(&mut self, name: RowName) -> &mut Option<OwnRow> {
+        match name {
+            RowName::Planner => &mut self.planner,
+            RowName::Poison => &mut self.poison,
+        }
+    }
+}
+
 /// A store that counts its calls.
 #[derive(Clone, Default)]
 pub(crate) struct Table {
@@ -106,17 +116,26 @@
         Err(Error::unknown("store", "no configuration here"))
     }
 
-    fn lease(&self) -> Result<Option<LeaseRow>> {
-        Ok(self.pass("read_planner")?.lease.clone())
+    fn row(&self, name: RowName) -> Result<Option<OwnRow>> {
+        let kind = match name {
+            RowName::Planner => "read_planner",
+            RowName::Poison => "read_poison",
+        };
+        let mut rows = self.pass(kind)?;
+        Ok(rows.own(name).clone())
     }
 
-    fn write_lease(&self, expected: u64, value: &[u8]) -> Result<Written> {
-        let mut rows = self.pass("write_planner")?;
-        let current = rows.lease.as_ref().map_or(0, |row| row.version);
-        if current != expected {
-            return Ok(Written::Conflict(rows.lease.clone()));
+    fn write_row(&self, name: RowName, expected: u64, value: &[u8]) -> Result<Written> {
+        let kind = match name {
+            RowName::Planner => "write_planner",
+            RowName::Poison => "write_poison",
+        };
+        let mut rows = self.pass(kind)?;
+        let row = rows.own(name);
+        if row.as_ref().map_or(0, |row| row.version) != expected {
+            return Ok(Written::Conflict(row.clone()));
         }
-        rows.lease = Some(LeaseRow { value: value.to_vec(), version: expected + 1 });
+        *row = Some(OwnRow { value: value.to_vec(), version: expected + 1 });
         Ok(Written::Done(expected + 1))
     }
 }
