A request is known by what it asks, whoever sends it

The key is method, host, path, query and body now. What protects a common request from many callers is that it is answered all the while. A target's own failure no longer clears a request: it is no sign that it was run well.

--- a/crates/tansyknot-fleet/src/poison/key.rs
+++ b/crates/tansyknot-fleet/src/poison/key.rs
@@ -1,6 +1,6 @@
 //! What makes two attempts the same request, and two sends go to the same run of a target.
 
-use std::{fmt, net::IpAddr};
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use tansyknot_http::server::Request;
@@ -8,13 +8,15 @@
 
 use crate::target::Target;
 
-/// What stays of a request from attempt to attempt: who asks, where, and for what.
+/// What stays of a request from attempt to attempt: where it goes, and what it says.
 ///
-/// Its identifier, the time left and the event to go on after are different each time. A caller is
-/// known by the address that it connects from; no header names it.
+/// Its identifier, the time left and the event to go on after are different each time, and so is the
+/// address that it comes from: callers who come again at a daemon of another zone have another one,
+/// and no header names them. What is asked ends a target, whoever asks. A request that many callers
+/// make is not taken for harmful, as it is answered all the while.
 ///
 /// The hash is not keyed. Who makes a request collide with another caller's has to know that one's
-/// address and body, and gains that this one request is rejected.
+/// path and body, and gains that this one request is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestKey(pub u128);
 
@@ -27,10 +29,6 @@
         for part in [&head.method, host, &head.target] {
             update(&mut hasher, part.as_bytes());
         }
-        match req.from {
-            IpAddr::V4(from) => update(&mut hasher, &from.octets()),
-            IpAddr::V6(from) => update(&mut hasher, &from.octets()),
-        }
         hasher.update(&req.body);
         Self(hasher.digest128())
     }
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -28,13 +28,13 @@
     pub(super) fn examine(&self, run: &Run<'_>, target: &Target, opened: Time, sent: &Sent) {
         let key = RunKey::of(target);
         match sent {
-            Sent::Passed(_) | Sent::Failure(_) => {
+            Sent::Passed(_) => {
                 let now = self.state.now();
                 self.state.poison().answered(run.key, key, opened, now);
                 self.tell_crashes();
             }
             Sent::MayHaveRun(Failure::CutOff) => self.look(run, target, key),
-            Sent::MayHaveRun(_) | Sent::NotRun(_) => {}
+            Sent::Failure(_) | Sent::MayHaveRun(_) | Sent::NotRun(_) => {}
         }
     }
 
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{IpAddr, TcpListener, TcpStream},
+    net::{TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -66,8 +66,6 @@
     pub head: Head,
     /// The whole body.
     pub body: Vec<u8>,
-    /// The address that the caller has connected from.
-    pub from: IpAddr,
 }
 
 /// Answers requests.
@@ -144,7 +142,7 @@
     lifecycle: &Arc<Lifecycle>,
 ) -> io::Result<()> {
     while !lifecycle.is_closed() {
-        let (stream, from) = match listener.accept() {
+        let (stream, _) = match listener.accept() {
             Ok(accepted) => accepted,
             // One caller that vanished while it was accepted must not end the others' service.
             Err(e) if is_transient(&e) => continue,
@@ -153,7 +151,7 @@
         if lifecycle.is_closed() {
             return Ok(());
         }
-        take(stream, from.ip(), options, handler, lifecycle);
+        take(stream, options, handler, lifecycle);
     }
     Ok(())
 }
@@ -180,7 +178,6 @@
 
 fn take(
     mut stream: TcpStream,
-    from: IpAddr,
     options: &ServerOptions,
     handler: &Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
@@ -206,7 +203,7 @@
         .spawn(move || {
             let _guard = guard;
             // An error here means that the caller has left; there is nobody to tell.
-            let _ = converse(stream, from, &options, handler.as_ref(), &lifecycle);
+            let _ = converse(stream, &options, handler.as_ref(), &lifecycle);
         });
     // Without a thread the connection is dropped and the caller may try another daemon.
     drop(spawned);
@@ -239,7 +236,6 @@
 
 fn converse(
     mut stream: TcpStream,
-    from: IpAddr,
     options: &ServerOptions,
     handler: &dyn Handler,
     lifecycle: &Arc<Lifecycle>,
@@ -251,7 +247,7 @@
     while await_request(&mut rx, options, lifecycle, age)? {
         age = Age::Used;
         let _busy = Guard::request(lifecycle);
-        let req = match receive(&mut rx, &mut stream, from, options) {
+        let req = match receive(&mut rx, &mut stream, options) {
             Ok(req) => req,
             Err(refusal) => return refuse(&mut rx, &mut stream, &refusal),
         };
@@ -310,7 +306,6 @@
 fn receive(
     rx: &mut Receiver,
     stream: &mut TcpStream,
-    from: IpAddr,
     options: &ServerOptions,
 ) -> Result<Request, Refusal> {
     rx.allow(options.receive_timeout);
@@ -321,7 +316,7 @@
     }
     rx.allow(options.receive_timeout);
     let body = body::read(rx, head.framing, options.body_bytes)?;
-    Ok(Request { head, body, from })
+    Ok(Request { head, body })
 }
 
 fn receive_head(rx: &mut Receiver, limit: u64) -> Result<Head, Refusal> {
