--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -295,6 +295,8 @@
         if is_new {
             self.planner().reset();
             self.begin_telling(now);
+            // The planner before may have left the row of poison requests behind.
+            self.state.poison_changed.raise();
         }
         // All are told at once that there is a new planner.
         let occasion = if is_new { Occasion::Beat } else { occasion };
--- a/crates/tansyknotd/src/fleet/calls.rs
+++ b/crates/tansyknotd/src/fleet/calls.rs
@@ -19,8 +19,8 @@
 const FOLLOW_LOADS: Duration = Duration::from_millis(90);
 
 /// How often it is looked whether the row of poison requests is behind, beside when something has
-/// changed: a new planner finds what the last one has left.
-const POISON_LOOK: Duration = Duration::from_secs(1);
+/// changed or this daemon has become the planner: each look wakes a thread.
+const POISON_LOOK: Duration = Duration::from_secs(30);
 
 /// Starts the thread that keeps the row of poison requests.
 pub(super) fn keep_poison(
