--- /dev/null
+++ b/crates/tansyknot-fleet/tests/suspended.rs
@@ -0,0 +1,36 @@
+//! A daemon whose host was suspended: time passes between two of its steps, and none of its waits ends.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{Daemon, TURN, network::Network, store::FakeStore};
+use tansyknot_core::clock::{Clock, ManualClock};
+
+const SUSPENDED: Duration = Duration::from_secs(5);
+
+#[test]
+fn planner_that_wakes_does_not_order_on_the_lease_of_before() {
+    let clock = ManualClock::new();
+    clock.advance(TURN * 2);
+    let daemon = Daemon::new("d", &FakeStore::new(), &clock);
+    for _ in 0..100 {
+        daemon.keep();
+        clock.advance(Duration::from_millis(50));
+    }
+    assert!(daemon.lease.is_valid(clock.now()));
+    clock.advance(SUSPENDED);
+    assert!(!daemon.lease.is_valid(clock.now()));
+    assert!(daemon.lease.may_order(&"t".into(), clock.now()).is_none());
+}
+
+#[test]
+fn follower_that_wakes_takes_no_view_of_before_for_fresh() {
+    let mut network = Network::new(7, 9, Duration::from_secs(2));
+    network.run(Duration::from_secs(6));
+    let state = std::sync::Arc::clone(&network.nodes[3].state);
+    assert!(!state.list_fresh_for(network.clock_now()).is_zero());
+    network.clock.advance(SUSPENDED);
+    assert!(state.list_fresh_for(network.clock_now()).is_zero(), "it asks the store for itself");
+    assert!(state.config_fresh_for(1).is_zero());
+}
