Soak: a request under which targets crash, under faults; what is remembered of a request is bounded

The soak's real processes: targets that end for real under a request that comes each 40 to 200 ms, while daemons are killed, frozen and lose the store; once that is over three more sends are allowed.

Found by reading: runs that don't count were kept without bound for a request that is asked for all the while, until what is told of it fits no datagram. 32 now, with a test.

--- a/crates/tansyknot-fleet/src/poison/account.rs
+++ b/crates/tansyknot-fleet/src/poison/account.rs
@@ -10,6 +10,10 @@
 /// Runs that are kept of a request: more than convict it, so that it explains the crashes of others.
 pub(super) const RUNS_MOST: usize = 8;
 
+/// Runs that are remembered as not counting. A request that is asked for all the while outlives many
+/// targets, and what is told of it has to fit into a datagram: 40 runs take some 400 bytes.
+const CLEARED_MOST: usize = 32;
+
 /// The account of a request.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Account {
@@ -43,12 +47,24 @@
 
     /// Has a run count no more; tells whether it did.
     pub(super) fn clear(&mut self, run: RunKey) -> bool {
-        self.crashes.contains(&run) && self.cleared.insert(run)
+        let is_news = self.crashes.contains(&run) && self.cleared.insert(run);
+        self.trim();
+        is_news
     }
 
     /// Has no run count that is known by now.
     pub(super) fn clear_all(&mut self) {
         self.cleared.extend(&self.crashes);
+        self.trim();
+    }
+
+    /// Forgets runs that don't count, if there are too many. All have been told that they don't.
+    fn trim(&mut self) {
+        while self.cleared.len() > CLEARED_MOST
+            && let Some(run) = self.cleared.pop_first()
+        {
+            self.crashes.remove(&run);
+        }
     }
 
     /// Takes in what another daemon knows.
@@ -57,6 +73,7 @@
         self.cleared.extend(&other.cleared);
         self.tried |= other.tried;
         other.crashes.iter().for_each(|run| self.crash(*run));
+        self.trim();
     }
 
     /// Returns the runs that count.
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -168,6 +168,20 @@
     assert!(poison.is_convicted(REQUEST));
 }
 
+#[test]
+fn request_that_outlives_many_targets_takes_bounded_memory_and_one_datagram() {
+    let mut poison = Poison::default();
+    for n in 0..1_000u64 {
+        // More than a span apart, so that each is suspected, and answered in between.
+        let now = at(20_000 * n);
+        (0..2).for_each(|k| crash(&mut poison, REQUEST, 2 * n + k, now));
+        poison.answered(REQUEST, RunKey(u64::MAX), now, now);
+        let told = poison.take_untold();
+        assert!(told.iter().all(|item| item.crashes.len() + item.cleared.len() <= 40), "{told:?}");
+    }
+    assert!(!poison.is_convicted(REQUEST));
+}
+
 #[test]
 fn of_too_many_convicted_those_asked_for_longest_ago_go() {
     let mut poison = convicted();
--- a/crates/tansyknotd/tests/soak/leave.rs
+++ b/crates/tansyknotd/tests/soak/leave.rs
@@ -58,7 +58,7 @@
 }
 
 /// Disturbs a daemon, or leaves it alone.
-fn strike(daemon: &Daemon, rng: &mut StdRng) {
+pub(crate) fn strike(daemon: &Daemon, rng: &mut StdRng) {
     let span = Duration::from_millis(rng.random_range(100..2_500));
     match rng.random_range(0..8) {
         0 | 1 => daemon.restart(End::Kill),
--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -8,6 +8,7 @@
 
 mod check;
 mod client;
+mod crash;
 #[path = "../launch/mod.rs"]
 mod launch;
 mod leave;
@@ -126,6 +127,16 @@
     }
 }
 
+// Daemons handed a request that ends targets to one target after the other, for good.
+#[test]
+fn poison_request_is_stopped_under_faults() {
+    for seed in seeds(1..2) {
+        let broken = crash::run(seed);
+        assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
+        println!("seed {seed}: stopped");
+    }
+}
+
 // With these, daemons sent requests to a target 20 s after it had gone.
 #[parameterized(
     one_daemon = { 9 },
