--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod store;
 pub(crate) mod table;
 
-use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, ops::Range, sync::Arc, time::Duration};
 
 use tansyknot_core::{
     clock::{Clock, ManualClock, Time},
@@ -121,6 +121,14 @@
     }
 }
 
+/// Returns the seeds that the environment variable `name` asks for, else `usual`.
+pub(crate) fn seeds(name: &str, usual: u64) -> Range<u64> {
+    let Ok(seeds) = std::env::var(name) else { return 0..usual };
+    let bounds = seeds.split_once("..").map(|(from, to)| (from.parse(), to.parse()));
+    let Some((Ok(from), Ok(to))) = bounds else { panic!("{name} is FROM..TO") };
+    from..to
+}
+
 /// Makes the shared state of a daemon in zone `z1`.
 pub(crate) fn state(clock: &ManualClock) -> Arc<State> {
     let budget = BudgetOptions { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
