What clears a request is told at once where it is found in what others tell

What callers would see: an innocent request that comes again and again stays rejected at daemons that have not answered it lately, for up to a minute, though another daemon has cleared it. Found by reading. The test fails without the mend and holds with it.

--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -200,11 +200,18 @@
     }
 
     /// Takes in what another daemon knows of such requests; returns what that one lacks, and whether
-    /// a request is convicted by it. Requests that wait for a target look again then.
+    /// a request is convicted by it. Requests that wait for a target look again then. What clears one
+    /// here is told to others at once.
     pub fn merge_poison(&self, evidence: &[Evidence]) -> Merged {
-        let merged = self.poison().merge(evidence, self.now());
+        let now = self.now();
+        let (merged, has_untold) = {
+            let mut poison = self.poison();
+            (poison.merge(evidence, now), poison.has_untold())
+        };
         if merged.convicts {
             self.targets_changed.raise();
+        }
+        if merged.convicts || has_untold {
             self.poison_changed.raise();
         }
         merged
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -123,6 +123,20 @@
     }
 }
 
+// A daemon that had answered the request cleared it for itself, and told the others only with the
+// next thing that it found.
+#[test]
+fn what_clears_a_request_is_told_at_once_where_it_is_known() {
+    let state = state(&ManualClock::new());
+    let now = state.now();
+    state.poison().answered(REQUEST, RunKey(9), now, now);
+    let seen = state.poison_changed.count();
+    state.merge_poison(&[evidence(&[1, 2])]);
+    assert_ne!(state.poison_changed.count(), seen, "who tells others is woken");
+    let told = state.poison().take_untold();
+    assert_eq!(told.iter().map(Evidence::count).collect::<Vec<_>>(), [0]);
+}
+
 #[test]
 fn request_that_was_answered_lately_is_not_suspected_of_a_crash() {
     let mut poison = Poison::default();
