Failing tests: targets whose port goes on accepting after their end

Story: a request crashes each target that begins to run it. Where the target's connections go first and its port goes on accepting (a socket that outlives the process), the daemon's one look finds somebody, and the crash is forgotten: the request is handed on for ever.

--- a/crates/tansyknotd/tests/poison.rs
+++ b/crates/tansyknotd/tests/poison.rs
@@ -23,10 +23,11 @@
 use launch::Daemon;
 use tansyknot_adapter_standins::{
     caller::Request,
-    crash::{self, Record},
+    crash::{self, Ending, Record},
     operator::Configuration,
     store::Store,
 };
+use yare::parameterized;
 
 const DAEMONS: usize = 3;
 const TARGETS: usize = 6;
@@ -50,7 +51,7 @@
 }
 
 impl World {
-    fn start(name: &str) -> Self {
+    fn start(name: &str, ending: Ending) -> Self {
         let store = Store::new();
         let configuration = Configuration {
             version: 1,
@@ -61,7 +62,7 @@
             models: 1,
         };
         configuration.write(&store);
-        let record = Arc::new(Record::default());
+        let record = Arc::new(Record::of(ending));
         (0..TARGETS).for_each(|_| crash::start(&store, &record));
         let mut world = Self { store, record, daemons: Vec::new(), sent: 0 };
         world.start_daemons(name);
@@ -96,23 +97,31 @@
     launch::ask(callers, &Request { more: "Connection: close\r\n", ..req }.text())
 }
 
-#[test]
-fn poison_request_reaches_no_target_once_three_have_crashed_under_it() {
-    let mut world = World::start("poison");
+// Where the port goes on accepting, a cut counted as no crash, and the one look that followed it found
+// somebody: 78 of 96 sends came later than three seconds after the third crash.
+#[parameterized(
+    port_closes_first = { "poison", Ending::PortFirst },
+    port_stays = { "stays", Ending::PortStays },
+)]
+fn poison_request_reaches_no_target_once_three_have_crashed_under_it(name: &str, ending: Ending) {
+    let mut world = World::start(name, ending);
     world.ask_until(|record| record.crashes().len() >= KNOWN);
     let third = world.record.crashes()[KNOWN - 1];
     world.ask_until(|_| third.elapsed() > CONTACT + GOES_ON);
     assert!(world.late_sends(third) <= LATE_SENDS, "{} late sends", world.late_sends(third));
 }
 
-#[test]
-fn poison_request_is_known_after_all_daemons_have_ended_at_once() {
-    let mut world = World::start("ended");
+#[parameterized(
+    port_closes_first = { "ended", Ending::PortFirst },
+    port_stays = { "ended_stays", Ending::PortStays },
+)]
+fn poison_request_is_known_after_all_daemons_have_ended_at_once(name: &str, ending: Ending) {
+    let mut world = World::start(name, ending);
     world.ask_until(|record| record.crashes().len() >= KNOWN);
     let third = world.record.crashes()[KNOWN - 1];
     world.ask_until(|_| third.elapsed() > Duration::from_secs(2));
     world.daemons.clear();
-    world.start_daemons("again");
+    world.start_daemons(&format!("{name}_again"));
     let began = Instant::now();
     world.ask_until(|_| began.elapsed() > CONTACT + GOES_ON);
     assert!(world.late_sends(began) <= LATE_SENDS, "{} late sends", world.late_sends(began));
