Daemons that have just started put a crash down to one request

Cause: innocent requests that come again and again were at most targets that four poison requests crashed, and convicted with them, where all daemons had ended: who has just started knows of no answers, which clear them otherwise. Ruled out: the row (it has what convicts), lost news (the same with none lost).

Change: while a daemon is younger than an answer excuses, the crashes under a convicted request count for no other one that its targets had lived with for longer.

--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -52,6 +52,8 @@
     accounts: BTreeMap<RequestKey, Account>,
     /// The requests that are convicted, and since when.
     convicted: BTreeMap<RequestKey, Time>,
+    /// When the daemon began to see what is answered.
+    started: Time,
     trials: Trials,
     doubts: Doubts,
     served: Served,
@@ -75,6 +77,11 @@
 }
 
 impl Poison {
+    /// Makes what a daemon knows that starts at `started`.
+    pub fn new(started: Time) -> Self {
+        Self { started, ..Self::default() }
+    }
+
     /// Tells whether a request is not to be sent on.
     pub fn is_convicted(&mut self, key: RequestKey) -> bool {
         let is_convicted = self.convicted.contains_key(&key);
@@ -288,12 +295,18 @@
 
     /// Decides anew whether a request is convicted; tells whether it is and was not.
     fn judge(&mut self, key: RequestKey, now: Time) -> bool {
-        let crashes = self.count(key);
         let was_convicted = self.convicted.contains_key(&key);
+        if self.count(key) >= CRASHES_CONVICT && !was_convicted && self.is_young(now) {
+            self.excuse_by_convicted(key);
+        }
+        let crashes = self.count(key);
         if crashes >= CRASHES_CONVICT && !was_convicted {
             self.convicted.insert(key, now);
             event::POISON_CONVICTED.emit(&[("key", &key), ("crashes", &crashes)]);
             self.forget_convicted();
+            if self.is_young(now) {
+                self.excuse_others(key, now);
+            }
             return true;
         }
         if crashes < CRASHES_CONVICT && was_convicted {
@@ -302,6 +315,35 @@
         false
     }
 
+    /// Tells whether this daemon has just started, and can't know which requests are answered.
+    ///
+    /// A crash ends all that its target had, and mostly one request is the cause. Until answers tell
+    /// which, a crash under a request that is convicted counts for no other one that its targets had
+    /// lived with for longer. A harmful one that is excused by mistake crashes more.
+    fn is_young(&self, now: Time) -> bool {
+        now.since(self.started) < served::INNOCENT_SPAN
+    }
+
+    fn excuse_by_convicted(&mut self, key: RequestKey) {
+        let Some(mut account) = self.accounts.remove(&key) else { return };
+        let causes = self.convicted.keys().filter_map(|cause| self.accounts.get(cause));
+        if causes.fold(false, |any, cause| account.excuse(cause) | any) {
+            self.untold.insert(key);
+        }
+        self.accounts.insert(key, account);
+    }
+
+    fn excuse_others(&mut self, key: RequestKey, now: Time) {
+        let Some(cause) = self.accounts.get(&key).cloned() else { return };
+        let others = self.accounts.iter_mut().filter(|(other, _)| **other != key);
+        let excused = others.filter_map(|(other, a)| a.excuse(&cause).then_some(*other));
+        let excused: Vec<RequestKey> = excused.collect();
+        for other in excused {
+            self.untold.insert(other);
+            self.judge(other, now);
+        }
+    }
+
     fn acquit(&mut self, key: RequestKey) {
         self.convicted.remove(&key);
         self.trials.forget(key);
--- a/crates/tansyknot-fleet/src/poison/account.rs
+++ b/crates/tansyknot-fleet/src/poison/account.rs
@@ -55,6 +55,19 @@
         is_news
     }
 
+    /// Has the runs count no more that ended under `cause` too, if targets lived with that one for a
+    /// shorter time; tells whether any did.
+    pub(super) fn excuse(&mut self, cause: &Account) -> bool {
+        if self.is_tried() || self.lived <= cause.lived {
+            return false;
+        }
+        let shared: Vec<RunKey> =
+            self.counted().filter(|run| cause.crashes.contains(run)).copied().collect();
+        self.cleared.extend(&shared);
+        self.trim();
+        !shared.is_empty()
+    }
+
     /// Has no run count that is known by now.
     pub(super) fn clear_all(&mut self) {
         self.cleared.extend(&self.crashes);
--- a/crates/tansyknot-fleet/src/poison/served.rs
+++ b/crates/tansyknot-fleet/src/poison/served.rs
@@ -10,7 +10,7 @@
 /// was killed, or its rack, while it had one that comes again and again. A request that begins to be
 /// harmful is known that much later. Of 126,000 polls while one of eight targets was killed each third
 /// of a second, 145 were rejected with 2 s, 26 with 3 s and none with 5 s (`crashes.rs`).
-const INNOCENT_SPAN: Duration = Duration::from_secs(5);
+pub(super) const INNOCENT_SPAN: Duration = Duration::from_secs(5);
 /// Requests that are remembered at least, some 40 bytes each, and twice as many at most: 400 a second
 /// of one daemon, more than any of the users' hosts has.
 const REMEMBERED: usize = 4096;
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -140,7 +140,7 @@
             fleet: Mutex::new(Fleet::new(zone, spans)),
             followed: Mutex::new(Followed::new(spans)),
             peers: Mutex::default(),
-            poison: Mutex::default(),
+            poison: Mutex::new(Poison::new(started)),
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -133,6 +133,32 @@
     assert!(poison.doubted(at(2_000)).len() <= 128);
 }
 
+/// Lets a request be at three targets for `lived` milliseconds each, which then end.
+fn crash_after(poison: &mut Poison, key: RequestKey, lived: u64, now: u64) {
+    for run in 0..3 {
+        if poison.cut_off(key, RunKey(run), at(now - lived), at(now)) == Look::Due {
+            poison.looked(RunKey(run), Presence::Ended, at(now));
+        }
+    }
+}
+
+// A daemon that has just started knows of no answers: a request that comes again and again was at each
+// target that another one ended, and was convicted with it.
+#[parameterized(
+    just_started = { 1_000, false },
+    for_long = { 9_000, true },
+)]
+fn crash_has_one_cause_as_long_as_answers_are_not_known(now: u64, convicts: bool) {
+    let mut poison = Poison::new(at(0));
+    let poll = RequestKey(8);
+    crash_after(&mut poison, REQUEST, 20, now);
+    crash_after(&mut poison, poll, 300, now);
+    (10..12).for_each(|run| crash(&mut poison, poll, run, at(now)));
+    crash(&mut poison, REQUEST, 12, at(now));
+    assert!(poison.is_convicted(REQUEST));
+    assert_eq!(poison.is_convicted(poll), convicts);
+}
+
 #[test]
 fn one_look_counts_for_all_that_the_target_had() {
     let mut poison = Poison::default();
