--- a/crates/tansyknot-fleet/src/conduct/telling.rs
+++ b/crates/tansyknot-fleet/src/conduct/telling.rs
@@ -305,7 +305,6 @@
         self.send_parts(Message::News(self.news(beat, list, now)), &[repair.to]);
     }
 
-    /// Sends a datagram to another daemon.
     /// Sends a message, in as many datagrams as it takes, to each of `to`.
     pub(super) fn send_parts(&self, message: Message, to: &[SocketAddr]) {
         let parts = datagram::datagrams(message);
@@ -314,6 +313,7 @@
         }
     }
 
+    /// Sends a datagram to another daemon.
     pub(super) fn send_bytes(&self, bytes: &[u8], to: SocketAddr) {
         self.account().sent.add(bytes.len());
         self.count(metric::PEER_BYTES_OUT, bytes.len());
