--- a/crates/tansyknot-config/src/fleet.rs
+++ b/crates/tansyknot-config/src/fleet.rs
@@ -2,10 +2,16 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use miette::Diagnostic;
 use serde::{Deserialize, Serialize};
 use tansyknot_core::name::{DaemonName, ZoneName};
+use thiserror::Error;
 
-use crate::{settings::LogLevel, unit::Span, yaml};
+use crate::{
+    settings::LogLevel,
+    unit::{Amount, Period, Span},
+    yaml,
+};
 
 /// Settings of a daemon that serves a fleet.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -71,8 +77,36 @@
     pub recover_within: Span,
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Span,
+    /// A key that was taken away must be good nowhere after this time.
+    #[serde(default)]
+    pub revoke_within: Option<Period>,
+    /// Whether that holds for daemons too that can't know of it: they refuse keys then.
+    #[serde(default)]
+    pub revoke_fail_closed: bool,
+    /// The window in which teams' quotas are counted.
+    #[serde(default = "quota_window")]
+    pub quota_window: Period,
+    /// What all daemons together may let through beyond a quota, as a share of it.
+    #[serde(default = "quota_overshoot")]
+    pub quota_overshoot: Amount,
+    /// What they may let through beyond that in one window, in the quota's units.
+    #[serde(default)]
+    pub quota_slack: Amount,
+}
+
+fn quota_window() -> Period {
+    Period::from_millis(8000)
 }
 
+fn quota_overshoot() -> Amount {
+    Amount::from_permille(100)
+}
+
+/// Bounds that contradict each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
+#[error("bounds.revoke_fail_closed needs bounds.revoke_within")]
+pub struct NoRevocationBound;
+
 /// Logs of a daemon that serves a fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -95,5 +129,9 @@
 ///
 /// Fails with a report that shows the line and a hint.
 pub fn read(text: &str, file: &str) -> miette::Result<FleetSettings> {
-    yaml::read_one(text, file)
+    let settings: FleetSettings = yaml::read_one(text, file)?;
+    if settings.bounds.revoke_fail_closed && settings.bounds.revoke_within.is_none() {
+        return Err(NoRevocationBound.into());
+    }
+    Ok(settings)
 }
--- a/crates/tansyknot-config/src/store.rs
+++ b/crates/tansyknot-config/src/store.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
-use tansyknot_core::name::{AdapterName, RuleName, ServiceName};
+use tansyknot_core::{
+    key::KeyDigest,
+    name::{AdapterName, RuleName, ServiceName},
+};
 use xxhash_rust::xxh3;
 
 use crate::object::{Adapter, Caller, Object, ObjectKey, Rule, Service};
@@ -70,7 +72,7 @@
 
 /// Returns the hash under which the holder of `key` is known.
 pub fn key_hash(key: &str) -> String {
-    Sha256::digest(key.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
+    KeyDigest::of(key).hex()
 }
 
 impl Store {
--- a/crates/tansyknot-config/src/unit.rs
+++ b/crates/tansyknot-config/src/unit.rs
@@ -132,3 +132,82 @@
     let (unit, scale) = fits.max_by_key(|(_, scale)| *scale).unwrap_or(&units[0]);
     write!(f, "{}{unit}", n / scale)
 }
+
+/// A span that is longer than nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Period(Span);
+
+impl Period {
+    /// Makes a period of milliseconds; at least one.
+    pub fn from_millis(ms: u64) -> Self {
+        Self(Span::from_millis(ms.max(1)))
+    }
+
+    /// Returns the period as a [`Duration`].
+    pub const fn duration(self) -> Duration {
+        self.0.duration()
+    }
+}
+
+impl TryFrom<String> for Period {
+    type Error = PeriodError;
+
+    fn try_from(text: String) -> Result<Self, PeriodError> {
+        let span = Span::try_from(text)?;
+        if span.duration().is_zero() { Err(PeriodError::Zero) } else { Ok(Self(span)) }
+    }
+}
+
+impl From<Period> for String {
+    fn from(period: Period) -> Self {
+        period.0.into()
+    }
+}
+
+/// Why a text is no period.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum PeriodError {
+    /// It is no span.
+    #[error(transparent)]
+    Unit(#[from] UnitError),
+    /// It is no time at all.
+    #[error("it must be longer than 0")]
+    Zero,
+}
+
+/// A number from 0 up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Amount(f64);
+
+impl Amount {
+    /// Makes an amount of thousandths.
+    pub fn from_permille(n: u32) -> Self {
+        Self(f64::from(n) / 1000.0)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+/// A number is negative, or none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("it must be a number from 0 up")]
+pub struct AmountError;
+
+impl TryFrom<f64> for Amount {
+    type Error = AmountError;
+
+    fn try_from(n: f64) -> Result<Self, AmountError> {
+        if n.is_finite() && n >= 0.0 { Ok(Self(n)) } else { Err(AmountError) }
+    }
+}
+
+impl From<Amount> for f64 {
+    fn from(amount: Amount) -> Self {
+        amount.0
+    }
+}
--- a/crates/tansyknot-core/src/lib.rs
+++ b/crates/tansyknot-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod event;
 pub mod host;
+pub mod key;
 pub mod label;
 pub mod metric;
 pub mod name;
--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -60,6 +60,12 @@
     STREAM_BROKEN = "stream_broken", Counter, "route", "Streams that broke off after a part was passed on.";
     CALLER_LEFT = "caller_left", Counter, "route", "Requests whose caller left.";
     REFUSED_ON_ARRIVAL = "refused_on_arrival", Counter, "reason", "Requests refused before any target was looked for.";
+    QUOTA_GRANTED = "quota_granted", Counter, "team", "Requests for which the team's quota had room.";
+    QUOTA_OVER = "quota_over", Counter, "team", "Requests refused because the team's quota was used up; not run.";
+    QUOTA_UNKNOWN = "quota_unknown", Counter, "team", "Requests refused because nobody answered who keeps the accounts; not run.";
+    QUOTA_LENT = "quota_lent", Counter, "peers", "Requests taken by what the planner had lent, as it did not answer.";
+    QUOTA_LEFT = "quota_left", Gauge, "team", "Units that the team's account has left, at the planner.";
+    KEYS_AGE = "keys_age_seconds", Gauge, "daemon", "How old the view of the keys is; -1 if requests need none or nothing is known.";
     POISON_REQUEST = "poison_request", Counter, "route", "Requests rejected because targets have crashed under them; not run.";
     REQUEST = "request", Spans, "route", "From a request's arrival to its end.";
     FIRST_EVENT = "first_event", Spans, "route", "From a request's arrival to the first event passed on.";
--- a/crates/tansyknot-core/src/name.rs
+++ b/crates/tansyknot-core/src/name.rs
@@ -54,6 +54,8 @@
     ModelName;
     /// A caller, as the operators named the holder of a key.
     CallerName;
+    /// A team, as the operators named it.
+    TeamName;
     /// A rule, as the operators named it.
     RuleName;
     /// A daemon, stable over restarts of the process on one address.
--- a/crates/tansyknot-edge/src/stage/identify.rs
+++ b/crates/tansyknot-edge/src/stage/identify.rs
@@ -9,6 +9,7 @@
 };
 use tansyknot_core::{
     clock::Time,
+    key,
     name::{AdapterName, ServiceName},
     refusal::{Reason, Refusal},
 };
@@ -127,9 +128,8 @@
     }
     let unknown = |detail: &str| Refusal::not_run(Reason::UnknownCaller, detail);
     let value = head.header("authorization").ok_or_else(|| unknown("there is no key"))?;
-    let key = value.split_once(' ').filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"));
-    let (_, key) = key.ok_or_else(|| unknown("the key is not a bearer token"))?;
-    let caller = store.caller(&store::key_hash(key.trim()));
+    let key = key::bearer(value).ok_or_else(|| unknown("the key is not a bearer token"))?;
+    let caller = store.caller(&store::key_hash(key));
     caller.cloned().ok_or_else(|| unknown("no caller has this key"))
 }
 
--- a/crates/tansyknot-fleet/examples/plan.rs
+++ b/crates/tansyknot-fleet/examples/plan.rs
@@ -93,6 +93,7 @@
         priority: 0,
         attempts_max: 2,
         split: vec![(name.clone(), 1)],
+        is_public: false,
     };
     Catalog::new(1, vec![route], vec![Service { name, engine: Some(engine) }])
 }
--- /dev/null
+++ b/crates/tansyknot-fleet/src/access/account.rs
@@ -0,0 +1,135 @@
+//! What a team has used of its quota and has left, over all daemons: an account that the planner keeps.
+
+use std::{collections::VecDeque, time::Duration};
+
+use tansyknot_core::clock::Time;
+
+use super::{AccessOptions, team::Quota};
+
+/// What is used is remembered in steps of this length.
+const STEP: Duration = Duration::from_millis(50);
+/// The longest that who is over its quota is told to stay away.
+const WAIT_MOST: Duration = Duration::from_secs(4);
+
+/// What the platform allows beyond a quota is for several purposes. This part of it is there when an
+/// account is opened, so that a team that uses little is not refused at once.
+const OPENING: f64 = 0.2;
+/// This part of the slack is added to the burst, for what daemons and callers see at other times.
+const HEADROOM: f64 = 0.25;
+
+/// Returns what may be used within a window beyond a quota.
+fn beyond(quota: &Quota, options: &AccessOptions) -> f64 {
+    let within = quota.rate * options.window.as_secs_f64() + quota.burst;
+    within * options.overshoot + options.slack
+}
+
+/// What was used within one step.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    at: Time,
+    used: f64,
+}
+
+/// The account of one team.
+///
+/// It fills at the quota's rate up to its burst, and is worked out anew from what was used within the
+/// window, so that what is given back counts as if it had never been taken: what is left in it is
+/// bounded over any part of the window. Who kept it before, and what was used then, need not be known:
+/// it begins nearly empty, and the rate alone is what two accounts may give one after the other.
+#[derive(Clone, Debug)]
+pub struct Account {
+    quota: Quota,
+    window: Duration,
+    since: Time,
+    /// What was left at `since`.
+    left: f64,
+    steps: VecDeque<Step>,
+}
+
+impl Account {
+    /// Opens an account at `now`.
+    pub fn open(quota: Quota, options: &AccessOptions, now: Time) -> Self {
+        let beyond = beyond(&quota, options) * OPENING;
+        let left = beyond.min(quota.burst);
+        let quota = Quota { burst: quota.burst + options.slack * HEADROOM, ..quota };
+        Self { quota, window: options.window, since: now, left, steps: VecDeque::new() }
+    }
+
+    /// Goes on with another quota: what is left stays, as far as it may.
+    pub fn set_quota(&mut self, quota: Quota, options: &AccessOptions, now: Time) {
+        let new = Self::open(quota, options, now);
+        if self.quota != new.quota {
+            let left = self.left(now).clamp(0.0, new.quota.burst);
+            *self = Self { left, ..new };
+        }
+    }
+
+    /// Returns what is left.
+    pub fn left(&self, now: Time) -> f64 {
+        let begin = now.before(self.window);
+        let mut at = self.since;
+        let mut left = self.left;
+        if begin > self.since {
+            at = begin;
+            left = self.quota.burst;
+        }
+        for step in self.steps.iter().filter(|step| step.at >= begin) {
+            left = self.filled(left, step.at.since(at)) - step.used;
+            at = at.max(step.at);
+        }
+        self.filled(left, now.since(at))
+    }
+
+    fn filled(&self, left: f64, span: Duration) -> f64 {
+        (left + self.quota.rate * span.as_secs_f64()).min(self.quota.burst)
+    }
+
+    /// Takes `units`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which there should be enough. What is more than the burst can't be
+    /// saved up, and is taken once the account is full.
+    pub fn take(&mut self, units: f64, now: Time) -> Result<(), Duration> {
+        self.forget(now);
+        let lacking = units.min(self.quota.burst) - self.left(now);
+        if lacking > 0.0 {
+            let wait = Duration::try_from_secs_f64(lacking / self.quota.rate);
+            return Err(wait.unwrap_or(WAIT_MOST).min(WAIT_MOST));
+        }
+        self.charge(units, now);
+        Ok(())
+    }
+
+    /// Takes `units` that have been used whatever is left.
+    pub fn charge(&mut self, units: f64, now: Time) {
+        let at = Time::from_micros(now.as_micros() - now.as_micros() % STEP.as_micros() as u64);
+        match self.steps.back_mut() {
+            Some(last) if last.at >= at => last.used += units,
+            _ => self.steps.push_back(Step { at: at.max(self.since), used: units }),
+        }
+    }
+
+    /// Gives back `units` that were taken `age` ago and not used.
+    pub fn give_back(&mut self, units: f64, age: Duration, now: Time) {
+        let taken = now.before(age);
+        let earlier = self.steps.iter_mut().rev().filter(|step| step.at <= taken);
+        let mut units = units;
+        // What was taken is in the step of that time, or, where it was long on its way, in one before.
+        for step in earlier {
+            let back = units.min(step.used.max(0.0));
+            step.used -= back;
+            units -= back;
+            if units <= 0.0 {
+                return;
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Time) {
+        let begin = now.before(self.window);
+        while self.steps.front().is_some_and(|step| step.at < begin) {
+            self.steps.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansyknot-fleet/src/access/lending.rs
@@ -0,0 +1,175 @@
+//! The planner's books: an account for each team, and what each daemon may use without asking.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use tansyknot_core::{clock::Time, name::TeamName};
+
+use super::{
+    AccessOptions,
+    account::Account,
+    message::{Lent, TeamUse, Verdict},
+    share,
+    team::Teams,
+};
+
+/// A daemon that has not been heard for so long may use its shares; what it uses is put down to the
+/// accounts as long as these live.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
+/// The share of a quota that is lent: the rest is for daemons that have started since.
+const LENT: f64 = 0.9;
+/// Of what is lent, the part that all daemons have alike, whatever they have used.
+const ALIKE: f64 = 0.1;
+/// Answers that are remembered, so that a question that is asked twice is counted once.
+const ANSWERS_KEPT: Duration = Duration::from_millis(1000);
+/// At most as many of them: a thousand questions a second.
+const ANSWERS_MOST: usize = 2048;
+
+/// What is known of one daemon.
+#[derive(Debug, Default)]
+struct Borrower {
+    heard: Time,
+    /// Units a second of each team, as it says.
+    uses: HashMap<TeamName, f64>,
+    /// Units a second that it was lent last.
+    lent: HashMap<TeamName, f64>,
+    /// Until when its silence has been put down.
+    charged: Time,
+}
+
+/// The books.
+#[derive(Debug, Default)]
+pub struct Books {
+    accounts: HashMap<TeamName, Account>,
+    borrowers: HashMap<SocketAddr, Borrower>,
+    answers: HashMap<(SocketAddr, u32), (Verdict, Time)>,
+}
+
+impl Books {
+    /// Takes `units` of a team for a request of a daemon; `number` names the question.
+    pub fn take(
+        &mut self,
+        (from, number): (SocketAddr, u32),
+        (team, units): (&TeamName, f64),
+        teams: &Teams,
+        options: &AccessOptions,
+        now: Time,
+    ) -> Verdict {
+        if let Some((verdict, _)) = self.answers.get(&(from, number)) {
+            return *verdict;
+        }
+        let taken = match self.account(team, teams, options, now) {
+            Some(account) => account.take(units, now),
+            None => Ok(()),
+        };
+        let verdict = match taken {
+            Ok(()) => Verdict::Granted,
+            Err(wait) => Verdict::Over { wait_ms: wait.as_millis() as u32 },
+        };
+        self.remember((from, number), verdict, now);
+        verdict
+    }
+
+    fn remember(&mut self, question: (SocketAddr, u32), verdict: Verdict, now: Time) {
+        if self.answers.len() >= ANSWERS_MOST {
+            self.answers.retain(|_, (_, at)| now.since(*at) < ANSWERS_KEPT);
+        }
+        if self.answers.len() < ANSWERS_MOST {
+            self.answers.insert(question, (verdict, now));
+        }
+    }
+
+    /// Takes in what a daemon says of its use.
+    pub fn hear(
+        &mut self,
+        from: SocketAddr,
+        uses: &[TeamUse],
+        teams: &Teams,
+        options: &AccessOptions,
+        now: Time,
+    ) {
+        let borrower = self.borrowers.entry(from).or_default();
+        (borrower.heard, borrower.charged) = (now, now);
+        borrower.uses = uses.iter().map(|u| (u.team.clone(), f64::from(u.per_s))).collect();
+        for item in uses {
+            let Some(account) = self.account(&item.team, teams, options, now) else { continue };
+            account.charge(f64::from(item.again), now);
+            for back in &item.back {
+                let age = Duration::from_millis(back.age_ms.into());
+                account.give_back(f64::from(back.units), age, now);
+            }
+        }
+    }
+
+    /// Returns what a daemon may use without asking.
+    pub fn lend(&mut self, to: SocketAddr, teams: &Teams, now: Time) -> Vec<Lent> {
+        let count = self.borrowers.len().max(1) as f64;
+        let Some(borrower) = self.borrowers.get(&to) else { return Vec::new() };
+        let lent = |team: &TeamName, own: f64| {
+            let rate = teams.quota(team)?.rate * LENT;
+            let all: f64 = self.borrowers.values().filter_map(|b| b.uses.get(team)).sum();
+            let by_use = if all > 0.0 { own / all } else { 0.0 };
+            Some((team.clone(), rate * (ALIKE / count + (1.0 - ALIKE) * by_use)))
+        };
+        let lent: HashMap<TeamName, f64> =
+            borrower.uses.iter().filter_map(|(team, own)| lent(team, *own)).collect();
+        let told = lent.iter().map(|(team, rate)| Lent { team: team.clone(), rate: *rate as u32 });
+        let told = told.collect();
+        if let Some(borrower) = self.borrowers.get_mut(&to) {
+            borrower.lent = lent;
+            borrower.heard = now;
+        }
+        told
+    }
+
+    /// Opens the accounts of new teams, puts down what daemons that are silent may use of their shares,
+    /// and forgets those whose shares are over.
+    pub fn keep(&mut self, teams: &Teams, options: &AccessOptions, now: Time) {
+        self.accounts.retain(|team, _| teams.quota(team).is_some());
+        for team in teams.all() {
+            self.account(&team.name, teams, options, now);
+        }
+        self.charge_silent(teams, options, now);
+    }
+
+    fn charge_silent(&mut self, teams: &Teams, options: &AccessOptions, now: Time) {
+        let mut used: Vec<(TeamName, f64)> = Vec::new();
+        for b in self.borrowers.values_mut() {
+            if now.since(b.heard) < SILENT_AFTER {
+                continue;
+            }
+            let until = now.min(b.heard + SILENT_AFTER + share::LIFE);
+            let span = until.since(b.charged).as_secs_f64();
+            b.charged = b.charged.max(until);
+            used.extend(b.lent.iter().map(|(team, rate)| (team.clone(), rate * span)));
+        }
+        for (team, units) in used {
+            if let Some(account) = self.account(&team, teams, options, now) {
+                account.charge(units, now);
+            }
+        }
+        self.borrowers.retain(|_, b| now.since(b.heard) < SILENT_AFTER + share::LIFE);
+    }
+
+    /// Returns what the accounts have left.
+    pub fn left(&self, now: Time) -> Vec<(TeamName, f64)> {
+        self.accounts.iter().map(|(team, account)| (team.clone(), account.left(now))).collect()
+    }
+
+    /// Returns the account of a team; `None` if it has no quota.
+    fn account(
+        &mut self,
+        team: &TeamName,
+        teams: &Teams,
+        options: &AccessOptions,
+        now: Time,
+    ) -> Option<&mut Account> {
+        let Some(quota) = teams.quota(team) else {
+            self.accounts.remove(team);
+            return None;
+        };
+        let open = || Account::open(quota, options, now);
+        let account = self.accounts.entry(team.clone()).or_insert_with(open);
+        account.set_quota(quota, options, now);
+        Some(account)
+    }
+}
--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -4,6 +4,8 @@
 
 use tansyknot_core::name::{ModelName, ServiceName};
 
+use crate::access::team::Teams;
+
 /// Whether a request may be sent again after it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -52,6 +54,8 @@
     pub attempts_max: u32,
     /// The services that take its requests, and their shares.
     pub split: Vec<(ServiceName, u32)>,
+    /// Whether its requests need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -120,6 +124,8 @@
     pub version: u64,
     /// The services by name.
     pub services: HashMap<ServiceName, Service>,
+    /// The teams whose keys requests need; `None` if they need none.
+    pub teams: Option<Teams>,
     /// The routes of each host, the longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// The longest objective of the routes that lead to each service.
@@ -142,7 +148,13 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, services, routes: by_host, longest_objectives }
+        Self { version, services, teams: None, routes: by_host, longest_objectives }
+    }
+
+    /// Returns this version with the teams whose keys requests need.
+    #[must_use]
+    pub fn with_teams(self, teams: Option<Teams>) -> Self {
+        Self { teams, ..self }
     }
 
     /// Returns the route with the longest prefix that begins `path`.
--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod crashes;
+mod quota;
 mod telling;
 
 use std::{
@@ -19,6 +20,7 @@
 };
 
 use crate::{
+    access::lending::Books,
     dissemination::{
         datagram::{self, FORWARD_MAX_BYTES},
         message::{Demand, Extent, Forward, Message, News},
@@ -48,6 +50,7 @@
     told: Mutex<Told>,
     account: Mutex<Account>,
     resent: Mutex<Resent>,
+    books: Mutex<Books>,
     peers: Arc<dyn Datagrams>,
     me: Me,
 }
@@ -80,6 +83,7 @@
             told: Mutex::default(),
             account: Mutex::default(),
             resent: Mutex::default(),
+            books: Mutex::default(),
             peers,
             me,
         }
@@ -97,6 +101,10 @@
         self.account.lock().expect("no holder of the lock panics")
     }
 
+    fn books(&self) -> MutexGuard<'_, Books> {
+        self.books.lock().expect("no holder of the lock panics")
+    }
+
     /// Receives messages until the socket fails.
     ///
     /// # Errors
@@ -124,6 +132,10 @@
             Some(Message::News(news)) => self.take_news(news, now),
             Some(Message::Forward(forward)) => self.take_forward(&forward, from, now),
             Some(Message::Crashes(evidence)) => self.take_crashes(&evidence, from, now),
+            Some(Message::Question(question)) => self.take_question(&question, from, now),
+            Some(Message::Answer(answer)) => self.take_answer(&answer, now),
+            Some(Message::Take(take)) => self.take_take(&take, from, now),
+            Some(Message::Taken(taken)) => self.take_taken(taken),
             None => event::DATAGRAM_DROPPED.emit(&[("from", &from)]),
         }
     }
@@ -250,6 +262,9 @@
     pub fn step(self: &Arc<Self>, occasion: Occasion) {
         let now = self.state.now();
         let demand = self.demand(now);
+        if occasion == Occasion::Beat {
+            self.ask_planner(now);
+        }
         if self.lease.is_valid(now) {
             self.lead(demand, occasion, now);
         } else {
@@ -293,6 +308,7 @@
         let is_new = !std::mem::replace(&mut self.told().was_planner, true);
         if is_new {
             self.planner().reset();
+            *self.books() = Books::default();
             self.begin_telling(now);
             // The planner before may have left the row of poison requests behind.
             self.state.poison_changed.raise();
--- a/crates/tansyknot-fleet/src/dissemination/datagram.rs
+++ b/crates/tansyknot-fleet/src/dissemination/datagram.rs
@@ -3,7 +3,7 @@
 use super::message::Message;
 
 /// The first byte of each datagram; it changes with the format.
-const FORMAT: u8 = 0xA9;
+const FORMAT: u8 = 0xAA;
 /// Longer messages to one daemon are not sent: they would be split on the way.
 pub const MAX_BYTES: usize = 1200;
 /// The longest datagram to a relay: a message and the addresses that it goes to. One of 1472 bytes
@@ -29,7 +29,7 @@
 pub fn encode(message: &Message) -> Option<Vec<u8>> {
     let most = match message {
         Message::Forward(_) => FORWARD_MAX_BYTES,
-        Message::Demand(_) | Message::News(_) | Message::Crashes(_) => MAX_BYTES,
+        _ => MAX_BYTES,
     };
     let mut buf = vec![FORMAT];
     buf.extend(postcard::to_allocvec(message).ok()?);
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -13,6 +13,7 @@
 
 use super::{changes::ListNews, followed::Known, peers::PeerEntry};
 use crate::{
+    access,
     poison::evidence::{Digest, Evidence},
     target::{Born, Held, TargetState},
 };
@@ -179,13 +180,25 @@
     Forward(Forward),
     /// From any daemon to any other: what it knows of requests under which targets crashed.
     Crashes(Vec<Evidence>),
+    /// From a daemon to the planner, with each beat, where requests need keys.
+    Question(access::message::Question),
+    /// The planner's answer to it.
+    Answer(access::message::Answer),
+    /// From a daemon to the planner, for a request whose team has a quota.
+    Take(access::message::Take),
+    /// The planner's answer to it.
+    Taken(access::message::Taken),
 }
 
 impl Message {
     /// Splits a message in two that say the same together; `None` if it has but one item.
     pub(super) fn split(self) -> Option<(Self, Self)> {
         match self {
-            Message::Forward(_) => None,
+            Message::Forward(_)
+            | Message::Question(_)
+            | Message::Answer(_)
+            | Message::Take(_)
+            | Message::Taken(_) => None,
             Message::Crashes(mut first) => {
                 let rest = first.split_off(first.len() / 2);
                 (!first.is_empty()).then_some((Message::Crashes(first), Message::Crashes(rest)))
--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -6,11 +6,14 @@
 
 use super::{contact::Contact, replay_from};
 use crate::{
-    catalog::Catalog, dissemination::relays::FOLLOWERS_MOST, outside::Store, state::State,
+    access::view, catalog::Catalog, dissemination::relays::FOLLOWERS_MOST, outside::Store,
+    state::State,
 };
 
 /// An answer shows the store as it was at most this long before it arrived.
 const ANSWER_SPAN: Duration = Duration::from_millis(100);
+/// How long a call waits at most where requests need keys: what it shows is as old as it waits.
+const KEYS_WAIT: Duration = Duration::from_millis(500);
 /// How often a store without any configuration is looked at: operators write the first one before
 /// callers come.
 const FIRST_LOOK: Duration = Duration::from_millis(250);
@@ -48,7 +51,9 @@
     /// it has told is so much fresher, and hundreds of daemons need not ask before the next one tells
     /// them (275 calls of 294 daemons on one such loss without it).
     fn wait(&mut self) -> Duration {
-        let wait = self.state.spans.config_wait;
+        let has_teams = self.state.catalog().is_some_and(|c| c.teams.is_some());
+        let most = if has_teams { KEYS_WAIT } else { Duration::MAX };
+        let wait = self.state.spans.config_wait.min(most);
         match std::mem::take(&mut self.is_hasty) {
             true => Duration::ZERO,
             false if self.state.fleet().daemons() > FOLLOWERS_MOST => wait / 2,
@@ -78,9 +83,9 @@
     }
 
     /// Puts a configuration in force, if it is newer.
-    fn apply(&self, catalog: Catalog, store_version: u64) {
+    fn apply(&self, catalog: Catalog, store_version: u64, as_of: Time) {
         let version = catalog.version;
-        if self.state.set_catalog(catalog) {
+        if self.state.put_in_force(catalog, as_of) {
             event::FLEET_CONFIG.emit(&[("version", &version), ("store_version", &store_version)]);
             self.state.view_changed();
         }
@@ -98,12 +103,16 @@
         self.contact.take(&result, from, &self.state);
         match result {
             Ok(Some((catalog, version))) => {
-                let shown_at = shown_at(began, from.map(|_| wait), catalog.is_some(), self.now());
+                let wait_of = from.map(|_| wait);
+                let proven_at = view::proven_at(began, wait_of, catalog.is_some(), self.now());
+                let shown_at = shown_at(began, wait_of, catalog.is_some(), self.now());
                 let is_first = self.version.replace(version).is_none();
                 let has_begun = catalog.is_some() || !is_first;
                 if let Some(catalog) = catalog {
-                    self.apply(catalog, version);
+                    self.apply(catalog, version, proven_at);
                 }
+                let in_force = self.state.catalog().map_or(0, |c| c.version);
+                self.state.key_view().known(in_force, proven_at);
                 // Only now: others may be told at any moment how fresh the one in force is.
                 self.state.contacts().config = Some(shown_at);
                 // Before the first configuration there is nothing to follow from.
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! A request goes through route, pick, exchange and relay. Beside that, a daemon follows the
 //! store, tells the planner what is asked for, and one daemon at a time is the planner.
 
+pub mod access;
 pub mod backoff;
 pub mod budget;
 pub mod catalog;
--- a/crates/tansyknot-fleet/src/outside.rs
+++ b/crates/tansyknot-fleet/src/outside.rs
@@ -9,7 +9,7 @@
 
 use tansyknot_core::{
     Result,
-    name::{AdapterName, ModelName, TargetName},
+    name::{AdapterName, ModelName, TargetName, TeamName},
 };
 use tansyknot_http::head::Head;
 
@@ -198,6 +198,8 @@
     pub adapter: Option<AdapterName>,
     /// The parts of the prompt that other requests share, in order.
     pub shared_parts: Vec<PromptPart>,
+    /// The tokens that it says it takes, those of its answer included.
+    pub tokens: Option<u64>,
 }
 
 /// A part of a prompt.
@@ -209,6 +211,17 @@
     pub tokens: u32,
 }
 
+/// Whose request a target is told that it gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender<'a> {
+    /// There are no teams, and header lines of callers mean nothing here.
+    Anybody,
+    /// A request that needs no key.
+    Public,
+    /// A team's.
+    Team(&'a TeamName),
+}
+
 /// What the daemon sets on a request that it passes on.
 #[derive(Clone, Debug)]
 pub struct Forward<'a> {
@@ -218,6 +231,8 @@
     pub left: Duration,
     /// Its rank at the engine; 0 goes first.
     pub urgency: u8,
+    /// Whose request it is.
+    pub sender: Sender<'a>,
     /// The number of the last event that the caller has, if a stream goes on.
     pub resume_after: Option<&'a str>,
 }
@@ -243,6 +258,9 @@
     /// Reads what a request asks for.
     fn ask(&self, head: &Head) -> Ask;
 
+    /// Reads the key that a request came with.
+    fn key<'a>(&self, head: &'a Head) -> Option<&'a str>;
+
     /// Returns the header lines of the request that a target gets.
     fn forward(&self, head: &Head, to: &Forward<'_>) -> Vec<(String, String)>;
 
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -1,5 +1,6 @@
 //! The path of a request: route, pick a target, exchange, relay, account.
 
+mod access;
 mod attempt;
 mod crash;
 mod handover;
@@ -21,6 +22,7 @@
 };
 
 use crate::{
+    access::Quotas,
     catalog::{Catalog, Route},
     exchange::Failure,
     fleet::Pick,
@@ -31,6 +33,7 @@
     target::Target,
 };
 
+use access::Asker;
 pub use run::Reason;
 use run::{Ended, Run, Sent};
 
@@ -48,6 +51,7 @@
 pub struct Server {
     state: Arc<State>,
     dialect: Arc<dyn Dialect>,
+    quotas: Arc<dyn Quotas>,
     recorder: Arc<dyn Recorder>,
     lifecycle: Arc<Lifecycle>,
 }
@@ -57,22 +61,47 @@
     pub fn new(
         state: Arc<State>,
         dialect: Arc<dyn Dialect>,
+        quotas: Arc<dyn Quotas>,
         recorder: Arc<dyn Recorder>,
         lifecycle: Arc<Lifecycle>,
     ) -> Self {
-        Self { state, dialect, recorder, lifecycle }
+        Self { state, dialect, quotas, recorder, lifecycle }
     }
 
-    fn route(&self, head: &Head, ask: &Ask) -> Result<(Arc<Route>, ServiceName), Reason> {
+    /// Finds where a request goes, and whose it is.
+    fn route(&self, head: &Head, ask: &Ask, arrived: Time) -> Result<Routed, Reason> {
         if self.lifecycle.is_ending() {
             return Err(Reason::Stopping);
         }
-        let catalog = self.state.catalog().ok_or(Reason::NoConfiguration)?;
+        let (catalog, view) = self.state.in_force();
+        let catalog = catalog.ok_or(Reason::NoConfiguration)?;
         let host = head.header("host").unwrap_or("");
         let route = find_route(&catalog, host, &head.path).ok_or(Reason::NoRoute)?;
         let draw = xxhash_rust::xxh3::xxh3_64(ask.id.as_bytes());
         let service = route.service(draw).cloned().ok_or(Reason::NoRoute)?;
-        Ok((route, service))
+        let asker = self.identify(head, &route, &catalog, &view, arrived)?;
+        Ok(Routed { route, service, asker })
+    }
+
+    /// Refuses a request before any target was looked for.
+    fn refuse_on_arrival(
+        &self,
+        req: &Request,
+        ask: &Ask,
+        (reason, come_back): (Reason, Option<Duration>),
+        stream: &mut TcpStream,
+        after: After,
+    ) -> io::Result<After> {
+        if reason.is_logged() {
+            event::FLEET_REFUSED.emit(&[
+                ("request", &ask.id),
+                ("reason", &reason.name()),
+                ("path", &req.head.path),
+            ]);
+        }
+        let of = ServiceName::from(reason.name());
+        self.recorder.count(metric::REFUSED_ON_ARRIVAL.name, &of, 1);
+        self.refuse(&ask.id, reason, come_back, stream, after)
     }
 
     fn serve(&self, run: &mut Run<'_>) -> Ended {
@@ -302,6 +331,7 @@
             ("request", &run.ask.id),
             ("key", &run.key),
             ("route", &run.route.name),
+            ("team", &run.asker.name()),
             ("config", &version),
             ("service", &run.service),
             ("model", &model),
@@ -319,6 +349,13 @@
     }
 }
 
+/// Where a request goes, and whose it is.
+struct Routed {
+    route: Arc<Route>,
+    service: ServiceName,
+    asker: Asker,
+}
+
 fn find_route(catalog: &Catalog, host: &str, path: &str) -> Option<Arc<Route>> {
     if let Some(route) = catalog.route(host, path) {
         return Some(Arc::clone(route));
@@ -337,20 +374,17 @@
     fn handle(&self, req: Request, stream: &mut TcpStream, after: After) -> io::Result<After> {
         let began = BootInstant::now();
         let ask = self.dialect.ask(&req.head);
-        let (route, service) = match self.route(&req.head, &ask) {
-            Ok(found) => found,
+        let Routed { route, service, asker } = match self.route(&req.head, &ask, self.state.now()) {
+            Ok(routed) => routed,
             Err(reason) => {
-                event::FLEET_REFUSED.emit(&[
-                    ("request", &ask.id),
-                    ("reason", &reason.name()),
-                    ("path", &req.head.path),
-                ]);
-                let of = ServiceName::from(reason.name());
-                self.recorder.count(metric::REFUSED_ON_ARRIVAL.name, &of, 1);
-                return self.refuse(&ask.id, reason, None, stream, after);
+                return self.refuse_on_arrival(&req, &ask, (reason, None), stream, after);
             }
         };
         let allowed = ask.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+        let cost = match self.take_quota(&asker, &ask, allowed) {
+            Ok(cost) => cost,
+            Err(refusal) => return self.refuse_on_arrival(&req, &ask, refusal, stream, after),
+        };
         let caller_stream = stream.try_clone()?;
         let caller = CallerSide { stream: &caller_stream, http_1_1: req.head.http_1_1, after };
         let mut run = Run {
@@ -360,6 +394,8 @@
             ask,
             route,
             service,
+            asker,
+            cost,
             caller,
             began,
             until: began + allowed,
@@ -376,6 +412,7 @@
             trail: String::new(),
         };
         let ended = self.serve(&mut run);
+        self.settle(&run);
         self.account(&run, &ended);
         match ended {
             Ended::Answered { after, .. } => Ok(after),
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -81,7 +81,8 @@
         let to = Forward {
             target: &target.name,
             left: run.until.duration_since(BootInstant::now()),
-            urgency: run.route.priority.min(9),
+            urgency: run.asker.priority(&run.route).min(9),
+            sender: run.asker.sender(),
             resume_after: run.relay.last_id.as_deref(),
         };
         let mut buf = Vec::with_capacity(512 + run.req.body.len());
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -12,6 +12,7 @@
     server::Request,
 };
 
+use super::access::{Asker, Cost};
 use crate::{
     catalog::Route,
     exchange::Failure,
@@ -49,6 +50,14 @@
     Stopping,
     /// No route has this host and path.
     NoRoute,
+    /// Nobody holds its key, or it has none.
+    UnknownKey,
+    /// This daemon can't tell whether its key holds.
+    StaleKeys,
+    /// Its team's quota is used up.
+    OverQuota,
+    /// Nobody answers who keeps the accounts of quotas.
+    QuotaUnknown,
     /// Targets have crashed under it.
     PoisonRequest,
     /// Its time passed before a target could take it.
@@ -72,6 +81,10 @@
             Reason::NoConfiguration => "no_configuration",
             Reason::Stopping => metric::STOPPING.name,
             Reason::NoRoute => "no_route",
+            Reason::UnknownKey => "unknown_key",
+            Reason::StaleKeys => "stale_keys",
+            Reason::OverQuota => "over_quota",
+            Reason::QuotaUnknown => "quota_unknown",
             Reason::PoisonRequest => metric::POISON_REQUEST.name,
             Reason::NoTargetInTime => metric::NO_TARGET_IN_TIME.name,
             Reason::RefusedByTargets => metric::REFUSED_BY_TARGETS.name,
@@ -82,11 +95,21 @@
         }
     }
 
+    /// Tells whether it is logged for each request: a flood of wrong keys, or of a team that is over its
+    /// quota, is counted and not logged.
+    pub(super) fn is_logged(self) -> bool {
+        !matches!(self, Reason::UnknownKey | Reason::OverQuota)
+    }
+
     pub(super) fn status(self) -> u16 {
         match self {
+            Reason::UnknownKey => 401,
             Reason::NoRoute => 404,
+            Reason::OverQuota => 429,
             Reason::NoConfiguration
             | Reason::Stopping
+            | Reason::StaleKeys
+            | Reason::QuotaUnknown
             // It has not run and won't: who is rejected by mistake loses this attempt and no more.
             | Reason::PoisonRequest
             | Reason::NoTargetInTime
@@ -99,10 +122,12 @@
     /// Returns when to come back, if the request has not run. A poison request is not invited.
     pub(super) fn retry_after(self, store_is_away: bool) -> Option<Duration> {
         match self {
-            Reason::NoConfiguration | Reason::NoTargetInTime if store_is_away => {
+            Reason::NoConfiguration | Reason::NoTargetInTime | Reason::StaleKeys
+                if store_is_away =>
+            {
                 Some(Duration::from_millis(rand::random_range(RETRY_STORE_MS)))
             }
-            Reason::NoConfiguration => Some(RETRY_START),
+            Reason::NoConfiguration | Reason::StaleKeys | Reason::QuotaUnknown => Some(RETRY_START),
             Reason::Stopping => Some(Duration::ZERO),
             Reason::NoTargetInTime | Reason::RefusedByTargets => Some(RETRY_LATER),
             _ => None,
@@ -152,6 +177,9 @@
     pub(super) ask: Ask,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
+    pub(super) asker: Asker,
+    /// What was taken of its team's quota.
+    pub(super) cost: Option<Cost>,
     pub(super) caller: CallerSide<'a>,
     pub(super) began: BootInstant,
     pub(super) until: BootInstant,
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    access::{AccessOptions, pending::Pending, view::KeyView},
     budget::{Budget, BudgetOptions, Part, Retries},
     catalog::Catalog,
     dissemination::{followed::Followed, peers::Peers},
@@ -101,17 +102,23 @@
     /// Raised when a look at a target has ended, there is something to tell of poison requests, or
     /// one is convicted.
     pub poison_changed: Signal,
+    /// Raised when a question about a quota is answered.
+    pub quota_answered: Signal,
     /// Raised when a call to the store may be due: by the planner's news, or as it answers again.
     pub call_due: Signal,
     fleet: Mutex<Fleet>,
     followed: Mutex<Followed>,
     peers: Mutex<Peers>,
     poison: Mutex<Poison>,
+    key_view: Mutex<KeyView>,
+    pending: Mutex<Pending>,
     contacts: Mutex<Contacts>,
     catalog: RwLock<Option<Arc<Catalog>>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     load_waits: Mutex<LoadWaits>,
     budget_options: BudgetOptions,
+    /// Bounds on keys and quotas.
+    pub access: AccessOptions,
     /// How old views may become.
     pub spans: Spans,
     started: Time,
@@ -122,6 +129,8 @@
 pub struct StateOptions {
     /// Bounds on second sends.
     pub budget: BudgetOptions,
+    /// Bounds on keys and quotas.
+    pub access: AccessOptions,
     /// How old views may become.
     pub spans: Spans,
 }
@@ -129,23 +138,27 @@
 impl State {
     /// Makes the state of a daemon in `zone` that knows nothing yet.
     pub fn new(zone: ZoneName, options: StateOptions, clock: Arc<dyn Clock>) -> Self {
-        let StateOptions { budget, spans } = options;
+        let StateOptions { budget, access, spans } = options;
         let started = clock.now();
         Self {
             clock,
             targets_changed: Signal::default(),
             demand_changed: Signal::default(),
             poison_changed: Signal::default(),
+            quota_answered: Signal::default(),
             call_due: Signal::default(),
             fleet: Mutex::new(Fleet::new(zone, spans)),
             followed: Mutex::new(Followed::new(spans)),
             peers: Mutex::default(),
             poison: Mutex::new(Poison::new(started)),
+            key_view: Mutex::default(),
+            pending: Mutex::default(),
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
             load_waits: Mutex::default(),
             budget_options: budget,
+            access,
             spans,
             started,
         }
@@ -192,6 +205,55 @@
         self.poison.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the view of the keys.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread has panicked with it.
+    pub fn key_view(&self) -> MutexGuard<'_, KeyView> {
+        self.key_view.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns what has been asked and used of quotas.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread has panicked with it.
+    pub fn pending(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the configuration in force, and the view of its keys.
+    pub fn in_force(&self) -> (Option<Arc<Catalog>>, KeyView) {
+        let view = self.key_view();
+        (self.catalog(), *view)
+    }
+
+    /// Brings a configuration in force unless it is older, which was the newest as of a moment; tells
+    /// whether it was newer.
+    pub fn put_in_force(&self, catalog: Catalog, as_of: Time) -> bool {
+        let mut view = self.key_view();
+        let version = catalog.version;
+        let is_newer = self.set_catalog(catalog);
+        view.in_force(version, as_of);
+        is_newer
+    }
+
+    /// Tells whether this daemon can tell which keys hold, if requests need one.
+    pub fn knows_keys(&self) -> bool {
+        let Some(catalog) = self.catalog().filter(|c| c.teams.is_some()) else { return true };
+        self.key_view().age(catalog.version, self.now()) <= self.access.view.good_for
+    }
+
+    /// Returns how long the view of the keys is fresh enough without a call.
+    pub fn keys_fresh_for(&self) -> Duration {
+        let Some(catalog) = self.catalog().filter(|c| c.teams.is_some()) else {
+            return Duration::MAX;
+        };
+        let age = self.key_view().age(catalog.version, self.now());
+        self.access.view.ask_after().saturating_sub(age)
+    }
+
     /// Begins a trial of a convicted request, if it falls to this daemon and there may be one.
     pub fn begin_trial(&self, key: RequestKey) -> bool {
         let now = self.now();
@@ -243,11 +305,12 @@
     pub fn config_fresh_for(&self, mine: u64) -> Duration {
         let now = self.now();
         let own = self.contacts().config;
+        let keys = self.keys_fresh_for();
         let followed = self.followed();
         let own = own.filter(|_| followed.config_version() <= mine);
         let own_left =
             own.map_or(Duration::ZERO, |at| self.spans.config.saturating_sub(now.since(at)));
-        followed.config_fresh_for(mine, now).max(own_left)
+        followed.config_fresh_for(mine, now).max(own_left).min(keys)
     }
 
     /// Wakes the requests that wait for a target, and the planner, as the view has changed.
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -17,6 +17,7 @@
     name::{ModelName, ServiceName, TargetName, ZoneName},
 };
 use tansyknot_fleet::{
+    access::AccessOptions,
     budget::BudgetOptions,
     catalog::{Catalog, Engine, Model, Repeat, Route, Service},
     keep::{Keeper, Reluctance, SharedLease},
@@ -132,7 +133,8 @@
 /// Makes the shared state of a daemon in zone `z1`.
 pub(crate) fn state(clock: &ManualClock) -> Arc<State> {
     let budget = BudgetOptions { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
-    let options = StateOptions { budget, spans: Spans::default() };
+    let options =
+        StateOptions { budget, access: AccessOptions::default(), spans: Spans::default() };
     Arc::new(State::new(ZoneName::from("z1"), options, Arc::new(clock.clone())))
 }
 
@@ -192,6 +194,7 @@
         priority: 0,
         attempts_max: 1,
         split: vec![(ServiceName::from("s"), 1)],
+        is_public: false,
     };
     Catalog::new(1, vec![route], vec![service])
 }
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -17,6 +17,7 @@
     telemetry::NoRecorder,
 };
 use tansyknot_fleet::{
+    access::AccessOptions,
     budget::BudgetOptions,
     conduct::{Conductor, Me},
     dissemination::pace::{BEAT, Occasion},
@@ -158,7 +159,7 @@
     fn node(&self, n: usize) -> Node {
         let address: SocketAddr = ([10, 0, (n / 250) as u8, (n % 250) as u8], 7000).into();
         let budget = BudgetOptions { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
-        let options = StateOptions { budget, spans: self.spans };
+        let options = StateOptions { budget, access: AccessOptions::default(), spans: self.spans };
         let zone: tansyknot_core::name::ZoneName = format!("z{}", n % 5).as_str().into();
         let clock: Arc<dyn Clock> = Arc::new(self.clock.clone());
         let state = Arc::new(State::new(zone.clone(), options, clock));
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -13,12 +13,13 @@
 };
 
 use tansyknot_adapter::{header::PlatformHeaders, runner::Runners, store::RowStore};
-use tansyknot_config::fleet::FleetSettings;
+use tansyknot_config::{fleet::FleetSettings, unit::Period};
 use tansyknot_core::{
     clock::{BootInstant, Clock, SystemClock},
     event, name,
 };
 use tansyknot_fleet::{
+    access::{AccessOptions, view::ViewOptions},
     budget::BudgetOptions,
     conduct::{Conductor, Me},
     counted::CountedStore,
@@ -67,7 +68,7 @@
             window: settings.bounds.retry_window.duration(),
         };
         let spans = spans(settings);
-        let options = StateOptions { budget, spans };
+        let options = StateOptions { budget, access: access(settings), spans };
         let state = Arc::new(State::new(settings.availability_zone.clone(), options, clock));
         let recorder = Arc::new(PageRecorder::default());
         let store = Arc::new(RowStore::new(settings.store, spans.config_wait));
@@ -124,6 +125,7 @@
         let server = Server::new(
             Arc::clone(&state),
             dialect,
+            Arc::clone(&conductor) as _,
             Arc::clone(&recorder) as _,
             Arc::clone(&lifecycle),
         );
@@ -198,6 +200,18 @@
     })
 }
 
+fn access(settings: &FleetSettings) -> AccessOptions {
+    let bounds = &settings.bounds;
+    let revoke_within = bounds.revoke_within.filter(|_| bounds.revoke_fail_closed);
+    let revoke_within = revoke_within.map(Period::duration);
+    AccessOptions {
+        view: ViewOptions::of(revoke_within, bounds.config_within.duration()),
+        window: bounds.quota_window.duration(),
+        overshoot: bounds.quota_overshoot.get(),
+        slack: bounds.quota_slack.get(),
+    }
+}
+
 fn reluctance(settings: &FleetSettings) -> Reluctance {
     match settings.link_mbps {
         Some(mbps) if mbps < PLANNER_MBPS => Reluctance::Reluctant,
--- a/crates/tansyknotd/src/fleet/calls.rs
+++ b/crates/tansyknotd/src/fleet/calls.rs
@@ -58,6 +58,9 @@
                 follower.hurry();
             }
             was_planner = is_planner;
+            if !is_planner && state.keys_fresh_for().is_zero() {
+                follower.hurry();
+            }
             let began = state.now();
             let pause = follower.step();
             pause_calls(&state, began, pause);
--- a/crates/tansyknotd/src/fleet/pages.rs
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -30,6 +30,8 @@
     fn is_ready(&self) -> bool {
         let Some(catalog) = self.state.catalog() else { return false };
         let is_ready = !self.lifecycle.is_draining() && self.targets_known.load(Ordering::SeqCst);
+        // Who can't tell which keys hold would refuse nearly all callers.
+        let is_ready = is_ready && self.state.knows_keys();
         if is_ready && !self.was_ready.swap(true, Ordering::SeqCst) {
             let targets = self.state.fleet().targets().count();
             event::FLEET_READY.emit(&[("config", &catalog.version), ("targets", &targets)]);
@@ -65,6 +67,8 @@
             let kept = fleet.kept().count();
             (fleet.daemons(), fleet.targets().count(), kept, fleet.list_version())
         };
+        let (catalog, view) = self.state.in_force();
+        let keys_as_of = catalog.filter(|c| c.teams.is_some()).and_then(|c| view.as_of(c.version));
         let (convicted, suspected) = {
             let poison = self.state.poison();
             (poison.convicted().len(), poison.suspected())
@@ -72,6 +76,7 @@
         let gauges = [
             (metric::POISON_CONVICTED, convicted as f64),
             (metric::POISON_SUSPECTED, suspected as f64),
+            (metric::KEYS_AGE, age(keys_as_of)),
             (metric::IS_PLANNER, f64::from(u8::from(self.lease.is_valid(now)))),
             (metric::FENCE, self.lease.fence() as f64),
             (metric::CONFIG_VERSION, self.state.catalog().map_or(0, |c| c.version) as f64),
