An account that has just been opened has askers come again; books belong to a planner's time

Change: no verdict for 1.5 s after opening, who asks may ask again; books are opened anew for each time as the planner; quotas are kept to by a planner that knew them 1.5 s ago; the burst is saved up and not there in each window; what is used of shares is told to the account.

--- a/crates/tansyknot-fleet/src/access/account.rs
+++ b/crates/tansyknot-fleet/src/access/account.rs
@@ -11,11 +11,14 @@
 /// The longest that who is over its quota is told to stay away.
 const WAIT_MOST: Duration = Duration::from_secs(4);
 
+/// An account that was opened so lately does not refuse: who asks may ask again, as those who waited
+/// for it all ask at once.
+const OPENS_WITHIN: Duration = Duration::from_millis(1500);
 /// What the platform allows beyond a quota is for several purposes. This part of it is there when an
 /// account is opened, so that a team that uses little is not refused at once.
-const OPENING: f64 = 0.1;
+const OPENING: f64 = 0.05;
 /// This part of the slack is added to the burst, for what daemons and callers see at other times.
-const HEADROOM: f64 = 0.25;
+const HEADROOM: f64 = 0.15;
 
 /// Returns what may be used within a window beyond a quota.
 fn beyond(quota: &Quota, options: &AccessOptions) -> f64 {
@@ -30,18 +33,30 @@
     used: f64,
 }
 
+/// What became of taking from an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is taken.
+    Taken,
+    /// There is not enough; there should be after so long.
+    Over(Duration),
+    /// There is not enough yet, as the account has just been opened.
+    Opening,
+}
+
 /// The account of one team.
 ///
-/// It fills at the quota's rate up to its burst, and is worked out anew from what was used within the
-/// window, so that what is given back counts as if it had never been taken: what is left in it is
-/// bounded over any part of the window. Who kept it before, and what was used then, need not be known:
-/// it begins nearly empty, and the rate alone is what two accounts may give one after the other.
+/// It fills at the quota's rate up to its burst. What was used lately is remembered by its time, so that
+/// what is given back counts as if it had never been taken. Who kept it before, and what was used then,
+/// need not be known: it begins nearly empty, and the rate alone is what two accounts may give one after
+/// the other.
 #[derive(Clone, Debug)]
 pub struct Account {
     quota: Quota,
     window: Duration,
+    opened: Time,
+    /// The time of the last step that is not remembered, and what was left then.
     since: Time,
-    /// What was left at `since`.
     left: f64,
     steps: VecDeque<Step>,
 }
@@ -49,10 +64,10 @@
 impl Account {
     /// Opens an account at `now`.
     pub fn open(quota: Quota, options: &AccessOptions, now: Time) -> Self {
-        let beyond = beyond(&quota, options) * OPENING;
-        let left = beyond.min(quota.burst);
+        let left = (beyond(&quota, options) * OPENING).min(quota.burst);
         let quota = Quota { burst: quota.burst + options.slack * HEADROOM, ..quota };
-        Self { quota, window: options.window, since: now, left, steps: VecDeque::new() }
+        let (window, steps) = (options.window, VecDeque::new());
+        Self { quota, window, opened: now, since: now, left, steps }
     }
 
     /// Goes on with another quota: what is left stays, as far as it may.
@@ -60,23 +75,15 @@
         let new = Self::open(quota, options, now);
         if self.quota != new.quota {
             let left = self.left(now).clamp(0.0, new.quota.burst);
-            *self = Self { left, ..new };
+            *self = Self { left, opened: self.opened, ..new };
         }
     }
 
     /// Returns what is left.
     pub fn left(&self, now: Time) -> f64 {
-        let begin = now.before(self.window);
-        let mut at = self.since;
-        let mut left = self.left;
-        if begin > self.since {
-            at = begin;
-            left = self.quota.burst;
-        }
-        for step in self.steps.iter().filter(|step| step.at >= begin) {
-            left = self.filled(left, step.at.since(at)) - step.used;
-            at = at.max(step.at);
-        }
+        let (at, left) = self.steps.iter().fold((self.since, self.left), |(at, left), step| {
+            (at.max(step.at), self.filled(left, step.at.since(at)) - step.used)
+        });
         self.filled(left, now.since(at))
     }
 
@@ -84,21 +91,20 @@
         (left + self.quota.rate * span.as_secs_f64()).min(self.quota.burst)
     }
 
-    /// Takes `units`.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the time after which there should be enough. What is more than the burst can't be
-    /// saved up, and is taken once the account is full.
-    pub fn take(&mut self, units: f64, now: Time) -> Result<(), Duration> {
+    /// Takes `units`. What is more than the burst can't be saved up, and is taken once the account is
+    /// full.
+    pub fn take(&mut self, units: f64, now: Time) -> Outcome {
         self.forget(now);
         let lacking = units.min(self.quota.burst) - self.left(now);
-        if lacking > 0.0 {
-            let wait = Duration::try_from_secs_f64(lacking / self.quota.rate);
-            return Err(wait.unwrap_or(WAIT_MOST).min(WAIT_MOST));
+        if lacking <= 0.0 {
+            self.charge(units, now);
+            return Outcome::Taken;
+        }
+        if now.since(self.opened) < OPENS_WITHIN {
+            return Outcome::Opening;
         }
-        self.charge(units, now);
-        Ok(())
+        let wait = Duration::try_from_secs_f64(lacking / self.quota.rate);
+        Outcome::Over(wait.unwrap_or(WAIT_MOST).min(WAIT_MOST))
     }
 
     /// Takes `units` that have been used whatever is left.
@@ -110,13 +116,12 @@
         }
     }
 
-    /// Gives back `units` that were taken `age` ago and not used.
+    /// Gives back `units` that were taken `age` ago and not used. What was taken is in the step of that
+    /// time, or, where it was long on its way, in one before.
     pub fn give_back(&mut self, units: f64, age: Duration, now: Time) {
         let taken = now.before(age);
-        let earlier = self.steps.iter_mut().rev().filter(|step| step.at <= taken);
         let mut units = units;
-        // What was taken is in the step of that time, or, where it was long on its way, in one before.
-        for step in earlier {
+        for step in self.steps.iter_mut().rev().filter(|step| step.at <= taken) {
             let back = units.min(step.used.max(0.0));
             step.used -= back;
             units -= back;
@@ -128,7 +133,11 @@
 
     fn forget(&mut self, now: Time) {
         let begin = now.before(self.window);
-        while self.steps.front().is_some_and(|step| step.at < begin) {
+        while let Some(step) = self.steps.front().copied()
+            && step.at < begin
+        {
+            self.left = self.filled(self.left, step.at.since(self.since)) - step.used;
+            self.since = self.since.max(step.at);
             self.steps.pop_front();
         }
     }
--- a/crates/tansyknot-fleet/src/access/lending.rs
+++ b/crates/tansyknot-fleet/src/access/lending.rs
@@ -6,7 +6,7 @@
 
 use super::{
     AccessOptions,
-    account::Account,
+    account::{Account, Outcome},
     message::{Lent, TeamUse, Verdict},
     share,
     team::Teams,
@@ -17,7 +17,7 @@
 const SILENT_AFTER: Duration = Duration::from_millis(700);
 /// The share of a quota that is lent: the rest is for what shares have saved up, and for daemons that
 /// hear of the next planner later than others.
-const LENT: f64 = 0.75;
+const LENT: f64 = 0.65;
 /// Of what is lent, the part that all daemons have alike, whatever they have used.
 const ALIKE: f64 = 0.1;
 /// Answers that are remembered, so that a question that is asked twice is counted once.
@@ -25,6 +25,10 @@
 /// At most as many of them: a thousand questions a second.
 const ANSWERS_MOST: usize = 2048;
 
+/// Daemons have told what they used of an earlier planner's shares by this time after books are opened.
+const SETTLED_AFTER: Duration = Duration::from_millis(1500);
+/// Books that were not kept for as long are those of a planner that was away.
+const KEPT_FOR: Duration = Duration::from_millis(1500);
 /// How often it is logged of a team that requests are refused for its quota.
 const REFUSALS_LOGGED: Duration = Duration::from_secs(1);
 
@@ -51,6 +55,10 @@
 /// The books.
 #[derive(Debug, Default)]
 pub struct Books {
+    /// The fencing token of the planner that keeps them.
+    fence: u64,
+    opened: Time,
+    kept: Time,
     accounts: HashMap<TeamName, Account>,
     borrowers: HashMap<SocketAddr, Borrower>,
     answers: HashMap<(SocketAddr, u32), (Verdict, Time)>,
@@ -58,7 +66,16 @@
 }
 
 impl Books {
-    /// Takes `units` of a team for a request of a daemon; `number` names the question.
+    /// Opens new books for the planner with `fence`, unless these are its own: those of an earlier time
+    /// lack what was used since.
+    pub fn begin(&mut self, fence: u64, now: Time) {
+        if self.fence != fence || now.since(self.kept) >= KEPT_FOR {
+            *self = Self { fence, opened: now, kept: now, ..Self::default() };
+        }
+    }
+
+    /// Takes `units` of a team for a request of a daemon; `number` names the question. There is no
+    /// verdict for who should ask again.
     pub fn take(
         &mut self,
         (from, number): (SocketAddr, u32),
@@ -66,17 +83,18 @@
         teams: &Teams,
         options: &AccessOptions,
         now: Time,
-    ) -> Verdict {
+    ) -> Option<Verdict> {
         if let Some((verdict, _)) = self.answers.get(&(from, number)) {
-            return *verdict;
+            return Some(*verdict);
         }
-        let taken = match self.account(team, teams, options, now) {
+        let outcome = match self.account(team, teams, options, now) {
             Some(account) => account.take(units, now),
-            None => Ok(()),
+            None => Outcome::Taken,
         };
-        let verdict = match taken {
-            Ok(()) => Verdict::Granted,
-            Err(wait) => Verdict::Over { wait_ms: wait.as_millis() as u32 },
+        let verdict = match outcome {
+            Outcome::Taken => Verdict::Granted,
+            Outcome::Over(wait) => Verdict::Over { wait_ms: wait.as_millis() as u32 },
+            Outcome::Opening => return None,
         };
         let tally = self.tallies.entry(team.clone()).or_default();
         match verdict {
@@ -84,7 +102,7 @@
             Verdict::Over { .. } => tally.refused += units,
         }
         self.remember((from, number), verdict, now);
-        verdict
+        Some(verdict)
     }
 
     fn log_refusals(&mut self, now: Time) {
@@ -127,10 +145,15 @@
     ) {
         let borrower = self.borrowers.entry(from).or_default();
         (borrower.heard, borrower.charged) = (now, now);
+        let is_settled = now.since(self.opened) >= SETTLED_AFTER;
         borrower.uses = uses.iter().map(|u| (u.team.clone(), f64::from(u.per_s))).collect();
         for item in uses {
             let Some(account) = self.account(&item.team, teams, options, now) else { continue };
             account.charge(f64::from(item.again), now);
+            // What was lent before the books were opened is not theirs.
+            if is_settled {
+                account.charge(f64::from(item.lent), now);
+            }
             for back in &item.back {
                 let age = Duration::from_millis(back.age_ms.into());
                 account.give_back(f64::from(back.units), age, now);
@@ -162,6 +185,7 @@
     /// Opens the accounts of new teams, puts down what daemons that are silent may use of their shares,
     /// and forgets those whose shares are over.
     pub fn keep(&mut self, teams: &Teams, options: &AccessOptions, now: Time) {
+        self.kept = now;
         self.accounts.retain(|team, _| teams.quota(team).is_some());
         for team in teams.all() {
             self.account(&team.name, teams, options, now);
--- a/crates/tansyknot-fleet/src/access/message.rs
+++ b/crates/tansyknot-fleet/src/access/message.rs
@@ -21,6 +21,8 @@
     pub per_s: u32,
     /// Units that second sends have taken since the last such message.
     pub again: u32,
+    /// Units that were taken of what was lent since then.
+    pub lent: u32,
     /// What was given back since then.
     pub back: Vec<Back>,
 }
--- a/crates/tansyknot-fleet/src/access/pending.rs
+++ b/crates/tansyknot-fleet/src/access/pending.rs
@@ -27,13 +27,14 @@
     per_s: f64,
     at: Time,
     again: f64,
+    lent: f64,
     back: Vec<(f64, Time)>,
     share: Option<Share>,
 }
 
 impl Use {
     fn new(now: Time) -> Self {
-        Self { per_s: 0.0, at: now, again: 0.0, back: Vec::new(), share: None }
+        Self { per_s: 0.0, at: now, again: 0.0, lent: 0.0, back: Vec::new(), share: None }
     }
 
     /// Returns the units a second that are asked for, of late.
@@ -83,8 +84,10 @@
 
     /// Takes `units` of what this daemon was lent; tells whether there was enough.
     pub fn take_lent(&mut self, team: &TeamName, units: f64, draw: f64, now: Time) -> bool {
-        let share = self.of(team, now).share.as_mut();
-        share.is_some_and(|share| share.take(units, draw, now))
+        let of = self.of(team, now);
+        let is_taken = of.share.as_mut().is_some_and(|share| share.take(units, draw, now));
+        of.lent += if is_taken { units } else { 0.0 };
+        is_taken
     }
 
     /// Takes in that the account has granted `units`.
@@ -125,6 +128,7 @@
             team: team.clone(),
             per_s: u.rate(now) as u32,
             again: std::mem::take(&mut u.again) as u32,
+            lent: std::mem::take(&mut u.lent) as u32,
             back: std::mem::take(&mut u.back).into_iter().map(|b| told(b, now)).collect(),
         });
         let mut uses: Vec<TeamUse> = uses.collect();
--- a/crates/tansyknot-fleet/src/access/share.rs
+++ b/crates/tansyknot-fleet/src/access/share.rs
@@ -8,7 +8,7 @@
 /// within this span.
 pub const LIFE: Duration = Duration::from_millis(2300);
 /// A share saves up what it has for this long.
-const SAVED: Duration = Duration::from_millis(250);
+const SAVED: Duration = Duration::from_millis(150);
 
 /// A share of a quota.
 #[derive(Clone, Copy, Debug)]
--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -101,8 +101,11 @@
         self.account.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the planner's books, new ones if this daemon has become the planner since.
     fn books(&self) -> MutexGuard<'_, Books> {
-        self.books.lock().expect("no holder of the lock panics")
+        let mut books = self.books.lock().expect("no holder of the lock panics");
+        books.begin(self.lease.fence(), self.state.now());
+        books
     }
 
     /// Receives messages until the socket fails.
@@ -308,7 +311,6 @@
         let is_new = !std::mem::replace(&mut self.told().was_planner, true);
         if is_new {
             self.planner().reset();
-            *self.books() = Books::default();
             self.begin_telling(now);
             // The planner before may have left the row of poison requests behind.
             self.state.poison_changed.raise();
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -135,7 +135,7 @@
         now: Time,
     ) -> Option<Verdict> {
         let options = &self.state.access;
-        self.with_teams(|teams, _| self.books().take(question, (team, units), teams, options, now))
+        self.with_teams(|teams, _| self.books().take(question, (team, units), teams, options, now))?
     }
 
     /// Asks who keeps the accounts; returns the answer if that is this daemon. Another one's comes to
