--- a/crates/tansyknot-fleet/src/access/account.rs
+++ b/crates/tansyknot-fleet/src/access/account.rs
@@ -11,6 +11,8 @@
 /// The longest that who is over its quota is told to stay away.
 const WAIT_MOST: Duration = Duration::from_secs(4);
 
+/// Who was refused comes back within about so long, and is ahead of who is refused now.
+const REFUSED_SPAN: Duration = Duration::from_secs(2);
 /// An account that was opened so lately does not refuse: who asks may ask again, as those who waited
 /// for it all ask at once.
 const OPENS_WITHIN: Duration = Duration::from_millis(1500);
@@ -59,6 +61,9 @@
     since: Time,
     left: f64,
     steps: VecDeque<Step>,
+    /// What was refused lately, of which the older counts less.
+    refused: f64,
+    refused_at: Time,
 }
 
 impl Account {
@@ -67,7 +72,7 @@
         let left = (beyond(&quota, options) * OPENING).min(quota.burst);
         let quota = Quota { burst: quota.burst + options.slack * HEADROOM, ..quota };
         let (window, steps) = (options.window, VecDeque::new());
-        Self { quota, window, opened: now, since: now, left, steps }
+        Self { quota, window, opened: now, since: now, left, steps, refused: 0.0, refused_at: now }
     }
 
     /// Goes on with another quota: what is left stays, as far as it may.
@@ -103,10 +108,19 @@
         if now.since(self.opened) < OPENS_WITHIN {
             return Outcome::Opening;
         }
-        let wait = Duration::try_from_secs_f64(lacking / self.quota.rate);
+        let ahead = self.refuse(units, now);
+        let wait = Duration::try_from_secs_f64((lacking + ahead) / self.quota.rate);
         Outcome::Over(wait.unwrap_or(WAIT_MOST).min(WAIT_MOST))
     }
 
+    /// Takes in that `units` are refused; returns those that were refused lately and come back first.
+    fn refuse(&mut self, units: f64, now: Time) -> f64 {
+        let span = now.since(self.refused_at).as_secs_f64() / REFUSED_SPAN.as_secs_f64();
+        let ahead = self.refused * (-span).exp();
+        (self.refused, self.refused_at) = (ahead + units, now);
+        ahead
+    }
+
     /// Takes `units` that have been used whatever is left.
     pub fn charge(&mut self, units: f64, now: Time) {
         let at = Time::from_micros(now.as_micros() - now.as_micros() % STEP.as_micros() as u64);
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Returns what the accounts have left, if this is the planner.
+    pub fn quotas_left(&self) -> Vec<(TeamName, f64)> {
+        let now = self.state.now();
+        if self.lease.is_valid(now) { self.books().left(now) } else { Vec::new() }
+    }
+
     fn has_teams(&self) -> bool {
         self.state.catalog().is_some_and(|c| c.teams.is_some())
     }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod handover;
 mod run;
+mod sample;
 
 use std::{io, net::TcpStream, sync::Arc, time::Duration};
 
@@ -36,6 +37,7 @@
 use access::Asker;
 pub use run::Reason;
 use run::{Ended, Run, Sent};
+use sample::Sample;
 
 /// How often a waiting request looks whether its caller has left.
 const LOOK: Duration = Duration::from_millis(100);
@@ -54,6 +56,7 @@
     quotas: Arc<dyn Quotas>,
     recorder: Arc<dyn Recorder>,
     lifecycle: Arc<Lifecycle>,
+    floods: Sample,
 }
 
 impl Server {
@@ -65,7 +68,7 @@
         recorder: Arc<dyn Recorder>,
         lifecycle: Arc<Lifecycle>,
     ) -> Self {
-        Self { state, dialect, quotas, recorder, lifecycle }
+        Self { state, dialect, quotas, recorder, lifecycle, floods: Sample::default() }
     }
 
     /// Finds where a request goes, and whose it is.
@@ -92,18 +95,28 @@
         stream: &mut TcpStream,
         after: After,
     ) -> io::Result<After> {
-        if reason.is_logged() {
-            event::FLEET_REFUSED.emit(&[
-                ("request", &ask.id),
-                ("reason", &reason.name()),
-                ("path", &req.head.path),
-            ]);
+        if !reason.comes_in_floods() || self.floods.admits(self.state.now()) {
+            self.log_refusal(req, ask, reason);
         }
         let of = ServiceName::from(reason.name());
         self.recorder.count(metric::REFUSED_ON_ARRIVAL.name, &of, 1);
         self.refuse(&ask.id, reason, come_back, stream, after)
     }
 
+    fn log_refusal(&self, req: &Request, ask: &Ask, reason: Reason) {
+        let (catalog, view) = self.state.in_force();
+        let version = catalog.map_or(0, |c| c.version);
+        let now = self.state.now();
+        let keys_age = view.as_of(version).map(|at| now.since(at).as_millis());
+        event::FLEET_REFUSED.emit(&[
+            ("request", &ask.id),
+            ("reason", &reason.name()),
+            ("path", &req.head.path),
+            ("config", &version),
+            ("keys_age_ms", &keys_age.map_or_else(String::new, |ms| ms.to_string())),
+        ]);
+    }
+
     fn serve(&self, run: &mut Run<'_>) -> Ended {
         let now = self.state.now();
         if self.state.poison().is_convicted(run.key) {
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -95,10 +95,9 @@
         }
     }
 
-    /// Tells whether it is logged for each request: a flood of wrong keys, or of a team that is over its
-    /// quota, is counted and not logged.
-    pub(super) fn is_logged(self) -> bool {
-        !matches!(self, Reason::UnknownKey | Reason::OverQuota)
+    /// Tells whether callers bring it about as often as they like: with wrong keys, or beyond a quota.
+    pub(super) fn comes_in_floods(self) -> bool {
+        matches!(self, Reason::UnknownKey | Reason::OverQuota)
     }
 
     pub(super) fn status(self) -> u16 {
--- a/crates/tansyknot-fleet/tests/access.rs
+++ b/crates/tansyknot-fleet/tests/access.rs
@@ -99,6 +99,8 @@
     assert!((account.left(at(60_000)) - 1_000.0).abs() < 1.0);
     assert_eq!(account.take(1_000.0, at(60_000)), Outcome::Taken);
     assert_eq!(account.take(500.0, at(60_000)), Outcome::Over(Duration::from_millis(500)));
+    let Outcome::Over(wait) = account.take(500.0, at(60_000)) else { panic!("it is used up") };
+    assert!(wait > Duration::from_millis(900), "who was refused before comes back first");
     assert_eq!(account.take(500.0, at(60_500)), Outcome::Taken);
     assert_eq!(account.take(9_000.0, at(70_000)), Outcome::Taken, "more than can be saved up");
     assert!(account.left(at(70_000)) < -7_000.0);
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -142,7 +142,8 @@
         let metrics = match settings.listen.metrics_port {
             Some(port) => {
                 let (state, lease) = (Arc::clone(&state), Arc::clone(&lease));
-                let page = Arc::new(MetricsPage { recorder, state, lease });
+                let conductor = Arc::clone(&conductor);
+                let page = Arc::new(MetricsPage { recorder, state, lease, conductor });
                 let address = SocketAddr::new(host, port);
                 Some(serve(address, page_options(settings), page, &pages)?)
             }
--- a/crates/tansyknotd/src/fleet/pages.rs
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -10,7 +10,7 @@
 };
 
 use tansyknot_core::{clock::Time, event, metric, name::ServiceName, telemetry::Recorder};
-use tansyknot_fleet::{keep::SharedLease, state::State};
+use tansyknot_fleet::{conduct::Conductor, keep::SharedLease, state::State};
 use tansyknot_http::{
     respond::{self, After, Whole},
     server::{Handler, Lifecycle, Request},
@@ -18,6 +18,9 @@
 
 use crate::page::PageRecorder;
 
+/// Teams whose accounts are shown at most.
+const TEAMS_SHOWN: usize = 100;
+
 /// Answers whether the daemon takes callers.
 pub(super) struct ReadyPage {
     pub(super) state: Arc<State>,
@@ -52,6 +55,7 @@
     pub(super) recorder: Arc<PageRecorder>,
     pub(super) state: Arc<State>,
     pub(super) lease: Arc<SharedLease>,
+    pub(super) conductor: Arc<Conductor>,
 }
 
 impl MetricsPage {
@@ -91,6 +95,9 @@
         for (gauge, value) in gauges {
             self.recorder.gauge(gauge.name, &daemon, value);
         }
+        for (team, left) in self.conductor.quotas_left().into_iter().take(TEAMS_SHOWN) {
+            self.recorder.gauge(metric::QUOTA_LEFT.name, &ServiceName::from(team.as_str()), left);
+        }
         for (service, retries) in self.state.retries() {
             self.recorder.gauge(metric::RETRIES_SPENT.name, &service, retries.spent as f64);
             self.recorder.gauge(metric::RETRIES_ALLOWED.name, &service, retries.allowed);
