Who asks an account that was just opened waits; a daemon that nobody answers refuses at once

Change: an account that is being opened says so, and who asks comes again without using what was lent; a share is used at once where the planner has been silent for 0.7 s, and after 3.3 s requests are refused at once.

--- a/crates/tansyknot-fleet/src/access/lending.rs
+++ b/crates/tansyknot-fleet/src/access/lending.rs
@@ -74,8 +74,7 @@
         }
     }
 
-    /// Takes `units` of a team for a request of a daemon; `number` names the question. There is no
-    /// verdict for who should ask again.
+    /// Takes `units` of a team for a request of a daemon; `number` names the question.
     pub fn take(
         &mut self,
         (from, number): (SocketAddr, u32),
@@ -83,9 +82,9 @@
         teams: &Teams,
         options: &AccessOptions,
         now: Time,
-    ) -> Option<Verdict> {
+    ) -> Verdict {
         if let Some((verdict, _)) = self.answers.get(&(from, number)) {
-            return Some(*verdict);
+            return *verdict;
         }
         let outcome = match self.account(team, teams, options, now) {
             Some(account) => account.take(units, now),
@@ -94,15 +93,16 @@
         let verdict = match outcome {
             Outcome::Taken => Verdict::Granted,
             Outcome::Over(wait) => Verdict::Over { wait_ms: wait.as_millis() as u32 },
-            Outcome::Opening => return None,
+            Outcome::Opening => return Verdict::Later,
         };
         let tally = self.tallies.entry(team.clone()).or_default();
         match verdict {
             Verdict::Granted => tally.granted += units,
             Verdict::Over { .. } => tally.refused += units,
+            Verdict::Later => {}
         }
         self.remember((from, number), verdict, now);
-        Some(verdict)
+        verdict
     }
 
     fn log_refusals(&mut self, now: Time) {
--- a/crates/tansyknot-fleet/src/access/message.rs
+++ b/crates/tansyknot-fleet/src/access/message.rs
@@ -76,6 +76,8 @@
 pub enum Verdict {
     /// It has, and the units are taken.
     Granted,
+    /// The account has just been opened, and whoever asks may ask again soon.
+    Later,
     /// It has not.
     Over {
         /// When it should have, in milliseconds from now.
--- a/crates/tansyknot-fleet/src/access/pending.rs
+++ b/crates/tansyknot-fleet/src/access/pending.rs
@@ -55,9 +55,17 @@
     /// Questions of requests that wait, and their answers.
     questions: HashMap<u32, Option<Verdict>>,
     number: u32,
+    /// When the last question was asked that a planner has answered.
+    heard: Option<Time>,
 }
 
 impl Pending {
+    /// Returns how long ago the last question was asked that a planner has answered; a daemon that has
+    /// just started begins with that.
+    pub fn silent_for(&mut self, now: Time) -> Duration {
+        now.since(*self.heard.get_or_insert(now))
+    }
+
     /// Begins a question of a request of `units`; returns its number.
     pub fn ask(&mut self, team: &TeamName, units: f64, now: Time) -> u32 {
         self.of(team, now).asked(units, now);
@@ -77,6 +85,11 @@
         self.questions.get(&number).copied().flatten()
     }
 
+    /// Has a question asked again.
+    pub fn ask_again(&mut self, number: u32) {
+        self.questions.insert(number, None);
+    }
+
     /// Ends a question.
     pub fn end(&mut self, number: u32) {
         self.questions.remove(&number);
@@ -117,6 +130,7 @@
 
     /// Takes in what the planner with `fence` has lent for a question of `asked`.
     pub fn lent(&mut self, lent: &[Lent], fence: u64, asked: Time, now: Time) {
+        self.heard = self.heard.max(Some(asked));
         for Lent { team, rate } in lent {
             let rate = f64::from(*rate);
             let of = self.of(team, now);
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -19,6 +19,11 @@
 /// small host may be late by tens.
 pub const ANSWER_WITHIN: Duration = Duration::from_millis(100);
 
+/// A planner that has answered no question of so long ago is not waited for before a share is used.
+pub const SILENT_AFTER: Duration = Duration::from_millis(700);
+/// A planner that is lost is replaced by then. A daemon that nobody answers for longer is cut off, and
+/// others can serve its requests.
+pub const CUT_OFF_AFTER: Duration = Duration::from_millis(3300);
 /// Quotas are kept to by a planner that knew them to be the newest so long ago at most: several of
 /// its calls, and less than operators are promised.
 const QUOTAS_FRESH: Duration = Duration::from_millis(1500);
@@ -141,7 +146,7 @@
         now: Time,
     ) -> Option<Verdict> {
         let options = &self.state.access;
-        self.with_teams(|teams, _| self.books().take(question, (team, units), teams, options, now))?
+        self.with_teams(|teams, _| self.books().take(question, (team, units), teams, options, now))
     }
 
     /// Asks who keeps the accounts; returns the answer if that is this daemon. Another one's comes to
@@ -177,6 +182,15 @@
         }
     }
 
+    /// Takes from what this daemon was lent; tells whether it could.
+    fn take_lent(&self, team: &TeamName, units: f64, now: Time) -> bool {
+        let is_taken = self.state.pending().take_lent(team, units, rand::random(), now);
+        if is_taken {
+            self.count(metric::QUOTA_LENT, 1);
+        }
+        is_taken
+    }
+
     fn ask_until(&self, number: u32, team: &TeamName, units: f64, until: Time) -> Ruling {
         loop {
             let verdict = self.ask_once(number, team, units);
@@ -189,12 +203,14 @@
                 Some(Verdict::Over { wait_ms }) => {
                     return Ruling::Over { wait: Duration::from_millis(wait_ms.into()) };
                 }
+                Some(Verdict::Later) => {
+                    // The account has what was lent in its books: both would be too much.
+                    self.state.pending().ask_again(number);
+                    self.state.clock.sleep(ANSWER_WITHIN);
+                }
+                None if self.take_lent(team, units, now) => return Ruling::Granted,
                 None => {}
             }
-            if self.state.pending().take_lent(team, units, rand::random(), now) {
-                self.count(metric::QUOTA_LENT, 1);
-                return Ruling::Granted;
-            }
             if now >= until {
                 return Ruling::Unknown;
             }
@@ -205,8 +221,17 @@
 impl Quotas for Conductor {
     fn take(&self, team: &TeamName, units: f64, patience: Duration) -> Ruling {
         let now = self.state.now();
-        let number = self.state.pending().ask(team, units, now);
-        let ruling = self.ask_until(number, team, units, now + patience);
+        let (number, silent) = {
+            let mut pending = self.state.pending();
+            (pending.ask(team, units, now), pending.silent_for(now))
+        };
+        let is_silent = !self.lease.is_valid(now) && silent >= SILENT_AFTER;
+        let ruling = if is_silent && self.take_lent(team, units, now) {
+            Ruling::Granted
+        } else {
+            let left = CUT_OFF_AFTER.saturating_sub(silent);
+            self.ask_until(number, team, units, now + patience.min(left))
+        };
         self.state.pending().end(number);
         ruling
     }
--- a/crates/tansyknot-fleet/tests/access.rs
+++ b/crates/tansyknot-fleet/tests/access.rs
@@ -167,8 +167,8 @@
         let question = (from, number);
         books.take(question, (&alpha, 600.0), &teams, &OPTIONS, at(2_000))
     };
-    assert_eq!([take(1), take(1)], [Some(Verdict::Granted); 2]);
-    assert!(matches!(take(2), Some(Verdict::Over { .. })));
+    assert_eq!([take(1), take(1)], [Verdict::Granted; 2]);
+    assert!(matches!(take(2), Verdict::Over { .. }));
 }
 
 #[test]
--- a/crates/tansyknot-fleet/tests/support/teams.rs
+++ b/crates/tansyknot-fleet/tests/support/teams.rs
@@ -9,11 +9,12 @@
     access::{
         self, AccessOptions, Claim, Denied,
         message::Verdict,
+        share,
         team::{Quota, Team, TeamEntry, Teams, Unit},
         view::ViewOptions,
     },
     catalog::Catalog,
-    conduct::quota::ANSWER_WITHIN,
+    conduct::quota::{ANSWER_WITHIN, CUT_OFF_AFTER, SILENT_AFTER},
 };
 
 use super::network::Network;
@@ -114,6 +115,8 @@
     number: u32,
     arrived: Time,
     asked: Time,
+    /// Whether this daemon keeps the account, which has just been opened.
+    is_told_later: bool,
     has_room: bool,
 }
 
@@ -366,13 +369,31 @@
         let has_room = self.ledgers[team].has_room(units, now);
         let node = &self.network.nodes[daemon];
         let number = node.state.pending().ask(&name(team), units, now);
-        let verdict = node.conductor.send_take(number, &name(team), units);
+        let silent = node.state.pending().silent_for(now);
+        let draw = self.rng.random();
+        let is_lent = silent >= SILENT_AFTER
+            && !node.conductor.is_planner()
+            && node.state.pending().take_lent(&name(team), units, draw, now);
+        let verdict = match is_lent {
+            true => None,
+            false => node.conductor.send_take(number, &name(team), units),
+        };
         let epoch = self.epochs[daemon];
-        let waiting =
-            Waiting { daemon, epoch, team, units, number, arrived: now, asked: now, has_room };
+        let waiting = Waiting {
+            daemon,
+            epoch,
+            team,
+            units,
+            number,
+            arrived: now,
+            asked: now,
+            is_told_later: verdict == Some(Verdict::Later),
+            has_room,
+        };
         match verdict {
+            _ if is_lent => self.passed(&waiting),
+            Some(Verdict::Later) | None => self.waiting.push(waiting),
             Some(verdict) => self.end(&waiting, verdict),
-            None => self.waiting.push(waiting),
         }
     }
 
@@ -389,7 +410,7 @@
                 continue;
             }
             let answer = node.state.pending().answer(w.number);
-            if let Some(verdict) = answer {
+            if let Some(verdict) = answer.filter(|verdict| *verdict != Verdict::Later) {
                 self.end(&w, verdict);
                 continue;
             }
@@ -398,18 +419,25 @@
                 continue;
             }
             let draw = self.rng.random();
-            if node.state.pending().take_lent(&name(w.team), w.units, draw, now) {
+            let is_later = answer.is_some() || w.is_told_later;
+            (w.is_told_later, w.asked) = (false, now);
+            node.state.pending().ask_again(w.number);
+            if !is_later && node.state.pending().take_lent(&name(w.team), w.units, draw, now) {
                 node.state.pending().end(w.number);
                 self.passed(&w);
                 continue;
             }
-            if now.since(w.arrived) >= Duration::from_millis(2_300) {
+            let silent = node.state.pending().silent_for(now);
+            if now.since(w.arrived) >= share::LIFE || silent >= CUT_OFF_AFTER {
                 node.state.pending().end(w.number);
                 self.refused(&w);
                 continue;
             }
-            w.asked = now;
             match node.conductor.send_take(w.number, &name(w.team), w.units) {
+                Some(Verdict::Later) => {
+                    w.is_told_later = true;
+                    self.waiting.push(w);
+                }
                 Some(verdict) => self.end(&w, verdict),
                 None => self.waiting.push(w),
             }
@@ -434,7 +462,7 @@
                     self.passed(w);
                 }
             }
-            Verdict::Over { .. } => {
+            Verdict::Over { .. } | Verdict::Later => {
                 drop(pending);
                 self.refused(w);
             }
