An answer proves nothing to another run of a daemon

Found in reading: a daemon that starts again at its address may get the planner's answer to its last run, whose clock was ahead, and took its view of the keys for as new as now. Stamps say which run made them, and one of the future proves nothing; questions of requests begin at a number drawn by the run. Test: answer_proves_nothing_to_another_run.

--- a/crates/tansyknot-fleet/src/access/message.rs
+++ b/crates/tansyknot-fleet/src/access/message.rs
@@ -1,7 +1,7 @@
 //! What daemons and the planner tell each other of keys and quotas. No key is among it.
 
 use serde::{Deserialize, Serialize};
-use tansyknot_core::name::TeamName;
+use tansyknot_core::{clock::Time, name::TeamName};
 
 /// Units that were taken and not used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,11 +27,29 @@
     pub back: Vec<Back>,
 }
 
+/// When a daemon asked, by its own clock, and which run of it: an answer to an earlier run proves
+/// nothing to this one, whose clock has begun anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Drawn by each run.
+    pub run: u64,
+    /// The time, in microseconds.
+    pub us: u64,
+}
+
+impl Stamp {
+    /// Returns when it was made, if this run made it.
+    pub fn asked_at(self, run: u64, now: Time) -> Option<Time> {
+        let at = Time::from_micros(self.us);
+        (self.run == run && at <= now).then_some(at)
+    }
+}
+
 /// A daemon's question to the planner, with each beat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
-    /// The daemon's own clock, in microseconds; the answer has it again.
-    pub stamp: u64,
+    /// When it was asked; the answer has it again.
+    pub stamp: Stamp,
     /// What it uses of quotas.
     pub uses: Vec<TeamUse>,
 }
@@ -51,7 +69,7 @@
     /// The planner's fencing token.
     pub fence: u64,
     /// The stamp of the question.
-    pub stamp: u64,
+    pub stamp: Stamp,
     /// The configuration that the planner has in force.
     pub config: u64,
     /// How long before this answer it is known to have been the newest, in milliseconds, rounded up.
--- a/crates/tansyknot-fleet/src/access/pending.rs
+++ b/crates/tansyknot-fleet/src/access/pending.rs
@@ -5,7 +5,7 @@
 use tansyknot_core::{clock::Time, name::TeamName};
 
 use super::{
-    message::{Back, Lent, Question, TeamUse, Verdict},
+    message::{Back, Lent, Question, Stamp, TeamUse, Verdict},
     share::{self, Share},
 };
 
@@ -55,11 +55,24 @@
     /// Questions of requests that wait, and their answers.
     questions: HashMap<u32, Option<Verdict>>,
     number: u32,
+    /// Drawn by each run of a daemon.
+    run: u64,
     /// When the last question was asked that a planner has answered.
     heard: Option<Time>,
 }
 
 impl Pending {
+    /// Makes what a run of a daemon has asked that has not asked anything yet. Its questions have numbers
+    /// that no earlier run had lately.
+    pub fn of_run(run: u64) -> Self {
+        Self { run, number: run as u32, ..Self::default() }
+    }
+
+    /// Returns when an answered question was asked, if this run did.
+    pub fn asked_at(&self, stamp: Stamp, now: Time) -> Option<Time> {
+        stamp.asked_at(self.run, now)
+    }
+
     /// Returns how long ago the last question was asked that a planner has answered; a daemon that has
     /// just started begins with that.
     pub fn silent_for(&mut self, now: Time) -> Duration {
@@ -153,7 +166,7 @@
         let mut uses: Vec<TeamUse> = uses.collect();
         uses.sort_by_key(|u| std::cmp::Reverse(u.per_s));
         uses.truncate(TEAMS_MOST);
-        Question { stamp: now.as_micros(), uses }
+        Question { stamp: Stamp { run: self.run, us: now.as_micros() }, uses }
     }
 
     fn of(&mut self, team: &TeamName, now: Time) -> &mut Use {
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -108,7 +108,7 @@
     /// Takes in an answer of the planner: it was made after the question, however long it, or this
     /// process, has been held up since.
     pub(super) fn take_answer(&self, answer: &Answer, now: Time) {
-        let asked = Time::from_micros(answer.stamp).min(now);
+        let Some(asked) = self.state.pending().asked_at(answer.stamp, now) else { return };
         if let Some(age) = answer.config_age_ms {
             let as_of = asked.before(Duration::from_millis(age.into()));
             self.state.key_view().known(answer.config, as_of);
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -152,7 +152,7 @@
             peers: Mutex::default(),
             poison: Mutex::new(Poison::new(started)),
             key_view: Mutex::default(),
-            pending: Mutex::default(),
+            pending: Mutex::new(Pending::of_run(rand::random())),
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
--- a/crates/tansyknot-fleet/tests/access.rs
+++ b/crates/tansyknot-fleet/tests/access.rs
@@ -8,7 +8,7 @@
         self, AccessOptions, Claim, Denied,
         account::{Account, Outcome},
         lending::Books,
-        message::{Lent, TeamUse, Verdict},
+        message::{Lent, Stamp, TeamUse, Verdict},
         pending::Pending,
         share::{self, Share},
         team::{Quota, Team, TeamEntry, Teams, TeamsError, Unit},
@@ -189,6 +189,18 @@
     assert!((left - 1_000.0).abs() < 1.0, "its share is over: {left}");
 }
 
+// A daemon that starts again at its address may get what the planner answered to its last run, whose
+// clock had gone on for longer: it would take its view for new.
+#[parameterized(
+    own = { 7, 50, Some(50) },
+    earlier_run = { 6, 50, None },
+    of_a_clock_that_is_ahead = { 7, 101, None },
+)]
+fn answer_proves_nothing_to_another_run(run: u64, us: u64, asked_us: Option<u64>) {
+    let asked = Stamp { run, us }.asked_at(7, Time::from_micros(100));
+    assert_eq!(asked, asked_us.map(Time::from_micros));
+}
+
 #[test]
 fn messages_of_many_teams_fit_into_a_datagram() {
     let mut pending = Pending::default();
@@ -203,7 +215,7 @@
     let lent = |n| Lent { team: TeamName::new(format!("team-with-a-name-{n}")), rate: u32::MAX };
     let answer = access::message::Answer {
         fence: u64::MAX,
-        stamp: u64::MAX,
+        stamp: Stamp { run: u64::MAX, us: u64::MAX },
         config: u64::MAX,
         config_age_ms: Some(u32::MAX),
         lent: (0..20).map(lent).collect(),
