A request that costs more than a whole window's quota is refused and not charged

Found in reading: who said that a request takes four thousand million tokens was let through once the account was full, and blocked its team for hours.

--- a/crates/tansyknot-fleet/src/access/account.rs
+++ b/crates/tansyknot-fleet/src/access/account.rs
@@ -97,9 +97,13 @@
     }
 
     /// Takes `units`. What is more than the burst can't be saved up, and is taken once the account is
-    /// full.
+    /// full; what is more than a whole window's is never taken: one request would block its team for as
+    /// long as it says.
     pub fn take(&mut self, units: f64, now: Time) -> Outcome {
         self.forget(now);
+        if units > self.quota.rate * self.window.as_secs_f64() + self.quota.burst {
+            return Outcome::Over(WAIT_MOST);
+        }
         let lacking = units.min(self.quota.burst) - self.left(now);
         if lacking <= 0.0 {
             self.charge(units, now);
--- a/crates/tansyknot-fleet/src/access/lending.rs
+++ b/crates/tansyknot-fleet/src/access/lending.rs
@@ -24,7 +24,6 @@
 const ANSWERS_KEPT: Duration = Duration::from_millis(1000);
 /// At most as many of them: a thousand questions a second.
 const ANSWERS_MOST: usize = 2048;
-
 /// Daemons have told what they used of an earlier planner's shares by this time after books are opened.
 const SETTLED_AFTER: Duration = Duration::from_millis(1500);
 /// Books that were not kept for as long are those of a planner that was away.
@@ -52,7 +51,7 @@
     charged: Time,
 }
 
-/// The books.
+/// The accounts of all teams, and what daemons were lent of them, as one planner keeps them.
 #[derive(Debug, Default)]
 pub struct Books {
     /// The fencing token of the planner that keeps them.
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Decides as the planner; `None` without a configuration.
+    /// Decides as the planner; `None` without a configuration that is known to be new.
     fn rule(
         &self,
         question: (SocketAddr, u32),
--- a/crates/tansyknot-fleet/tests/access.rs
+++ b/crates/tansyknot-fleet/tests/access.rs
@@ -104,6 +104,8 @@
     assert_eq!(account.take(500.0, at(60_500)), Outcome::Taken);
     assert_eq!(account.take(9_000.0, at(70_000)), Outcome::Taken, "more than can be saved up");
     assert!(account.left(at(70_000)) < -7_000.0);
+    assert!(matches!(account.take(1e18, at(90_000)), Outcome::Over(_)), "it would block the team");
+    assert!(account.left(at(90_000)) > 999.0);
 }
 
 #[test]
