--- a/crates/tansyknot-fleet/src/access/lending.rs
+++ b/crates/tansyknot-fleet/src/access/lending.rs
@@ -51,6 +51,19 @@
     charged: Time,
 }
 
+/// A request that asks for a part of its team's quota.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Where its daemon hears.
+    pub from: SocketAddr,
+    /// Names the question at that daemon.
+    pub number: u32,
+    /// The team.
+    pub team: &'a TeamName,
+    /// What it takes.
+    pub units: f64,
+}
+
 /// The accounts of all teams, and what daemons were lent of them, as one planner keeps them.
 #[derive(Debug, Default)]
 pub struct Books {
@@ -73,15 +86,15 @@
         }
     }
 
-    /// Takes `units` of a team for a request of a daemon; `number` names the question.
+    /// Decides on a request.
     pub fn take(
         &mut self,
-        (from, number): (SocketAddr, u32),
-        (team, units): (&TeamName, f64),
+        asked: Asked<'_>,
         teams: &Teams,
         options: &AccessOptions,
         now: Time,
     ) -> Verdict {
+        let Asked { from, number, team, units } = asked;
         if let Some((verdict, _)) = self.answers.get(&(from, number)) {
             return *verdict;
         }
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -8,6 +8,7 @@
 use crate::{
     access::{
         Quotas, Ruling,
+        lending::Asked,
         message::{Answer, Question, Take, Taken, Verdict},
         team::Teams,
     },
@@ -123,9 +124,10 @@
         if !self.lease.is_valid(now) {
             return;
         }
-        let units = f64::from(take.units);
-        if let Some(verdict) = self.rule((from, take.number), &take.team, units, now) {
-            let taken = Taken { number: take.number, verdict };
+        let Take { number, ref team, units } = *take;
+        let asked = Asked { from, number, team, units: f64::from(units) };
+        if let Some(verdict) = self.rule(asked, now) {
+            let taken = Taken { number, verdict };
             self.send_parts(Message::Taken(taken), &[from]);
         }
     }
@@ -138,15 +140,9 @@
     }
 
     /// Decides as the planner; `None` without a configuration that is known to be new.
-    fn rule(
-        &self,
-        question: (SocketAddr, u32),
-        team: &TeamName,
-        units: f64,
-        now: Time,
-    ) -> Option<Verdict> {
+    fn rule(&self, asked: Asked<'_>, now: Time) -> Option<Verdict> {
         let options = &self.state.access;
-        self.with_teams(|teams, _| self.books().take(question, (team, units), teams, options, now))
+        self.with_teams(|teams, _| self.books().take(asked, teams, options, now))
     }
 
     /// Asks who keeps the accounts; returns the answer if that is this daemon. Another one's comes to
@@ -154,7 +150,7 @@
     pub fn send_take(&self, number: u32, team: &TeamName, units: f64) -> Option<Verdict> {
         let now = self.state.now();
         if self.lease.is_valid(now) {
-            return self.rule((self.me.address, number), team, units, now);
+            return self.rule(Asked { from: self.me.address, number, team, units }, now);
         }
         let take = Take { number, team: team.clone(), units: units as u32 };
         if let Some(planner) = self.planner_elsewhere() {
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -36,7 +36,7 @@
 
 use access::Asker;
 pub use run::Reason;
-use run::{Ended, Run, Sent};
+use run::{Ended, Refused, Run, Sent};
 use sample::Sample;
 
 /// How often a waiting request looks whether its caller has left.
@@ -91,10 +91,11 @@
         &self,
         req: &Request,
         ask: &Ask,
-        (reason, come_back): (Reason, Option<Duration>),
+        refused: Refused,
         stream: &mut TcpStream,
         after: After,
     ) -> io::Result<After> {
+        let Refused { reason, come_back } = refused;
         if !reason.comes_in_floods() || self.floods.admits(self.state.now()) {
             self.log_refusal(req, ask, reason);
         }
@@ -390,13 +391,13 @@
         let Routed { route, service, asker } = match self.route(&req.head, &ask, self.state.now()) {
             Ok(routed) => routed,
             Err(reason) => {
-                return self.refuse_on_arrival(&req, &ask, (reason, None), stream, after);
+                return self.refuse_on_arrival(&req, &ask, reason.into(), stream, after);
             }
         };
         let allowed = ask.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
         let cost = match self.take_quota(&asker, &ask, allowed) {
             Ok(cost) => cost,
-            Err(refusal) => return self.refuse_on_arrival(&req, &ask, refusal, stream, after),
+            Err(refused) => return self.refuse_on_arrival(&req, &ask, refused, stream, after),
         };
         let caller_stream = stream.try_clone()?;
         let caller = CallerSide { stream: &caller_stream, http_1_1: req.head.http_1_1, after };
--- a/crates/tansyknot-fleet/src/serve/access.rs
+++ b/crates/tansyknot-fleet/src/serve/access.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Server,
-    run::{Reason, Run},
+    run::{Reason, Refused, Run},
 };
 use crate::{
     access::{self, Claim, Denied, Ruling, team::Team, view::KeyView},
@@ -99,7 +99,7 @@
         asker: &Asker,
         ask: &Ask,
         allowed: Duration,
-    ) -> Result<Option<Cost>, (Reason, Option<Duration>)> {
+    ) -> Result<Option<Cost>, Refused> {
         let Asker::Team(team) = asker else { return Ok(None) };
         let Some(quota) = team.quota else { return Ok(None) };
         let units = quota.cost(ask.tokens);
@@ -114,11 +114,11 @@
             }
             Ruling::Over { wait } => {
                 self.recorder.count(metric::QUOTA_OVER.name, &of, 1);
-                Err((Reason::OverQuota, Some(wait)))
+                Err(Refused { reason: Reason::OverQuota, come_back: Some(wait) })
             }
             Ruling::Unknown => {
                 self.recorder.count(metric::QUOTA_UNKNOWN.name, &of, 1);
-                Err((Reason::QuotaUnknown, None))
+                Err(Refused { reason: Reason::QuotaUnknown, come_back: None })
             }
         }
     }
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -134,6 +134,19 @@
     }
 }
 
+/// Why a request is refused on its arrival.
+pub(super) struct Refused {
+    pub(super) reason: Reason,
+    /// When to come back, if that is known better than by the reason.
+    pub(super) come_back: Option<Duration>,
+}
+
+impl From<Reason> for Refused {
+    fn from(reason: Reason) -> Self {
+        Self { reason, come_back: None }
+    }
+}
+
 /// How a request ended.
 pub(super) enum Ended {
     /// A target's whole answer was passed on.
--- a/crates/tansyknot-fleet/tests/access.rs
+++ b/crates/tansyknot-fleet/tests/access.rs
@@ -7,7 +7,7 @@
     access::{
         self, AccessOptions, Claim, Denied,
         account::{Account, Outcome},
-        lending::Books,
+        lending::{Asked, Books},
         message::{Lent, Stamp, TeamUse, Verdict},
         pending::Pending,
         share::{self, Share},
@@ -166,8 +166,8 @@
     books.begin(1, at(0));
     books.keep(&teams, &OPTIONS, at(0));
     let mut take = |number| {
-        let question = (from, number);
-        books.take(question, (&alpha, 600.0), &teams, &OPTIONS, at(2_000))
+        let asked = Asked { from, number, team: &alpha, units: 600.0 };
+        books.take(asked, &teams, &OPTIONS, at(2_000))
     };
     assert_eq!([take(1), take(1)], [Verdict::Granted; 2]);
     assert!(matches!(take(2), Verdict::Over { .. }));
