A daemon's question costs the planner the same however many daemons there are

Cause: for each question the planner added up what all daemons use of each team's quota, for that daemon alone. Ruled out: the look-up of teams by name, which was linear too and is by a map now, but 16 long.

Change: what all use is kept as a sum, made anew with each beat. Beside it, behaviour as it was: a quota that has not changed opens no second account to compare with; whether requests need keys, and how old their view is, stand once in State; one constant says when a silent planner's shares are used and put down; what is told of teams beyond the most used ones is kept for the next question and not dropped; two methods of Keyring that nobody called go.

--- a/crates/tansyknot-core/src/key.rs
+++ b/crates/tansyknot-core/src/key.rs
@@ -69,16 +69,6 @@
         self.holders.get(&self.tag(KeyDigest::of(key)))
     }
 
-    /// Returns how many keys there are.
-    pub fn len(&self) -> usize {
-        self.holders.len()
-    }
-
-    /// Tells whether there are no keys.
-    pub fn is_empty(&self) -> bool {
-        self.holders.is_empty()
-    }
-
     fn tag(&self, key: KeyDigest) -> [u8; DIGEST_BYTES] {
         let mac = Hmac::<Sha256>::new_from_slice(&self.secret);
         let mut mac = mac.expect("a secret may have any length");
--- a/crates/tansyknot-fleet/examples/access.rs
+++ b/crates/tansyknot-fleet/examples/access.rs
@@ -1,19 +1,23 @@
-//! Times what telling a caller's team costs, with keys that hold and with wrong ones, for
-//! docs/CAPACITY.md.
+//! Times what telling a caller's team costs, with keys that hold and with wrong ones, and what a daemon's
+//! question costs the planner, for docs/CAPACITY.md.
 
 use std::{
     hint::black_box,
     time::{Duration, Instant},
 };
 
-use tansyknot_core::{clock::Time, key, key::KeyDigest};
+use tansyknot_core::{clock::Time, key, key::KeyDigest, name::TeamName};
 use tansyknot_fleet::access::{
-    self, Claim,
-    team::{Team, TeamEntry, Teams},
+    self, AccessOptions, Claim,
+    lending::Books,
+    message::TeamUse,
+    team::{Quota, Team, TeamEntry, Teams, Unit},
     view::{KeyView, ViewOptions},
 };
 
 const ROUNDS: u32 = 100_000;
+/// Teams of the users' deployment.
+const TEAMS: u32 = 16;
 
 fn main() {
     println!("what ns");
@@ -31,6 +35,35 @@
             println!("{what}_among_{keys} {}", nanos(judge));
         }
     }
+    for daemons in [71, 340] {
+        println!("question_of_{daemons} {}", question(daemons));
+    }
+}
+
+/// Returns the mean time that a planner of so many daemons takes for one's question, in nanoseconds.
+fn question(daemons: u32) -> u128 {
+    let quota = Quota { unit: Unit::Tokens, rate: 1e5, burst: 1e5, plain: 200.0 };
+    let name = |n: u32| TeamName::new(format!("team{n}"));
+    let entry = |n| TeamEntry {
+        team: Team { name: name(n), priority: None, quota: Some(quota) },
+        keys: Vec::new(),
+    };
+    let teams = Teams::new((0..TEAMS).map(entry).collect()).expect("the teams are proper");
+    let uses = |n| TeamUse { team: name(n), per_s: 900, again: 0, lent: 0, back: Vec::new() };
+    let uses: Vec<TeamUse> = (0..TEAMS).map(uses).collect();
+    let (options, now) = (AccessOptions::default(), Time::from_millis(100_000));
+    let mut books = Books::default();
+    books.begin(1, now);
+    books.keep(&teams, &options, now);
+    let mut round = |n: u32| {
+        let from = ([10, 0, (n / 250) as u8, (n % 250) as u8], 7000).into();
+        books.hear(from, &uses, &teams, &options, now);
+        black_box(books.lend(from, &teams, now));
+    };
+    (0..daemons).for_each(&mut round);
+    let began = Instant::now();
+    (0..ROUNDS / 10).for_each(|n| round(n % daemons));
+    began.elapsed().as_nanos() / u128::from(ROUNDS / 10)
 }
 
 fn teams(keys: u32) -> Teams {
--- a/crates/tansyknot-fleet/src/access/account.rs
+++ b/crates/tansyknot-fleet/src/access/account.rs
@@ -55,6 +55,8 @@
 #[derive(Clone, Debug)]
 pub struct Account {
     quota: Quota,
+    /// What it holds at most.
+    most: f64,
     window: Duration,
     opened: Time,
     /// The time of the last step that is not remembered, and what was left then.
@@ -70,16 +72,24 @@
     /// Opens an account at `now`.
     pub fn open(quota: Quota, options: &AccessOptions, now: Time) -> Self {
         let left = (beyond(&quota, options) * OPENING).min(quota.burst);
-        let quota = Quota { burst: quota.burst + options.slack * HEADROOM, ..quota };
-        let (window, steps) = (options.window, VecDeque::new());
-        Self { quota, window, opened: now, since: now, left, steps, refused: 0.0, refused_at: now }
+        Self {
+            quota,
+            most: quota.burst + options.slack * HEADROOM,
+            window: options.window,
+            opened: now,
+            since: now,
+            left,
+            steps: VecDeque::new(),
+            refused: 0.0,
+            refused_at: now,
+        }
     }
 
     /// Goes on with another quota: what is left stays, as far as it may.
     pub fn set_quota(&mut self, quota: Quota, options: &AccessOptions, now: Time) {
-        let new = Self::open(quota, options, now);
-        if self.quota != new.quota {
-            let left = self.left(now).clamp(0.0, new.quota.burst);
+        if self.quota != quota {
+            let new = Self::open(quota, options, now);
+            let left = self.left(now).clamp(0.0, new.most);
             *self = Self { left, opened: self.opened, ..new };
         }
     }
@@ -93,7 +103,7 @@
     }
 
     fn filled(&self, left: f64, span: Duration) -> f64 {
-        (left + self.quota.rate * span.as_secs_f64()).min(self.quota.burst)
+        (left + self.quota.rate * span.as_secs_f64()).min(self.most)
     }
 
     /// Takes `units`. What is more than the burst can't be saved up, and is taken once the account is
@@ -101,10 +111,10 @@
     /// long as it says.
     pub fn take(&mut self, units: f64, now: Time) -> Outcome {
         self.forget(now);
-        if units > self.quota.rate * self.window.as_secs_f64() + self.quota.burst {
+        if units > self.quota.rate * self.window.as_secs_f64() + self.most {
             return Outcome::Over(WAIT_MOST);
         }
-        let lacking = units.min(self.quota.burst) - self.left(now);
+        let lacking = units.min(self.most) - self.left(now);
         if lacking <= 0.0 {
             self.charge(units, now);
             return Outcome::Taken;
--- a/crates/tansyknot-fleet/src/access/lending.rs
+++ b/crates/tansyknot-fleet/src/access/lending.rs
@@ -8,13 +8,10 @@
     AccessOptions,
     account::{Account, Outcome},
     message::{Lent, TeamUse, Verdict},
-    share,
+    share::{LIFE, SILENT_AFTER},
     team::Teams,
 };
 
-/// A daemon that has not been heard for so long may use its shares; what it uses is put down to the
-/// accounts as long as these live.
-const SILENT_AFTER: Duration = Duration::from_millis(700);
 /// The share of a quota that is lent: the rest is for what shares have saved up, and for daemons that
 /// hear of the next planner later than others.
 const LENT: f64 = 0.65;
@@ -73,6 +70,8 @@
     kept: Time,
     accounts: HashMap<TeamName, Account>,
     borrowers: HashMap<SocketAddr, Borrower>,
+    /// What all borrowers use, in units a second.
+    used: HashMap<TeamName, f64>,
     answers: HashMap<(SocketAddr, u32), (Verdict, Time)>,
     tallies: HashMap<TeamName, Tally>,
 }
@@ -157,8 +156,15 @@
     ) {
         let borrower = self.borrowers.entry(from).or_default();
         (borrower.heard, borrower.charged) = (now, now);
+        for (team, per_s) in borrower.uses.drain() {
+            *self.used.entry(team).or_default() -= per_s;
+        }
+        for item in uses {
+            let per_s = f64::from(item.per_s);
+            borrower.uses.insert(item.team.clone(), per_s);
+            *self.used.entry(item.team.clone()).or_default() += per_s;
+        }
         let is_settled = now.since(self.opened) >= SETTLED_AFTER;
-        borrower.uses = uses.iter().map(|u| (u.team.clone(), f64::from(u.per_s))).collect();
         for item in uses {
             let Some(account) = self.account(&item.team, teams, options, now) else { continue };
             account.charge(f64::from(item.again), now);
@@ -179,7 +185,7 @@
         let Some(borrower) = self.borrowers.get(&to) else { return Vec::new() };
         let lent = |team: &TeamName, own: f64| {
             let rate = teams.quota(team)?.rate * LENT;
-            let all: f64 = self.borrowers.values().filter_map(|b| b.uses.get(team)).sum();
+            let all = self.used.get(team).copied().unwrap_or(0.0);
             let by_use = if all > 0.0 { own / all } else { 0.0 };
             Some((team.clone(), rate * (ALIKE / count + (1.0 - ALIKE) * by_use)))
         };
@@ -213,7 +219,7 @@
             if now.since(b.heard) < SILENT_AFTER {
                 continue;
             }
-            let until = now.min(b.heard + SILENT_AFTER + share::LIFE);
+            let until = now.min(b.heard + SILENT_AFTER + LIFE);
             let span = until.since(b.charged).as_secs_f64();
             b.charged = b.charged.max(until);
             used.extend(b.lent.iter().map(|(team, rate)| (team.clone(), rate * span)));
@@ -223,7 +229,11 @@
                 account.charge(units, now);
             }
         }
-        self.borrowers.retain(|_, b| now.since(b.heard) < SILENT_AFTER + share::LIFE);
+        self.borrowers.retain(|_, b| now.since(b.heard) < SILENT_AFTER + LIFE);
+        self.used.clear();
+        for (team, per_s) in self.borrowers.values().flat_map(|b| &b.uses) {
+            *self.used.entry(team.clone()).or_default() += per_s;
+        }
     }
 
     /// Returns what the accounts have left.
--- a/crates/tansyknot-fleet/src/access/pending.rs
+++ b/crates/tansyknot-fleet/src/access/pending.rs
@@ -6,7 +6,7 @@
 
 use super::{
     message::{Back, Lent, Question, Stamp, TeamUse, Verdict},
-    share::{self, Share},
+    share::Share,
 };
 
 /// How fast the rate that requests ask for follows them.
@@ -42,6 +42,17 @@
         self.per_s * (-now.since(self.at).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
     }
 
+    /// Returns what the planner is told, and takes it for told.
+    fn tell(&mut self, team: &TeamName, now: Time) -> TeamUse {
+        TeamUse {
+            team: team.clone(),
+            per_s: self.rate(now) as u32,
+            again: std::mem::take(&mut self.again) as u32,
+            lent: std::mem::take(&mut self.lent) as u32,
+            back: self.back.drain(..).map(|(units, taken)| back(units, now.since(taken))).collect(),
+        }
+    }
+
     fn asked(&mut self, units: f64, now: Time) {
         self.per_s = self.rate(now) + units / RATE_SPAN.as_secs_f64();
         self.at = now;
@@ -154,18 +165,11 @@
 
     /// Returns the question of a beat, and takes what it says for told.
     pub fn question(&mut self, now: Time) -> Question {
-        let is_over = |u: &Use| now.since(u.at) >= FORGOTTEN_AFTER.max(share::LIFE);
-        self.uses.retain(|_, u| !is_over(u));
-        let uses = self.uses.iter_mut().map(|(team, u)| TeamUse {
-            team: team.clone(),
-            per_s: u.rate(now) as u32,
-            again: std::mem::take(&mut u.again) as u32,
-            lent: std::mem::take(&mut u.lent) as u32,
-            back: std::mem::take(&mut u.back).into_iter().map(|b| told(b, now)).collect(),
-        });
-        let mut uses: Vec<TeamUse> = uses.collect();
-        uses.sort_by_key(|u| std::cmp::Reverse(u.per_s));
-        uses.truncate(TEAMS_MOST);
+        self.uses.retain(|_, u| now.since(u.at) < FORGOTTEN_AFTER);
+        let mut most_used: Vec<(&TeamName, &mut Use)> = self.uses.iter_mut().collect();
+        most_used.sort_by(|(_, a), (_, b)| b.rate(now).total_cmp(&a.rate(now)));
+        let told = most_used.into_iter().take(TEAMS_MOST).map(|(team, u)| u.tell(team, now));
+        let uses = told.collect();
         Question { stamp: Stamp { run: self.run, us: now.as_micros() }, uses }
     }
 
@@ -174,6 +178,6 @@
     }
 }
 
-fn told((units, taken): (f64, Time), now: Time) -> Back {
-    Back { units: units as u32, age_ms: now.since(taken).as_millis() as u32 }
+fn back(units: f64, age: Duration) -> Back {
+    Back { units: units as u32, age_ms: age.as_millis() as u32 }
 }
--- a/crates/tansyknot-fleet/src/access/share.rs
+++ b/crates/tansyknot-fleet/src/access/share.rs
@@ -4,6 +4,9 @@
 
 use tansyknot_core::clock::Time;
 
+/// A planner that has been silent for so long is not waited for before a share is used, and puts what a
+/// daemon may use down from then on.
+pub const SILENT_AFTER: Duration = Duration::from_millis(700);
 /// How long a share may be used, from when the daemon asked for it: a planner that is lost is replaced
 /// within this span.
 pub const LIFE: Duration = Duration::from_millis(2300);
--- a/crates/tansyknot-fleet/src/access/team.rs
+++ b/crates/tansyknot-fleet/src/access/team.rs
@@ -1,6 +1,6 @@
 //! Teams, their keys and their quotas, as the operators wrote them.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::HashMap, sync::Arc};
 
 use tansyknot_core::{
     key::{KeyDigest, Keyring},
@@ -82,7 +82,7 @@
 /// The teams of one version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Teams {
-    teams: Vec<Arc<Team>>,
+    by_name: HashMap<TeamName, Arc<Team>>,
     ring: Keyring<Arc<Team>>,
 }
 
@@ -94,13 +94,9 @@
     /// Fails if a name or key is there twice, a key is empty, or a quota is malformed.
     pub fn new(entries: Vec<TeamEntry>) -> Result<Self, TeamsError> {
         let mut all = Self::default();
-        let mut names = BTreeSet::new();
         let empty = KeyDigest::of("");
         for TeamEntry { team, keys } in entries {
             let name = team.name.clone();
-            if !names.insert(name.clone()) {
-                return Err(TeamsError::NameTwice(name));
-            }
             let numbers = team.quota.map(|q| [q.rate, q.burst, q.plain]);
             if numbers.is_some_and(|all| all.iter().any(|n| !n.is_finite() || *n < 0.0)) {
                 return Err(TeamsError::BadQuota(name));
@@ -114,7 +110,9 @@
                     return Err(TeamsError::KeyTwice(name, other.name.clone()));
                 }
             }
-            all.teams.push(team);
+            if all.by_name.insert(name.clone(), team).is_some() {
+                return Err(TeamsError::NameTwice(name));
+            }
         }
         Ok(all)
     }
@@ -126,11 +124,11 @@
 
     /// Returns all teams.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Team>> {
-        self.teams.iter()
+        self.by_name.values()
     }
 
     /// Returns the quota of a team, if it is there and has one.
     pub fn quota(&self, team: &TeamName) -> Option<Quota> {
-        self.teams.iter().find(|t| t.name == *team)?.quota
+        self.by_name.get(team)?.quota
     }
 }
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -10,6 +10,7 @@
         Quotas, Ruling,
         lending::Asked,
         message::{Answer, Question, Take, Taken, Verdict},
+        share::SILENT_AFTER,
         team::Teams,
     },
     catalog::Catalog,
@@ -20,8 +21,6 @@
 /// small host may be late by tens.
 pub const ANSWER_WITHIN: Duration = Duration::from_millis(100);
 
-/// A planner that has answered no question of so long ago is not waited for before a share is used.
-pub const SILENT_AFTER: Duration = Duration::from_millis(700);
 /// A planner that is lost is replaced by then. A daemon that nobody answers for longer is cut off, and
 /// others can serve its requests.
 pub const CUT_OFF_AFTER: Duration = Duration::from_millis(3300);
@@ -32,7 +31,7 @@
 impl Conductor {
     /// Tells the planner what this daemon uses of quotas, and asks how old the view of the keys is.
     pub(super) fn ask_planner(&self, now: Time) {
-        if !self.has_teams() {
+        if !self.state.needs_keys() {
             return;
         }
         let question = self.state.pending().question(now);
@@ -51,10 +50,6 @@
         if self.lease.is_valid(now) { self.books().left(now) } else { Vec::new() }
     }
 
-    fn has_teams(&self) -> bool {
-        self.state.catalog().is_some_and(|c| c.teams.is_some())
-    }
-
     /// Returns where the planner hears, if it is another daemon.
     fn planner_elsewhere(&self) -> Option<SocketAddr> {
         let (daemon, address) = self.lease.planner()?;
--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -51,8 +51,7 @@
     /// it has told is so much fresher, and hundreds of daemons need not ask before the next one tells
     /// them (275 calls of 294 daemons on one such loss without it).
     fn wait(&mut self) -> Duration {
-        let has_teams = self.state.catalog().is_some_and(|c| c.teams.is_some());
-        let most = if has_teams { KEYS_WAIT } else { Duration::MAX };
+        let most = if self.state.needs_keys() { KEYS_WAIT } else { Duration::MAX };
         let wait = self.state.spans.config_wait.min(most);
         match std::mem::take(&mut self.is_hasty) {
             true => Duration::ZERO,
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -241,17 +241,25 @@
 
     /// Tells whether this daemon can tell which keys hold, if requests need one.
     pub fn knows_keys(&self) -> bool {
-        let Some(catalog) = self.catalog().filter(|c| c.teams.is_some()) else { return true };
-        self.key_view().age(catalog.version, self.now()) <= self.access.view.good_for
+        self.keys_age().is_none_or(|age| age <= self.access.view.good_for)
     }
 
     /// Returns how long the view of the keys is fresh enough without a call.
     pub fn keys_fresh_for(&self) -> Duration {
-        let Some(catalog) = self.catalog().filter(|c| c.teams.is_some()) else {
-            return Duration::MAX;
-        };
-        let age = self.key_view().age(catalog.version, self.now());
-        self.access.view.ask_after().saturating_sub(age)
+        let left = |age| self.access.view.ask_after().saturating_sub(age);
+        self.keys_age().map_or(Duration::MAX, left)
+    }
+
+    /// Tells whether requests need keys, as far as is known.
+    pub fn needs_keys(&self) -> bool {
+        self.catalog().is_some_and(|c| c.teams.is_some())
+    }
+
+    /// Returns how old the view of the keys is, if requests need any.
+    fn keys_age(&self) -> Option<Duration> {
+        let (catalog, view) = self.in_force();
+        let catalog = catalog.filter(|c| c.teams.is_some())?;
+        Some(view.age(catalog.version, self.now()))
     }
 
     /// Begins a trial of a convicted request, if it falls to this daemon and there may be one.
--- a/crates/tansyknot-fleet/tests/support/teams.rs
+++ b/crates/tansyknot-fleet/tests/support/teams.rs
@@ -9,12 +9,12 @@
     access::{
         self, AccessOptions, Claim, Denied,
         message::Verdict,
-        share,
+        share::{self, SILENT_AFTER},
         team::{Quota, Team, TeamEntry, Teams, Unit},
         view::ViewOptions,
     },
     catalog::Catalog,
-    conduct::quota::{ANSWER_WITHIN, CUT_OFF_AFTER, SILENT_AFTER},
+    conduct::quota::{ANSWER_WITHIN, CUT_OFF_AFTER},
 };
 
 use super::network::Network;
