Daemons that fail in searches stand once

Cause: two searches had the same code for daemons that start again, freeze and lose the store, and two process tests the same small configuration.

Change: tests/support/hosts.rs and Configuration::plain.

--- a/crates/tansyknot-fleet/tests/support/crashes.rs
+++ b/crates/tansyknot-fleet/tests/support/crashes.rs
@@ -14,7 +14,7 @@
     key::{RequestKey, RunKey},
 };
 
-use super::network::Network;
+use super::{hosts::Hosts, network::Network};
 
 /// How often the model looks at everything; a datagram takes as long.
 const STEP: Duration = Duration::from_millis(5);
@@ -121,9 +121,7 @@
     targets: Vec<Target>,
     under_way: Vec<Sent>,
     stories: BTreeMap<RequestKey, Story>,
-    epochs: Vec<u64>,
-    disturbed: Vec<Time>,
-    cut_until: Vec<Time>,
+    hosts: Hosts,
     runs: u64,
     /// Poison requests whose third crash all should know of by then.
     due: Vec<(Time, RequestKey)>,
@@ -147,9 +145,7 @@
             targets: (0..TARGETS as u64).map(target).collect(),
             under_way: Vec::new(),
             stories: (0..troubles.poisons).map(key).collect(),
-            epochs: vec![0; daemons],
-            disturbed: vec![Time::default(); daemons],
-            cut_until: vec![Time::default(); daemons],
+            hosts: Hosts::new(daemons),
             runs: TARGETS as u64,
             due: Vec::new(),
             outcome: Outcome::default(),
@@ -195,35 +191,18 @@
             self.reset(now);
         }
         if self.happens(self.troubles.daemons) {
-            self.disturb_daemon(now);
+            self.disturb_daemon();
         }
         if self.happens(self.troubles.herds) {
-            (0..self.epochs.len()).for_each(|n| self.restart(n, now));
+            self.hosts.restart_all(&mut self.network);
         }
-        for n in 0..self.epochs.len() {
-            self.network.nodes[n].cut(now < self.cut_until[n]);
-        }
-    }
-
-    fn disturb_daemon(&mut self, now: Time) {
-        let planner = self.network.planner().map(|p| p.address);
-        let all = self.epochs.len();
-        let is_planner = |n: &usize| Some(self.network.nodes[*n].address) == planner;
-        let of_planner = (0..all).find(is_planner).filter(|_| self.rng.random_bool(0.5));
-        let n = of_planner.unwrap_or_else(|| self.rng.random_range(0..all));
-        let until = now + self.span(200..4_000);
-        match self.rng.random_range(0..3) {
-            0 => return self.restart(n, now),
-            1 => self.network.nodes[n].frozen_until = until,
-            _ => self.cut_until[n] = until,
-        }
-        self.disturbed[n] = self.disturbed[n].max(until);
+        self.hosts.cut(Time::default(), &self.network);
     }
 
-    fn restart(&mut self, n: usize, now: Time) {
-        self.network.restart(n);
-        self.epochs[n] += 1;
-        self.disturbed[n] = self.disturbed[n].max(now);
+    fn disturb_daemon(&mut self) {
+        let planner = self.hosts.planner(&self.network).filter(|_| self.rng.random_bool(0.5));
+        let n = planner.unwrap_or_else(|| self.rng.random_range(0..self.hosts.len()));
+        self.hosts.disturb(n, 200..4_000, &mut self.network, &mut self.rng);
     }
 
     /// Ends a target: what it has is cut off, and another run has its place some seconds later.
@@ -252,7 +231,7 @@
     /// Has the daemon of a request see that its target has cut it off, and send it elsewhere.
     fn cut_off(&mut self, sent: Sent, run: u64, presence: Presence, now: Time) {
         let node = &self.network.nodes[sent.daemon];
-        if self.epochs[sent.daemon] != sent.epoch {
+        if self.hosts.epoch(sent.daemon) != sent.epoch {
             return;
         }
         {
@@ -293,7 +272,7 @@
             let node = &self.network.nodes[*n];
             node.takes_requests && node.runs_at(now)
         };
-        let taking: Vec<usize> = (0..self.epochs.len()).filter(takes).collect();
+        let taking: Vec<usize> = (0..self.hosts.len()).filter(takes).collect();
         let Some(daemon) = taking.into_iter().choose(&mut self.rng) else { return };
         let state = &self.network.nodes[daemon].state;
         let is_convicted = state.poison().is_convicted(key);
@@ -320,10 +299,10 @@
         let is_poison = key.0 >= POISON;
         let takes = if is_poison { self.span(10..80) } else { self.span(50..2_000) };
         if let Some(story) = self.stories.get_mut(&key) {
-            let is_bound = now.since(self.disturbed[daemon]) >= CONTACT;
+            let is_bound = self.hosts.is_sound(daemon, CONTACT, now);
             story.sends.push((now, is_bound));
         }
-        let (epoch, run) = (self.epochs[daemon], self.targets[target].run);
+        let (epoch, run) = (self.hosts.epoch(daemon), self.targets[target].run);
         let ends = now + takes;
         self.under_way.push(Sent { daemon, epoch, key, target, run, opened: now, ends, sends });
     }
@@ -343,7 +322,7 @@
                 continue;
             }
             let node = &self.network.nodes[sent.daemon];
-            if self.epochs[sent.daemon] == sent.epoch && node.runs_at(now) {
+            if self.hosts.epoch(sent.daemon) == sent.epoch && node.runs_at(now) {
                 node.state.poison().answered(sent.key, RunKey(sent.run), sent.opened, now);
             }
         }
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod calls;
 pub(crate) mod crashes;
 pub(crate) mod engine;
+pub(crate) mod hosts;
 pub(crate) mod network;
 pub(crate) mod planner;
 pub(crate) mod simulation;
--- a/crates/tansyknot-fleet/tests/support/teams.rs
+++ b/crates/tansyknot-fleet/tests/support/teams.rs
@@ -17,7 +17,7 @@
     conduct::quota::{ANSWER_WITHIN, CUT_OFF_AFTER},
 };
 
-use super::network::Network;
+use super::{hosts::Hosts, network::Network};
 
 const STEP: Duration = Duration::from_millis(5);
 /// A key that was taken away is good nowhere after this.
@@ -128,9 +128,7 @@
     keys: Vec<Key>,
     ledgers: Vec<Ledger>,
     waiting: Vec<Waiting>,
-    epochs: Vec<u64>,
-    disturbed: Vec<Time>,
-    cut_until: Vec<Time>,
+    hosts: Hosts,
     store_until: Time,
     version: u64,
     outcome: Outcome,
@@ -163,9 +161,7 @@
             keys: Vec::new(),
             ledgers: RATES.iter().map(ledger).collect(),
             waiting: Vec::new(),
-            epochs: vec![0; daemons],
-            disturbed: vec![now; daemons],
-            cut_until: vec![Time::default(); daemons],
+            hosts: Hosts::new(daemons),
             store_until: Time::default(),
             version: 1,
             outcome: Outcome::default(),
@@ -253,48 +249,32 @@
 
     fn disturb(&mut self) {
         let now = self.now();
-        let all = self.epochs.len();
+        let all = self.hosts.len();
         if self.happens(self.faults.daemons) {
             let n = self.rng.random_range(0..all);
-            self.disturb_daemon(n, now);
+            self.disturb_daemon(n);
         }
-        if self.happens(self.faults.planner) {
-            let planner = self.network.planner().map(|p| p.address);
-            let of = |n: &usize| Some(self.network.nodes[*n].address) == planner;
-            if let Some(n) = (0..all).find(of) {
-                self.disturb_daemon(n, now);
-            }
+        if self.happens(self.faults.planner)
+            && let Some(n) = self.hosts.planner(&self.network)
+        {
+            self.disturb_daemon(n);
         }
         if self.happens(self.faults.herds) {
-            (0..all).for_each(|n| self.restart(n, now));
+            self.hosts.restart_all(&mut self.network);
         }
         if self.happens(self.faults.store) {
             self.store_until = now + Duration::from_millis(self.rng.random_range(1_000..7_000));
-            (0..all).for_each(|n| self.disturbed[n] = self.disturbed[n].max(self.store_until));
-        }
-        for n in 0..all {
-            self.network.nodes[n].cut(now < self.cut_until[n].max(self.store_until));
-        }
-    }
-
-    fn disturb_daemon(&mut self, n: usize, now: Time) {
-        let until = now + Duration::from_millis(self.rng.random_range(200..9_000));
-        match self.rng.random_range(0..3) {
-            0 => return self.restart(n, now),
-            1 => self.network.nodes[n].frozen_until = until,
-            _ => self.cut_until[n] = until,
+            (0..all).for_each(|n| self.hosts.disturbed_until(n, self.store_until));
         }
-        self.disturbed[n] = self.disturbed[n].max(until);
+        self.hosts.cut(self.store_until, &self.network);
     }
 
-    fn restart(&mut self, n: usize, now: Time) {
-        self.network.restart(n);
-        self.epochs[n] += 1;
-        self.disturbed[n] = self.disturbed[n].max(now);
+    fn disturb_daemon(&mut self, n: usize) {
+        self.hosts.disturb(n, 200..9_000, &mut self.network, &mut self.rng);
     }
 
     fn is_bound(&self, n: usize, now: Time) -> bool {
-        now.since(self.disturbed[n]) >= CONTACT && now >= self.disturbed[n]
+        self.hosts.is_sound(n, CONTACT, now)
     }
 
     /// Has requests arrive at daemons, with keys that hold and with others.
@@ -314,7 +294,7 @@
 
     fn arrive(&mut self, team: usize) {
         let now = self.now();
-        let daemon = self.rng.random_range(0..self.epochs.len());
+        let daemon = self.rng.random_range(0..self.hosts.len());
         if !self.network.nodes[daemon].runs_at(now) {
             return;
         }
@@ -378,7 +358,7 @@
             true => None,
             false => node.conductor.send_take(number, &name(team), units),
         };
-        let epoch = self.epochs[daemon];
+        let epoch = self.hosts.epoch(daemon);
         let waiting = Waiting {
             daemon,
             epoch,
@@ -401,7 +381,7 @@
     fn go_on(&mut self) {
         let now = self.now();
         for mut w in std::mem::take(&mut self.waiting) {
-            if self.epochs[w.daemon] != w.epoch {
+            if self.hosts.epoch(w.daemon) != w.epoch {
                 continue;
             }
             let node = &self.network.nodes[w.daemon];
--- a/crates/tansyknotd/tests/keys.rs
+++ b/crates/tansyknotd/tests/keys.rs
@@ -17,17 +17,9 @@
 };
 
 const SECRET: &str = "sesame";
-const CONFIGURATION: Configuration = Configuration {
-    version: 1,
-    timeout_ms: 2_000,
-    objective_ms: 300,
-    gap_ms: 300,
-    models_at_once: 1,
-    models: 1,
-};
 
 fn write(store: &Store, version: u64, keys: serde_json::Value) {
-    let mut doc = Configuration { version, ..CONFIGURATION }.document();
+    let mut doc = Configuration::plain(version).document();
     doc["tenants"] = json!([{ "name": "alpha", "api-keys": keys, "rate-per-s": 1, "burst": 2 }]);
     store.put("op", "config", &doc);
 }
--- a/crates/tansyknotd/tests/poison.rs
+++ b/crates/tansyknotd/tests/poison.rs
@@ -53,15 +53,7 @@
 impl World {
     fn start(name: &str, ending: Ending) -> Self {
         let store = Store::new();
-        let configuration = Configuration {
-            version: 1,
-            timeout_ms: 2_000,
-            objective_ms: 300,
-            gap_ms: 300,
-            models_at_once: 1,
-            models: 1,
-        };
-        configuration.write(&store);
+        Configuration::plain(1).write(&store);
         let record = Arc::new(Record::of(ending));
         (0..TARGETS).for_each(|_| crash::start(&store, &record));
         let mut world = Self { store, record, daemons: Vec::new(), sent: 0 };
