--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -131,6 +131,11 @@
         self.doubts.place(run, place);
     }
 
+    /// Tells whether a target may have ended, as far as is known.
+    pub fn is_doubted(&self, run: RunKey) -> bool {
+        self.doubts.is_open(run)
+    }
+
     /// Tells whether there are targets to look at again.
     pub fn has_doubts(&self) -> bool {
         self.doubts.has_kept()
--- a/crates/tansyknot-fleet/src/poison/doubt.rs
+++ b/crates/tansyknot-fleet/src/poison/doubt.rs
@@ -144,6 +144,11 @@
         look
     }
 
+    /// Tells whether a target is doubted.
+    pub(super) fn is_open(&self, run: RunKey) -> bool {
+        self.open.contains_key(&run)
+    }
+
     /// Tells whether a request's thread looks at a target.
     pub(super) fn is_looked_at(&self, run: RunKey) -> bool {
         self.open.get(&run).is_some_and(|doubt| doubt.is_looked_at)
--- a/crates/tansyknot-fleet/src/poison/served.rs
+++ b/crates/tansyknot-fleet/src/poison/served.rs
@@ -8,8 +8,7 @@
 
 /// A request that was answered as a whole this long ago is innocent of what happens now: a target
 /// was killed, or its rack, while it had one that comes again and again. A request that begins to be
-/// harmful is known that much later. Of 126,000 polls while one of eight targets was killed each third
-/// of a second, 145 were rejected with 2 s, 26 with 3 s and none with 5 s (`crashes.rs`).
+/// harmful is known that much later.
 pub(super) const INNOCENT_SPAN: Duration = Duration::from_secs(5);
 /// Requests that are remembered at least, some 40 bytes each, and twice as many at most: 400 a second
 /// of one daemon, more than any of the users' hosts has.
--- a/crates/tansyknot-fleet/src/poison/trial.rs
+++ b/crates/tansyknot-fleet/src/poison/trial.rs
@@ -10,9 +10,9 @@
 use super::key::RequestKey;
 
 /// A request is tried this long after its conviction: what crashed the targets, if it was something
-/// else, is over by then, and they are back, which takes 3 to 4 s on the users' sites. With 5 s after
-/// the last crash of any target none was tried for 27 s while one was killed each 5 s. A trial that came
-/// to nothing, as no target took it, may be made again after as long.
+/// else, is over by then, and they are back. It does not count from the last crash of any target, which
+/// may never be long ago. A trial that came to nothing, as no target took it, may be made again after as
+/// long.
 const TRIED_AFTER: Duration = Duration::from_secs(5);
 /// Trials of one request by one daemon. The users allow three sends after the third crash.
 const TRIALS_MOST: u32 = 2;
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -68,7 +68,11 @@
 
     /// Takes in that another run is at a target's address: what it cut off may have been its end.
     pub(super) fn is_succeeded(&self, target: &Target) {
-        self.take_look(target, RunKey::of(target), Presence::Gone);
+        let run = RunKey::of(target);
+        let is_doubted = self.state.poison().is_doubted(run);
+        if is_doubted {
+            self.take_look(target, run, Presence::Gone);
+        }
     }
 
     fn await_look(&self, key: RunKey) {
