--- a/crates/tansyknot-fleet/tests/teams.rs
+++ b/crates/tansyknot-fleet/tests/teams.rs
@@ -90,3 +90,11 @@
     assert!(share <= most, "{share:.4} refused");
     assert_eq!(outcome.key_refused, 0, "of {}", outcome.keyed);
 }
+
+// A team sends 7.5 times its usual while one of 71 daemons fails each two seconds, and the planner each
+// ten; a datagram in twenty is lost. One window lets through 3 in 100 more than it may.
+#[test]
+fn quota_holds_while_daemons_fail_and_a_team_is_hot() {
+    let outcome = TeamRun::new(8, MANY, DAEMONS, HOT).run(SHORT_SPAN);
+    assert!(outcome.fullest <= 1.0, "a window had {:.3} of what it may", outcome.fullest);
+}
