What targets say of themselves is read, logged and counted, not obeyed yet

Whose word it is: an answer counts if it echoes the request's identifier and, for a 421 or where it names an instance, names the target.

No choice of a target depends on it yet.

--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -74,6 +74,8 @@
     SENDS_AGAIN = "sends_again", Counter, "route", "Sends of requests beyond the first.";
     CUT_OFF = "cut_off", Counter, "service", "Sends whose target closed or reset the connection before its whole answer.";
     CRASHED = "crashed", Counter, "service", "Targets that this daemon has seen end while they had requests.";
+    SIGNALS = "signals", Counter, "signal", "Words of targets of themselves that changed what this daemon knows: limit, leaving, rest.";
+    SIGNALS_MALFORMED = "signals_malformed", Counter, "signal", "Words of targets of themselves that can't be read.";
     ORDERS = "orders", Counter, "service", "Orders that targets accepted.";
     ORDERS_FAILED = "orders_failed", Counter, "service", "Tasks that stopped before their last order was done.";
     LOAD = "load", Spans, "service", "From a load's acceptance to its being there.";
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 pub mod list;
 mod member;
 mod pick;
+mod signal;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -18,6 +19,7 @@
 };
 
 use crate::{
+    backpressure::words::Words,
     dissemination::{
         changes::ChangeLog,
         message::{Coming, InFlight, ModelUse, TargetLoad, TargetNote},
@@ -104,6 +106,8 @@
     coming: HashMap<(ServiceName, ModelName), Time>,
     /// The most daemons that the planner has counted.
     daemons: usize,
+    /// What targets have said of themselves.
+    words: Words,
     /// What the other daemons are told if this one is the planner.
     pub log: ChangeLog,
 }
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod access;
 pub mod backoff;
+pub mod backpressure;
 pub mod budget;
 pub mod catalog;
 pub mod conduct;
--- a/crates/tansyknot-fleet/src/outside.rs
+++ b/crates/tansyknot-fleet/src/outside.rs
@@ -14,6 +14,7 @@
 use tansyknot_http::head::Head;
 
 use crate::{
+    backpressure::Signals,
     catalog::Catalog,
     target::{Removal, Report, Target},
 };
@@ -273,6 +274,16 @@
         headers: &[(String, String)],
     ) -> Verdict;
 
+    /// Reads what an answer to the request `id` says of `target` itself; `None` if it need not be an
+    /// answer of `target` to that request.
+    fn signals(
+        &self,
+        id: &str,
+        target: &TargetName,
+        status: u16,
+        headers: &[(String, String)],
+    ) -> Option<Signals>;
+
     /// Returns the header lines of a refusal.
     fn refusal(&self, id: &str, retry_after: Option<Duration>) -> Vec<(String, String)>;
 }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -6,6 +6,7 @@
 mod handover;
 mod run;
 mod sample;
+mod signal;
 mod wait;
 
 use std::{io, net::TcpStream, sync::Arc, time::Duration};
@@ -51,6 +52,7 @@
     recorder: Arc<dyn Recorder>,
     lifecycle: Arc<Lifecycle>,
     floods: Sample,
+    malformed: Sample,
 }
 
 impl Server {
@@ -62,7 +64,8 @@
         recorder: Arc<dyn Recorder>,
         lifecycle: Arc<Lifecycle>,
     ) -> Self {
-        Self { state, dialect, quotas, recorder, lifecycle, floods: Sample::default() }
+        let (floods, malformed) = (Sample::default(), Sample::default());
+        Self { state, dialect, quotas, recorder, lifecycle, floods, malformed }
     }
 
     /// Finds where a request goes, and whose it is.
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use tansyknot_core::{clock::BootInstant, metric};
+use tansyknot_core::{
+    clock::{BootInstant, Time},
+    metric,
+};
 use tansyknot_http::respond::Whole;
 
 use super::{
@@ -43,7 +46,7 @@
             Ok(exchange) => {
                 run.note(format_args!("{} sent", target.name));
                 run.arrivals += 1;
-                self.answer(run, target, exchange)
+                self.answer(run, target, exchange, began)
             }
             Err(Failure::CallerLeft) => Sent::MayHaveRun(Failure::CallerLeft),
             Err(Failure::NotAllowed) => Sent::NotRun(NotRun::Rejected),
@@ -65,13 +68,18 @@
 
     /// Takes the answer of a target. Where the request may go elsewhere, a silent target is let
     /// go as soon as another one has a place.
-    fn answer(&self, run: &mut Run<'_>, target: &Target, exchange: Exchange<'_>) -> Sent {
-        let patience = self.patience(run);
+    fn answer(
+        &self,
+        run: &mut Run<'_>,
+        target: &Target,
+        exchange: Exchange<'_>,
+        began: Time,
+    ) -> Sent {
         if !may_go_elsewhere(run) {
-            return self.receive(run, target, exchange, patience);
+            return self.receive(run, target, exchange, began);
         }
         let handover = Handover::new(&self.state, run, target);
-        let sent = self.receive(run, target, exchange.decided_by(&handover), patience);
+        let sent = self.receive(run, target, exchange.decided_by(&handover), began);
         run.next = handover.into_next();
         sent
     }
@@ -103,8 +111,9 @@
         run: &mut Run<'_>,
         target: &Target,
         mut exchange: Exchange<'_>,
-        patience: Patience,
+        began: Time,
     ) -> Sent {
+        let patience = self.patience(run);
         let control = exchange.control();
         control.wait_until(patience.first);
         let head = match exchange.head() {
@@ -116,6 +125,7 @@
             }
         };
         let verdict = self.dialect.judge(&run.ask.id, &target.name, head.status, &head.headers);
+        self.heed(run, target, &head, verdict, began);
         match verdict {
             Verdict::Ran => {}
             Verdict::Foreign => {
--- /dev/null
+++ b/crates/tansyknot-fleet/src/serve/signal.rs
@@ -0,0 +1,62 @@
+//! Hearing what a target says of itself in the head of its answer.
+
+use tansyknot_core::{
+    clock::Time,
+    event, metric,
+    name::{ServiceName, TargetName},
+};
+
+use super::{Server, run::Run};
+use crate::{
+    backpressure::{Interval, Outcome, Signal, Signals, word::Change},
+    exchange::AnswerHead,
+    outside::Verdict,
+    target::Target,
+};
+
+impl Server {
+    /// Takes in what the answer to a request that was sent no earlier than `sent` says of its target.
+    pub(super) fn heed(
+        &self,
+        run: &Run<'_>,
+        target: &Target,
+        head: &AnswerHead,
+        verdict: Verdict,
+        sent: Time,
+    ) {
+        let signals = self.dialect.signals(&run.ask.id, &target.name, head.status, &head.headers);
+        let Some(signals) = signals else { return };
+        self.report_malformed(&target.name, &signals);
+        let outcome = match verdict {
+            Verdict::Ran => Outcome::Ran,
+            Verdict::NotRun | Verdict::Misdirected { .. } | Verdict::Foreign => Outcome::NotRun,
+        };
+        let at = Interval { sent, received: self.state.now() };
+        let changes = self.state.fleet().hear_signals(target, &signals, outcome, at);
+        changes.into_iter().for_each(|change| self.report(&target.name, change));
+    }
+
+    fn report(&self, target: &TargetName, change: Change) {
+        let (signal, what) = match change {
+            Change::Limited(rate) => (Signal::Limit, rate.to_string()),
+            Change::Unlimited => (Signal::Limit, "none".to_owned()),
+            Change::Leaves => (Signal::Leaving, "leaves".to_owned()),
+            Change::Rests(span) => (Signal::Rest, format!("{} ms", span.as_millis())),
+        };
+        self.recorder.count(metric::SIGNALS.name, &ServiceName::from(signal.name()), 1);
+        event::TARGET_SAYS.emit(&[("target", target), ("signal", &signal.name()), ("what", &what)]);
+    }
+
+    fn report_malformed(&self, target: &TargetName, signals: &Signals) {
+        for signal in signals.malformed() {
+            self.recorder.count(
+                metric::SIGNALS_MALFORMED.name,
+                &ServiceName::from(signal.name()),
+                1,
+            );
+            if self.malformed.admits(self.state.now()) {
+                event::TARGET_MALFORMED.emit(&[("target", target), ("signal", &signal.name())]);
+            }
+        }
+    }
+}
