--- a/crates/tansyknot-fleet/src/backpressure.rs
+++ b/crates/tansyknot-fleet/src/backpressure.rs
@@ -2,12 +2,18 @@
 //!
 //! Decided without threads or sockets. `serve` hears and obeys, `conduct` carries words between daemons.
 
+pub mod asks;
+pub mod desk;
+pub mod message;
 pub mod word;
 pub mod words;
 
 use std::{fmt, time::Duration};
 
 use tansyknot_core::clock::Time;
+use xxhash_rust::xxh3;
+
+use crate::poison::key::RunKey;
 
 /// The least limit that is kept to, in requests a second: a target that names less is asked now and then,
 /// as only its answers can end the limit.
@@ -101,6 +107,28 @@
     NotRun,
 }
 
+/// A request that asks whether it may go to a target that names a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct PermitRequest {
+    /// Names it in [`Asks`](asks::Asks), where the answer comes.
+    pub number: u32,
+    /// The run of the target.
+    pub run: RunKey,
+    /// Its rank; 0 goes first.
+    pub priority: u8,
+    /// How much longer it can wait.
+    pub left: Duration,
+}
+
+/// Asks whether requests may go to targets that name limits, over all daemons.
+pub trait Permits: Send + Sync {
+    /// Asks for a request, again or for the first time.
+    fn ask(&self, request: PermitRequest);
+
+    /// Says that a request that has asked does not wait any more.
+    fn end(&self, number: u32, run: RunKey);
+}
+
 /// When a request was sent and the head of its answer came: the target wrote it in between.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Interval {
@@ -109,3 +137,20 @@
     /// After the head of the answer had come.
     pub received: Time,
 }
+
+/// One answer, wherever it is known. What other daemons tell of it seems later than it was by what that
+/// takes on its way, so that it is told from a later answer by its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Names it.
+    pub id: u64,
+    /// When the target wrote it, by this daemon's clock.
+    pub at: Interval,
+}
+
+impl From<Interval> for Answer {
+    fn from(at: Interval) -> Self {
+        let times = [at.sent, at.received].map(|time| time.as_micros().to_le_bytes());
+        Self { id: xxh3::xxh3_64(times.as_flattened()), at }
+    }
+}
--- a/crates/tansyknot-fleet/src/backpressure/word.rs
+++ b/crates/tansyknot-fleet/src/backpressure/word.rs
@@ -4,18 +4,25 @@
 
 use tansyknot_core::clock::Time;
 
-use super::{Interval, Outcome, REST_MOST, Rate, Said, Signals};
+use super::{
+    Answer, Interval, Outcome, REST_MOST, Rate, Said, Signals,
+    message::{Ages, LimitWord, RunWord},
+};
+use crate::poison::key::RunKey;
 
 /// A target whose rest is over gets one request each so long, until it has answered one.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 
+/// Another daemon's word seems younger than it is by what it took on its way.
+const TRANSIT: Duration = Duration::from_millis(100);
+
 /// A limit, and the newest answer that names it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// How much the target takes.
     pub rate: Rate,
-    /// When it was named last.
-    pub named: Interval,
+    /// The answer that named it last.
+    pub named: Answer,
 }
 
 /// A rest that a target has asked for, until the target has answered a request that was sent after it.
@@ -57,7 +64,7 @@
 pub struct Word {
     limit: Option<Limit>,
     /// The answer that ended the last limit.
-    ended: Option<Interval>,
+    ended: Option<Answer>,
     is_leaving: bool,
     rest: Option<Rest>,
 }
@@ -67,8 +74,8 @@
     pub fn hear(&mut self, signals: &Signals, outcome: Outcome, at: Interval) -> Vec<Change> {
         let mut changes = Vec::new();
         changes.extend(match (signals.limit, outcome) {
-            (Said::Value(rate), _) => self.limit_named(rate, at),
-            (Said::Nothing, Outcome::Ran) => self.limit_ended(at),
+            (Said::Value(rate), _) => self.limit_named(rate, at.into()),
+            (Said::Nothing, Outcome::Ran) => self.limit_ended(at.into()),
             (Said::Nothing, Outcome::NotRun) | (Said::Malformed, _) => None,
         });
         changes.extend(matches!(signals.leaving, Said::Value(())).then(|| self.leave()).flatten());
@@ -79,14 +86,21 @@
         changes
     }
 
-    /// Takes in a limit. A higher one counts only if it is surely the newer word.
-    pub fn limit_named(&mut self, rate: Rate, at: Interval) -> Option<Change> {
+    /// Takes in a limit, unless it is surely older than what is known. A higher one counts only if it is
+    /// surely newer.
+    fn limit_named(&mut self, rate: Rate, answer: Answer) -> Option<Change> {
         let known = self.limit;
-        if known.is_some_and(|known| rate > known.rate && at.sent <= known.named.received) {
+        let newest = known.map(|known| known.named).or(self.ended);
+        let is_known = newest.is_some_and(|newest| newest.id == answer.id);
+        if is_known || newest.is_some_and(|newest| answer.at.received < newest.at.sent) {
+            return None;
+        }
+        let is_newer = |known: Limit| answer.at.sent > known.named.at.received;
+        if known.is_some_and(|known| rate > known.rate && !is_newer(known)) {
             return None;
         }
-        let is_newest = known.is_none_or(|known| at.received > known.named.received);
-        let named = known.filter(|_| !is_newest).map_or(at, |known| known.named);
+        let is_later = |known: Limit| answer.at.received > known.named.at.received;
+        let named = known.filter(|known| !is_later(*known)).map_or(answer, |known| known.named);
         self.limit = Some(Limit { rate, named });
         let is_news = known.is_none_or(|known| known.rate != rate);
         is_news.then_some(Change::Limited(rate))
@@ -94,14 +108,47 @@
 
     /// Takes in an answer without a limit. It ends one only if its request was sent after the last
     /// answer with the limit had come: any other may have been written before that.
-    pub fn limit_ended(&mut self, at: Interval) -> Option<Change> {
-        self.limit.take_if(|limit| at.sent > limit.named.received)?;
-        self.ended = Some(at);
-        Some(Change::Unlimited)
+    fn limit_ended(&mut self, answer: Answer) -> Option<Change> {
+        let ended = self.limit.take_if(|limit| answer.at.sent > limit.named.at.received);
+        let is_newer = |ended: Answer| ended.id != answer.id && answer.at.sent > ended.at.sent;
+        if ended.is_some() || self.ended().is_some_and(is_newer) {
+            self.ended = Some(answer);
+        }
+        ended.map(|_| Change::Unlimited)
+    }
+
+    /// Takes in what another daemon has heard; tells whether it changes anything.
+    pub fn merge(&mut self, word: &RunWord, now: Time) -> bool {
+        let limit = match word.limit {
+            LimitWord::Unknown => None,
+            LimitWord::Named { per_s, at } => {
+                Rate::new(per_s).and_then(|rate| self.limit_named(rate, at.answer(now)))
+            }
+            LimitWord::Ended(at) => {
+                let Answer { id, at: Interval { sent, received } } = at.answer(now);
+                self.limit_ended(Answer {
+                    id,
+                    at: Interval { sent: sent.before(TRANSIT), received },
+                })
+            }
+        };
+        let leaves = if word.is_leaving { self.leave() } else { None };
+        limit.is_some() || leaves.is_some()
+    }
+
+    /// Returns what other daemons are told of it.
+    pub fn told(&self, run: RunKey, now: Time) -> RunWord {
+        let named = self.limit.map(|limit| LimitWord::Named {
+            per_s: limit.rate.per_s(),
+            at: Ages::of(limit.named, now),
+        });
+        let ended = self.ended().map(|at| LimitWord::Ended(Ages::of(at, now)));
+        let limit = named.or(ended).unwrap_or(LimitWord::Unknown);
+        RunWord { run, limit, is_leaving: self.is_leaving }
     }
 
     /// Takes in that the target leaves, which it can't take back.
-    pub fn leave(&mut self) -> Option<Change> {
+    fn leave(&mut self) -> Option<Change> {
         let was_leaving = std::mem::replace(&mut self.is_leaving, true);
         (!was_leaving).then_some(Change::Leaves)
     }
@@ -150,7 +197,7 @@
     }
 
     /// Returns the answer that ended the last limit, if none is in force.
-    pub fn ended(&self) -> Option<Interval> {
+    fn ended(&self) -> Option<Answer> {
         self.ended.filter(|_| self.limit.is_none())
     }
 
--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod crashes;
+mod permit;
 pub mod quota;
 mod telling;
 
@@ -21,6 +22,7 @@
 
 use crate::{
     access::lending::Books,
+    backpressure::desk::Desk,
     dissemination::{
         datagram::{self, FORWARD_MAX_BYTES},
         message::{Demand, Extent, Forward, Message, News},
@@ -51,6 +53,7 @@
     account: Mutex<Account>,
     resent: Mutex<Resent>,
     books: Mutex<Books>,
+    desk: Mutex<Desk>,
     peers: Arc<dyn Datagrams>,
     me: Me,
 }
@@ -84,6 +87,7 @@
             account: Mutex::default(),
             resent: Mutex::default(),
             books: Mutex::default(),
+            desk: Mutex::default(),
             peers,
             me,
         }
@@ -108,6 +112,10 @@
         books
     }
 
+    fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().expect("no holder of the lock panics")
+    }
+
     /// Receives messages until the socket fails.
     ///
     /// # Errors
@@ -139,6 +147,10 @@
             Some(Message::Answer(answer)) => self.take_answer(&answer, now),
             Some(Message::Take(take)) => self.take_take(&take, from, now),
             Some(Message::Taken(taken)) => self.take_taken(taken),
+            Some(Message::Words(words)) => self.take_words(&words, now),
+            Some(Message::PermitAsk(ask)) => self.take_permit_ask(&ask, from, now),
+            Some(Message::PermitAnswer(answer)) => self.take_permit_answer(&answer, now),
+            Some(Message::PermitEnd(end)) => self.take_permit_end(end, from),
             None => event::DATAGRAM_DROPPED.emit(&[("from", &from)]),
         }
     }
@@ -149,6 +161,9 @@
         let entry = PeerEntry { address: from, zone, link_mbps };
         self.take_crashes(&demand.crashes, from, now);
         self.compare_poison(demand.poison, from, now);
+        if self.state.fleet().merge_words(&demand.words, now) {
+            self.state.view_changed();
+        }
         let lacks = self.told().audience.hear(entry, demand.known, self.lease.fence(), now);
         self.planner().hear(demand, now);
         if is_urgent || lacks {
@@ -207,8 +222,9 @@
             let mut peers = self.state.peers();
             news.peers.into_iter().for_each(|peer| peers.add(peer, now));
         }
-        let is_changed = !changes.is_empty();
         let mut fleet = self.state.fleet();
+        fleet.told_words();
+        let is_changed = fleet.merge_words(&news.words, now) || !changes.is_empty();
         fleet.set_daemons(news.daemons.into());
         fleet.set_list_version(news.list.version);
         for change in changes {
@@ -273,6 +289,7 @@
         } else {
             self.told().end();
             self.send_demand(demand);
+            self.tell_words(now);
         }
     }
 
@@ -284,8 +301,11 @@
             let mut poison = self.state.poison();
             (poison.digest(), poison.found(now))
         };
+        let is_planner_new = self.told().is_planner_new(self.lease.fence(), now);
         let mut fleet = self.state.fleet();
         fleet.expire(now);
+        // A new planner may know nothing of what targets have said.
+        let words = if is_planner_new { fleet.words(now) } else { fleet.words_heard(now) };
         Demand {
             daemon: Arc::clone(&self.me.daemon),
             incarnation: Arc::clone(&self.me.incarnation),
@@ -297,6 +317,7 @@
             in_flight: fleet.in_flight(),
             poison,
             crashes,
+            words,
         }
     }
 
@@ -310,6 +331,7 @@
     fn lead(self: &Arc<Self>, demand: Demand, occasion: Occasion, now: Time) {
         let is_new = !std::mem::replace(&mut self.told().was_planner, true);
         if is_new {
+            self.state.fleet().told_words();
             self.planner().reset();
             self.begin_telling(now);
             // The planner before may have left the row of poison requests behind.
@@ -338,7 +360,7 @@
         let Some(catalog) = self.state.catalog() else { return };
         let (targets, suspects) = {
             let fleet = self.state.fleet();
-            let targets: Vec<Arc<Target>> = fleet.targets().cloned().collect();
+            let targets = without_limited(fleet.targets().cloned().collect(), &fleet.limited());
             let suspects: Vec<TargetName> = targets
                 .iter()
                 .map(|t| t.name.clone())
@@ -393,3 +415,17 @@
         self.orders.due.load(Ordering::SeqCst) > 0
     }
 }
+
+/// Leaves out targets that name limits, unless all of their service do: what they take is too little to
+/// place models by.
+fn without_limited(targets: Vec<Arc<Target>>, limited: &[TargetName]) -> Vec<Arc<Target>> {
+    if limited.is_empty() {
+        return targets;
+    }
+    let (limited, open): (Vec<Arc<Target>>, Vec<Arc<Target>>) =
+        targets.into_iter().partition(|t| limited.contains(&t.name));
+    let is_ready_elsewhere =
+        |t: &Arc<Target>| open.iter().any(|o| o.service == t.service && o.is_ready());
+    let last: Vec<Arc<Target>> = limited.into_iter().filter(|t| !is_ready_elsewhere(t)).collect();
+    [open, last].concat()
+}
--- a/crates/tansyknot-fleet/src/conduct/crashes.rs
+++ b/crates/tansyknot-fleet/src/conduct/crashes.rs
@@ -98,7 +98,7 @@
     }
 
     /// Returns where all other daemons hear, as far as they are known; the planner first.
-    fn others(&self) -> Vec<SocketAddr> {
+    pub(super) fn others(&self) -> Vec<SocketAddr> {
         let planner = self.lease.planner().map(|(_, address)| address);
         let peers = self.state.peers();
         let now = self.state.now();
--- a/crates/tansyknot-fleet/src/conduct/quota.rs
+++ b/crates/tansyknot-fleet/src/conduct/quota.rs
@@ -51,7 +51,7 @@
     }
 
     /// Returns where the planner hears, if it is another daemon.
-    fn planner_elsewhere(&self) -> Option<SocketAddr> {
+    pub(super) fn planner_elsewhere(&self) -> Option<SocketAddr> {
         let (daemon, address) = self.lease.planner()?;
         (daemon != self.me.daemon).then_some(address)
     }
--- a/crates/tansyknot-fleet/src/conduct/telling.rs
+++ b/crates/tansyknot-fleet/src/conduct/telling.rs
@@ -36,6 +36,8 @@
 /// A new planner begins with what it has learnt within this span: all have heard earlier changes
 /// from the planner before, which was there until 1.5 to 2.3 s ago. Who has not says so.
 const UNTOLD_SPAN: Duration = Duration::from_millis(3000);
+/// A new planner is told for so long what it need not have heard: a few beats, as datagrams get lost.
+const PLANNER_NEW: Duration = Duration::from_millis(1000);
 /// Times at which a model should be there that differ by less are not told anew before the beat.
 const SAME_TIME: Duration = Duration::from_millis(200);
 
@@ -60,6 +62,8 @@
     loads: HashMap<TargetName, u16>,
     pub(super) audience: Audience,
     pub(super) was_planner: bool,
+    /// The fencing token of the planner that is told, and since when.
+    planner: (u64, Time),
 }
 
 impl Told {
@@ -69,6 +73,14 @@
         self.beat
     }
 
+    /// Tells whether the planner with `fence` is told for the first few times.
+    pub(super) fn is_planner_new(&mut self, fence: u64, now: Time) -> bool {
+        if self.planner.0 != fence {
+            self.planner = (fence, now);
+        }
+        now.since(self.planner.1) < PLANNER_NEW
+    }
+
     /// Takes in that this daemon is not the planner: nothing waits to be told.
     pub(super) fn end(&mut self) {
         self.was_planner = false;
@@ -213,7 +225,8 @@
         let extent = extent(occasion, loads.len() * count);
         let (loads, coming) = self.told().choose(extent, loads, coming, now);
         let list = self.changes_between(after, u64::MAX, now);
-        let mut news = News { extent, peers, coming, loads, ..self.news(beat, list, now) };
+        let words = self.state.fleet().words(now);
+        let mut news = News { extent, peers, coming, loads, words, ..self.news(beat, list, now) };
         news.trim();
         let parts = datagram::datagrams(Message::News(news));
         let groups = self.told().audience.groups().to_vec();
@@ -257,6 +270,7 @@
             peers: Vec::new(),
             coming: Vec::new(),
             loads: Vec::new(),
+            words: Vec::new(),
         }
     }
 
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -14,6 +14,7 @@
 use super::{changes::ListNews, followed::Known, peers::PeerEntry};
 use crate::{
     access,
+    backpressure::{self, message::RunWord},
     poison::evidence::{Digest, Evidence},
     target::{Born, Held, TargetState},
 };
@@ -69,7 +70,7 @@
 }
 
 /// What a daemon tells the planner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     /// The daemon.
     pub daemon: Arc<str>,
@@ -91,6 +92,8 @@
     pub poison: Digest,
     /// What it has found lately of requests under which targets crashed.
     pub crashes: Vec<Evidence>,
+    /// What targets have lately said to it of themselves.
+    pub words: Vec<RunWord>,
 }
 
 /// A model that is being loaded.
@@ -126,7 +129,7 @@
 }
 
 /// What the planner tells every daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// The planner's fencing token.
     pub fence: u64,
@@ -158,6 +161,8 @@
     pub coming: Vec<Coming>,
     /// Targets that have requests.
     pub loads: Vec<TargetLoad>,
+    /// What targets have said of themselves.
+    pub words: Vec<RunWord>,
 }
 
 /// News that a daemon passes on.
@@ -170,7 +175,7 @@
 }
 
 /// A message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// From a daemon to the planner.
     Demand(Demand),
@@ -188,6 +193,14 @@
     Take(access::message::Take),
     /// The planner's answer to it.
     Taken(access::message::Taken),
+    /// From any daemon to any other while there is no planner: what targets have said to it.
+    Words(Vec<RunWord>),
+    /// From a daemon to the one that decides, for a request that could go to a target with a limit.
+    PermitAsk(backpressure::message::PermitAsk),
+    /// The answer to it.
+    PermitAnswer(backpressure::message::PermitAnswer),
+    /// From a daemon to the one that decides: such a request does not wait any more.
+    PermitEnd(backpressure::message::PermitEnd),
 }
 
 impl Message {
@@ -198,11 +211,18 @@
             | Message::Question(_)
             | Message::Answer(_)
             | Message::Take(_)
-            | Message::Taken(_) => None,
+            | Message::Taken(_)
+            | Message::PermitAsk(_)
+            | Message::PermitAnswer(_)
+            | Message::PermitEnd(_) => None,
             Message::Crashes(mut first) => {
                 let rest = first.split_off(first.len() / 2);
                 (!first.is_empty()).then_some((Message::Crashes(first), Message::Crashes(rest)))
             }
+            Message::Words(mut first) => {
+                let rest = first.split_off(first.len() / 2);
+                (!first.is_empty()).then_some((Message::Words(first), Message::Words(rest)))
+            }
             Message::Demand(demand) => {
                 let (first, rest) = demand.split()?;
                 Some((Message::Demand(first), Message::Demand(rest)))
@@ -217,7 +237,8 @@
 
 impl Demand {
     fn split(mut self) -> Option<(Self, Self)> {
-        let items = self.models.len() + self.in_flight.len() + self.crashes.len();
+        let items = self.models.len() + self.in_flight.len();
+        let items = items + self.crashes.len() + self.words.len();
         if items < 2 {
             return None;
         }
@@ -225,7 +246,8 @@
         let models = split_off(&mut self.models, &mut left);
         let in_flight = split_off(&mut self.in_flight, &mut left);
         let crashes = split_off(&mut self.crashes, &mut left);
-        let rest = Self { models, in_flight, crashes, ..self.clone() };
+        let words = split_off(&mut self.words, &mut left);
+        let rest = Self { models, in_flight, crashes, words, ..self.clone() };
         Some((self, rest))
     }
 }
@@ -246,7 +268,8 @@
 
     fn split(mut self) -> Option<(Self, Self)> {
         let changes = self.list.changes.len();
-        let items = changes + self.peers.len() + self.coming.len() + self.loads.len();
+        let items = changes + self.peers.len() + self.coming.len();
+        let items = items + self.loads.len() + self.words.len();
         if items < 2 {
             return None;
         }
@@ -256,7 +279,8 @@
         let peers = split_off(&mut self.peers, &mut left);
         let coming = split_off(&mut self.coming, &mut left);
         let loads = split_off(&mut self.loads, &mut left);
-        let rest = Self { list, peers, coming, loads, ..self.clone() };
+        let words = split_off(&mut self.words, &mut left);
+        let rest = Self { list, peers, coming, loads, words, ..self.clone() };
         Some((self, rest))
     }
 }
--- a/crates/tansyknot-fleet/src/dissemination/peers.rs
+++ b/crates/tansyknot-fleet/src/dissemination/peers.rs
@@ -47,6 +47,15 @@
         self.all(now).all(|peer| weight(&peer.address) <= weight(&me))
     }
 
+    /// Returns the one of all daemons known that `hash` falls to; `None` if no other one is known.
+    pub fn chosen(&self, hash: u64, now: Time) -> Option<SocketAddr> {
+        let me = self.me?;
+        let others = self.all(now).map(|p| p.address).filter(|address| *address != me);
+        let weight = |address: &SocketAddr| (relays::rank_for(*address, hash), *address);
+        let best = others.max_by_key(weight)?;
+        Some(if weight(&best) > weight(&me) { best } else { me })
+    }
+
     /// Takes in that a daemon is there.
     pub fn add(&mut self, entry: PeerEntry, now: Time) {
         self.known.insert(entry.address, (entry, now));
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -64,6 +64,8 @@
 pub enum Pick {
     /// It goes to this target, where it has been counted.
     Target(Arc<Target>),
+    /// It goes to this target, which names a limit, once it has a permit.
+    Limited(Arc<Target>),
     /// Every target that holds the model is full.
     Full,
     /// No target holds the model.
@@ -108,6 +110,8 @@
     daemons: usize,
     /// What targets have said of themselves.
     words: Words,
+    /// Whether a planner has told what targets have said to others.
+    is_told_words: bool,
     /// What the other daemons are told if this one is the planner.
     pub log: ChangeLog,
 }
@@ -195,7 +199,8 @@
     /// wait for another copy of that model.
     pub fn expected(&self, want: &Want<'_>, now: Time) -> Option<Time> {
         let model = want.model?;
-        if self.ready(want, now).any(|m| m.target.holds(model, None)) {
+        let is_open = |m: &Member| self.limit(m.run).is_none();
+        if self.ready(want, now).any(|m| m.target.holds(model, None) && is_open(m)) {
             return None;
         }
         self.coming.get(&(want.service.clone(), model.clone())).copied()
--- a/crates/tansyknot-fleet/src/fleet/member.rs
+++ b/crates/tansyknot-fleet/src/fleet/member.rs
@@ -9,7 +9,9 @@
 
 use super::Want;
 use crate::{
+    backpressure::Interval,
     dissemination::message::TargetNote,
+    poison::key::RunKey,
     target::{self, Target, TargetState},
 };
 
@@ -23,9 +25,15 @@
     pub(super) entry: Arc<Target>,
     /// The same, with what a note says in place of what the entry does.
     pub(super) target: Arc<Target>,
+    /// The run that it is in.
+    pub(super) run: RunKey,
     pub(super) note: Option<Noted>,
     /// This daemon's requests there, by model.
     pub(super) in_flight: HashMap<Option<ModelName>, u16>,
+    /// Whether it has answered a request of this daemon.
+    pub(super) has_answered: bool,
+    /// Its answer without a limit that was asked for last.
+    pub(super) unlimited: Option<Interval>,
     /// Requests of the other daemons there, as the planner told last.
     pub(super) others: u32,
     /// Not chosen before this time, unless there is no other.
@@ -63,10 +71,13 @@
     pub(super) fn new(target: Target) -> Self {
         let entry = Arc::new(target);
         Self {
+            run: RunKey::of(&entry),
             target: Arc::clone(&entry),
             entry,
             note: None,
             in_flight: HashMap::new(),
+            has_answered: false,
+            unlimited: None,
             others: 0,
             suspect_until: Time::default(),
             suspicions: 0,
@@ -91,6 +102,7 @@
         let is_past = |n: &Noted| now >= n.until || agrees(&n.note);
         self.note.take_if(|n| is_past(n));
         self.entry = Arc::new(entry);
+        self.run = RunKey::of(&self.entry);
         self.lapse = None;
         self.show();
     }
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -24,7 +24,8 @@
 const OVERFILL: f64 = 1.0;
 
 impl Fleet {
-    /// Chooses a target for a request and counts the request there.
+    /// Chooses a target for a request and counts the request there. One that names a limit is chosen
+    /// if no other one has a free place; the request is counted there once it has a permit.
     ///
     /// `tried` are targets that have failed it; one of them is chosen only if there is no other.
     pub fn pick(
@@ -44,16 +45,27 @@
         let Some(from) = choices.into_iter().find(|c| !c.is_empty()) else {
             return Pick::NotLoaded;
         };
-        let free: Vec<&Member> =
-            from.into_iter().filter(|m| now >= m.full_until && m.load() < 1.0 + OVERFILL).collect();
-        let Some(chosen) = self.least_loaded(&free, want, rng) else { return Pick::Full };
-        let target = Arc::clone(&chosen.target);
-        self.enter(&target.name, want.model);
-        Pick::Target(target)
+        let is_free =
+            |m: &&Member| now >= m.full_until && m.load() < 1.0 + OVERFILL && self.is_met(m);
+        let free: Vec<&Member> = from.into_iter().filter(is_free).collect();
+        // Of those with limits the one is chosen whose requests should leave it first.
+        let (limited, open): (Vec<&Member>, Vec<&Member>) =
+            free.into_iter().partition(|m| self.limit(m.run).is_some());
+        if let Some(chosen) = self.least_loaded(&open, want, rng) {
+            let target = Arc::clone(&chosen.target);
+            self.enter(&target.name, want.model);
+            return Pick::Target(target);
+        }
+        let load = |m: &Member| f64::from(m.own() + m.others + 1);
+        let wait = |m: &Member| self.limit(m.run).map_or(0.0, |rate| load(m) / rate.per_s());
+        match limited.iter().min_by(|a, b| wait(a).total_cmp(&wait(b))) {
+            Some(chosen) => Pick::Limited(Arc::clone(&chosen.target)),
+            None => Pick::Full,
+        }
     }
 
-    /// Chooses a sound target with a free slot that is not among `tried`, and counts the request
-    /// there.
+    /// Chooses a sound target with a free slot and without a limit that is not among `tried`, and
+    /// counts the request there.
     pub fn pick_elsewhere(
         &mut self,
         want: &Want<'_>,
@@ -61,7 +73,8 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Option<Arc<Target>> {
-        let is_free = |m: &&Member| now >= m.suspect_until && now >= m.full_until && m.load() < 1.0;
+        let is_sound = |m: &Member| now >= m.suspect_until && now >= m.full_until && self.is_met(m);
+        let is_free = |m: &&Member| is_sound(m) && m.load() < 1.0 && self.limit(m.run).is_none();
         let free: Vec<&Member> = self.holding(want, now).filter(is_free).collect();
         let chosen = self.least_loaded(&untried(&free, tried), want, rng)?;
         let target = Arc::clone(&chosen.target);
@@ -102,7 +115,8 @@
         Some(alike[rng.random_range(0..alike.len())])
     }
 
-    fn enter(&mut self, target: &TargetName, model: Option<&ModelName>) {
+    /// Counts a request at its target.
+    pub fn enter(&mut self, target: &TargetName, model: Option<&ModelName>) {
         if let Some(m) = self.members.get_mut(target) {
             *m.in_flight.entry(model.cloned()).or_default() += 1;
         }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod crash;
 mod handover;
+mod permit;
 mod run;
 mod sample;
 mod signal;
@@ -25,6 +26,7 @@
 
 use crate::{
     access::Quotas,
+    backpressure::Permits,
     catalog::{Catalog, Route},
     exchange::Failure,
     outside::{Ask, Dialect},
@@ -36,7 +38,7 @@
 
 use access::Asker;
 pub use run::Reason;
-use run::{Ended, Refused, Run, Sent};
+use run::{Ended, NotRun, Refused, Run, Sent};
 use sample::Sample;
 
 /// The longest time that a request without one of its own may take.
@@ -49,6 +51,7 @@
     state: Arc<State>,
     dialect: Arc<dyn Dialect>,
     quotas: Arc<dyn Quotas>,
+    permits: Arc<dyn Permits>,
     recorder: Arc<dyn Recorder>,
     lifecycle: Arc<Lifecycle>,
     floods: Sample,
@@ -61,11 +64,12 @@
         state: Arc<State>,
         dialect: Arc<dyn Dialect>,
         quotas: Arc<dyn Quotas>,
+        permits: Arc<dyn Permits>,
         recorder: Arc<dyn Recorder>,
         lifecycle: Arc<Lifecycle>,
     ) -> Self {
         let (floods, malformed) = (Sample::default(), Sample::default());
-        Self { state, dialect, quotas, recorder, lifecycle, floods, malformed }
+        Self { state, dialect, quotas, permits, recorder, lifecycle, floods, malformed }
     }
 
     /// Finds where a request goes, and whose it is.
@@ -136,6 +140,11 @@
                     run.relay.finish();
                     return Ended::Answered { status, after: run.caller.after };
                 }
+                Sent::NotRun(NotRun::Withheld) => {
+                    // Nothing has gone there, and it may be asked again once it takes requests.
+                    run.sends -= 1;
+                    run.tried.pop();
+                }
                 Sent::NotRun(_) => {}
                 Sent::Failure(whole) => {
                     run.may_have_run = true;
@@ -328,6 +337,8 @@
             arrivals: 0,
             runs: 0,
             next: None,
+            asking: None,
+            permit: None,
             may_have_run: false,
             tried: Vec::new(),
             relay: EventRelay::default(),
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -39,7 +39,7 @@
         let until = run.give_up_at();
         let began = self.state.now();
         // Word of it may have come while a target was waited for.
-        let may_send = || !self.is_rejected(run);
+        let may_send = || !self.is_rejected(run) && self.is_taken(run, target);
         let caller = Some(run.caller.stream);
         let opened = Exchange::open(target.address, &request, caller, until, &may_send);
         let sent = match opened {
@@ -49,7 +49,8 @@
                 self.answer(run, target, exchange, began)
             }
             Err(Failure::CallerLeft) => Sent::MayHaveRun(Failure::CallerLeft),
-            Err(Failure::NotAllowed) => Sent::NotRun(NotRun::Rejected),
+            Err(Failure::NotAllowed) if self.is_rejected(run) => Sent::NotRun(NotRun::Rejected),
+            Err(Failure::NotAllowed) => Sent::NotRun(NotRun::Withheld),
             Err(f) if f.nothing_sent() => {
                 run.note(format_args!("{} {f}", target.name));
                 Sent::NotRun(NotRun::Unreachable)
@@ -227,7 +228,7 @@
             }
             Sent::MayHaveRun(_) => fleet.failed(&target.name),
             Sent::NotRun(NotRun::Unreachable) => fleet.unreachable(&target.name, now),
-            Sent::NotRun(NotRun::Refused | NotRun::Rejected) => {}
+            Sent::NotRun(NotRun::Refused | NotRun::Rejected | NotRun::Withheld) => {}
         }
     }
 }
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -12,8 +12,12 @@
     server::Request,
 };
 
-use super::access::{Asker, Cost};
+use super::{
+    access::{Asker, Cost},
+    permit::Asking,
+};
 use crate::{
+    backpressure::asks::Permit,
     catalog::Route,
     exchange::Failure,
     fleet::{Prefix, Want},
@@ -178,6 +182,8 @@
     Refused,
     /// This daemon has rejected the request, and nothing was sent.
     Rejected,
+    /// By its own word the target takes no request any more as the connection stands; nothing was sent.
+    Withheld,
 }
 
 /// One request on its way.
@@ -201,6 +207,10 @@
     pub(super) runs: u32,
     /// Where it goes on after a silent target.
     pub(super) next: Option<Arc<Target>>,
+    /// What it asks of a target that names a limit while it waits.
+    pub(super) asking: Option<Asking>,
+    /// What allows it to go there.
+    pub(super) permit: Option<Permit>,
     pub(super) may_have_run: bool,
     pub(super) tried: Vec<TargetName>,
     pub(super) relay: EventRelay,
--- a/crates/tansyknot-fleet/src/serve/signal.rs
+++ b/crates/tansyknot-fleet/src/serve/signal.rs
@@ -33,6 +33,10 @@
         };
         let at = Interval { sent, received: self.state.now() };
         let changes = self.state.fleet().hear_signals(target, &signals, outcome, at);
+        if !changes.is_empty() {
+            // Requests that wait look again, and the planner is told.
+            self.state.view_changed();
+        }
         changes.into_iter().for_each(|change| self.report(&target.name, change));
     }
 
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -1,4 +1,4 @@
-//! Waiting for a target: for a load, or a free place, as long as it is of use.
+//! Waiting for a target: for a load, a free place or a turn, as long as it is of use.
 
 use std::{sync::Arc, time::Duration};
 
@@ -7,6 +7,7 @@
 
 use super::{
     Server,
+    permit::Turn,
     run::{Reason, Run},
 };
 use crate::{fleet::Pick, target::Target};
@@ -17,68 +18,147 @@
 /// and one of them may be lost and repeated on the next beat.
 const WORD_SPAN: Duration = Duration::from_millis(650);
 
+/// A turn that comes within this span needs no copy elsewhere.
+const TURN_USUAL: Duration = Duration::from_millis(150);
+
+/// What a request waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    Load,
+    Place,
+    /// For its turn at a target with a limit, which comes at this moment if that is known.
+    Turn(Option<Time>),
+}
+
+impl Wait {
+    /// Returns what the planner could mend, for a request that has waited so long.
+    fn lack(self, waited: Duration) -> Option<Lack> {
+        match self {
+            Wait::Load => Some(Lack::Model),
+            Wait::Turn(_) if waited >= TURN_USUAL => Some(Lack::Copy),
+            Wait::Turn(_) | Wait::Place => None,
+        }
+    }
+}
+
+/// What a request lacks that the planner is told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lack {
+    /// The model is nowhere.
+    Model,
+    /// It is only where others go first.
+    Copy,
+}
+
+impl Lack {
+    fn name(self) -> &'static str {
+        match self {
+            Lack::Model => "a load",
+            Lack::Copy => "a turn",
+        }
+    }
+}
+
 impl Server {
-    /// Finds a target, waiting for a load or a free place as long as there is time.
+    /// Finds a target, waiting for a load, a free place or a turn as long as there is time.
     pub(super) fn find_target(&self, run: &mut Run<'_>) -> Result<Arc<Target>, Reason> {
-        let mut waits_for_load = false;
+        let mut lack = None;
         let began = BootInstant::now();
-        let found = loop {
+        let found = self.look_for_target(run, &mut lack, began);
+        self.end_asking(run);
+        let waited = began.elapsed();
+        run.waited += waited;
+        if let Some(lack) = lack {
+            self.end_demand(run, lack, waited, found.is_ok());
+        }
+        found
+    }
+
+    fn look_for_target(
+        &self,
+        run: &mut Run<'_>,
+        lack: &mut Option<Lack>,
+        began: BootInstant,
+    ) -> Result<Arc<Target>, Reason> {
+        loop {
             let seen = self.state.targets_changed.count();
             let now = self.state.now();
             if self.is_rejected(run) {
-                break Err(Reason::PoisonRequest);
-            }
-            let mut fleet = self.state.fleet();
-            let pick = fleet.pick(&run.want(), &run.tried, now, &mut rand::rng());
-            if let Pick::Target(target) = pick {
-                break Ok(target);
+                return Err(Reason::PoisonRequest);
             }
-            if matches!(pick, Pick::NotLoaded) && !waits_for_load {
-                waits_for_load = true;
-                fleet.begin_waiting(&run.want(), now);
-                drop(fleet);
-                self.state.demand_changed.raise();
-            } else {
-                drop(fleet);
+            let pick = self.state.fleet().pick(&run.want(), &run.tried, now, &mut rand::rng());
+            let wait = match pick {
+                Pick::Target(target) => return Ok(target),
+                Pick::Limited(target) => match self.ask_for_turn(run, &target, now) {
+                    Turn::Now => {
+                        self.state.fleet().enter(&target.name, run.ask.model.as_ref());
+                        return Ok(target);
+                    }
+                    Turn::Later(at) => Wait::Turn(at),
+                },
+                Pick::NotLoaded => Wait::Load,
+                Pick::Full | Pick::NoTarget => Wait::Place,
+            };
+            if lack.is_none() {
+                *lack = wait.lack(began.elapsed());
+                lack.iter().for_each(|_| self.begin_demand(run, now));
             }
             if self.lifecycle.is_ending() {
                 // Nothing was sent, so another daemon can still serve it.
-                break Err(Reason::Stopping);
+                return Err(Reason::Stopping);
             }
-            let left = self.wait_left(run, matches!(pick, Pick::NotLoaded), now);
+            let left = self.wait_left(run, wait, now);
             if left.is_zero() {
-                break Err(Reason::NoTargetInTime);
+                return Err(Reason::NoTargetInTime);
             }
             self.state.targets_changed.wait(seen, left.min(LOOK));
             if presence::has_left(run.caller.stream) {
-                break Err(Reason::CallerLeft);
+                return Err(Reason::CallerLeft);
             }
-        };
-        let waited = began.elapsed();
-        run.waited += waited;
-        if waits_for_load {
-            self.end_wait_for_load(run, waited, found.is_ok());
         }
-        found
     }
 
-    /// Takes in that a request no longer waits for a load, and whether the load came.
-    fn end_wait_for_load(&self, run: &mut Run<'_>, waited: Duration, has_come: bool) {
+    /// Has the planner know that a request waits for a copy.
+    fn begin_demand(&self, run: &Run<'_>, now: Time) {
+        self.state.fleet().begin_waiting(&run.want(), now);
+        self.state.demand_changed.raise();
+    }
+
+    /// Takes in that a request no longer waits for a copy, and whether it has found one.
+    fn end_demand(&self, run: &mut Run<'_>, lack: Lack, waited: Duration, has_come: bool) {
         self.state.fleet().end_waiting(&run.want());
         // The planner frees the target for its next load once it sees the request there.
         self.state.demand_changed.raise();
-        if has_come {
+        if has_come && lack == Lack::Model {
             self.state.load_waits().of(&run.want()).observe(waited);
         }
-        run.note(format_args!("waited {} ms for a load", waited.as_millis()));
+        run.note(format_args!("waited {} ms for {}", waited.as_millis(), lack.name()));
     }
 
     /// Returns how much longer a request may wait for a target; zero if it would be in vain.
-    fn wait_left(&self, run: &mut Run<'_>, for_load: bool, now: Time) -> Duration {
+    fn wait_left(&self, run: &mut Run<'_>, wait: Wait, now: Time) -> Duration {
         let left = run.take_by().duration_since(BootInstant::now());
-        if !for_load {
+        match wait {
+            Wait::Place | Wait::Turn(None) => left,
+            Wait::Turn(Some(at)) => self.turn_left(run, at.since(now), left, now),
+            Wait::Load => self.load_left(run, left, now),
+        }
+    }
+
+    /// Returns how much longer a request may wait for its turn, which should come in `turn`, or for a
+    /// copy elsewhere.
+    fn turn_left(&self, run: &mut Run<'_>, turn: Duration, left: Duration, now: Time) -> Duration {
+        let load = self.state.fleet().expected(&run.want(), now).map(|at| at.since(now));
+        let soonest = load.map_or(turn, |load| load.min(turn));
+        if soonest <= left {
             return left;
         }
+        run.come_back = Some(soonest);
+        run.note(format_args!("turn in {} ms", turn.as_millis()));
+        Duration::ZERO
+    }
+
+    fn load_left(&self, run: &mut Run<'_>, left: Duration, now: Time) -> Duration {
         let expected = self.state.fleet().expected(&run.want(), now);
         if let Some(span) = expected.map(|at| at.since(now)) {
             if span <= left {
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     access::{AccessOptions, pending::Pending, view::KeyView},
+    backpressure::asks::Asks,
     budget::{Budget, BudgetOptions, Part, Retries},
     catalog::Catalog,
     dissemination::{followed::Followed, peers::Peers},
@@ -104,6 +105,9 @@
     pub poison_changed: Signal,
     /// Raised when a question about a quota is answered.
     pub quota_answered: Signal,
+    /// Raised when a request asks whether it may go to a target that names a limit, at the daemon that
+    /// decides.
+    pub permits_changed: Signal,
     /// Raised when a call to the store may be due: by the planner's news, or as it answers again.
     pub call_due: Signal,
     fleet: Mutex<Fleet>,
@@ -112,6 +116,7 @@
     poison: Mutex<Poison>,
     key_view: Mutex<KeyView>,
     pending: Mutex<Pending>,
+    asks: Mutex<Asks>,
     contacts: Mutex<Contacts>,
     catalog: RwLock<Option<Arc<Catalog>>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
@@ -146,6 +151,7 @@
             demand_changed: Signal::default(),
             poison_changed: Signal::default(),
             quota_answered: Signal::default(),
+            permits_changed: Signal::default(),
             call_due: Signal::default(),
             fleet: Mutex::new(Fleet::new(zone, spans)),
             followed: Mutex::new(Followed::new(spans)),
@@ -153,6 +159,7 @@
             poison: Mutex::new(Poison::new(started)),
             key_view: Mutex::default(),
             pending: Mutex::new(Pending::of_run(rand::random())),
+            asks: Mutex::new(Asks::of_run(rand::random())),
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
@@ -223,6 +230,15 @@
         self.pending.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the requests that ask whether they may go to targets that name limits.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread has panicked with it.
+    pub fn asks(&self) -> MutexGuard<'_, Asks> {
+        self.asks.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the configuration in force, and the view of its keys.
     pub fn in_force(&self) -> (Option<Arc<Catalog>>, KeyView) {
         let view = self.key_view();
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod hosts;
 pub(crate) mod network;
 pub(crate) mod planner;
+pub(crate) mod signals;
 pub(crate) mod simulation;
 pub(crate) mod store;
 pub(crate) mod table;
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -1,7 +1,7 @@
 //! Hundreds of daemons that talk over a network that delays and loses datagrams, in virtual time.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     io,
     net::SocketAddr,
     sync::{
@@ -122,6 +122,8 @@
     pub(crate) latency: Option<Latency>,
     /// Daemons whose datagrams to others than the planner are lost.
     pub(crate) mute: Option<SocketAddr>,
+    /// Daemons that no datagram reaches or leaves.
+    pub(crate) isolated: BTreeSet<SocketAddr>,
     /// Whether datagrams wait for daemons that are frozen; they are lost otherwise.
     pub(crate) keeps_for_frozen: bool,
     /// Bounds on keys and quotas.
@@ -150,6 +152,7 @@
             jitter: 0,
             latency: None,
             mute: None,
+            isolated: BTreeSet::new(),
             keeps_for_frozen: false,
             access: AccessOptions::default(),
             traffic,
@@ -300,9 +303,11 @@
         let planner = self.planner().map(|n| n.address);
         for datagram in due {
             let is_mute = Some(datagram.from) == self.mute && Some(datagram.to) != planner;
+            let is_cut = [datagram.from, datagram.to].iter().any(|end| self.isolated.contains(end));
             let to = self.nodes.iter().find(|n| n.address == datagram.to && n.runs_at(now));
             if let Some(to) = to
                 && !is_mute
+                && !is_cut
                 && !self.rng.random_bool(self.loss)
             {
                 to.conductor.take(&datagram.bytes, datagram.from);
@@ -367,6 +372,7 @@
         self.takes_requests = self.takes_requests || self.poison.read();
         self.follow_config(now);
         self.conductor.tell_crashes();
+        self.conductor.grant_permits();
         // What is not written now is tried again with the next step.
         self.poison.step(self.conductor.is_planner());
         let count = self.state.demand_changed.count();
--- a/crates/tansyknot-fleet/tests/support/planner.rs
+++ b/crates/tansyknot-fleet/tests/support/planner.rs
@@ -65,6 +65,7 @@
             in_flight,
             poison: Default::default(),
             crashes: Vec::new(),
+            words: Vec::new(),
         };
         self.planner.hear(demand, self.now);
     }
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/support/signals.rs
@@ -0,0 +1,637 @@
+//! Daemons before targets that say of themselves how much they take, that they leave, or that they want
+//! rest, under faults drawn from a seed, in virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Range,
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tansyknot_core::{
+    clock::Time,
+    name::{ModelName, ServiceName, TargetName},
+};
+use tansyknot_fleet::{
+    backpressure::{
+        Interval, Outcome, PermitRequest, Permits, Rate, Said, Signals,
+        asks::{Permit, Progress},
+    },
+    fleet::{Pick, Want},
+    poison::key::RunKey,
+    target::{Born, Target},
+};
+
+use super::{hosts::Hosts, network::Network, target};
+
+const STEP: Duration = Duration::from_millis(5);
+/// Daemons that have been undisturbed for this long are held to the bounds.
+const CONTACT: Duration = Duration::from_secs(3);
+/// A target that has had nothing to say for this long is known as sound.
+const SOUND_AFTER: Duration = Duration::from_secs(2);
+/// The window in which requests to a target with a limit are counted, from when, and how many there
+/// may be beyond the limit.
+const WINDOW: Duration = Duration::from_secs(4);
+const WINDOWS_FROM: Duration = Duration::from_secs(1);
+const BEYOND: f64 = 2.0;
+/// To whom it is told an answer seems later than it was by this at most.
+const TRANSIT: Duration = Duration::from_millis(250);
+/// Of fewer requests no share can be told.
+const COUNTED_LEAST: f64 = 10.0;
+/// How often a request looks again that waits.
+const LOOK: Duration = Duration::from_millis(50);
+const LEAVE_WITHIN: Duration = Duration::from_secs(2);
+const CALM_START: Duration = Duration::from_secs(6);
+const TARGETS: usize = 6;
+/// The one target that holds the model `m9`; all others hold `m0`.
+const LONE: usize = 0;
+/// Limits that targets name.
+const RATES: [f64; 4] = [1.0, 20.0, 0.2, 5.0];
+
+/// What targets say and what goes wrong, in times a second and shares.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Troubles {
+    /// Limits that are named, changed or ended.
+    pub(crate) limits: f64,
+    /// Fields of answers that are garbled.
+    pub(crate) garbled: f64,
+    /// Entries that are written again, lapse and come back.
+    pub(crate) entries: f64,
+    /// Targets that start again under their name or another one.
+    pub(crate) runs: f64,
+    /// Daemons that start again, freeze, or lose the store.
+    pub(crate) daemons: f64,
+    /// Daemons that lose all others.
+    pub(crate) cuts: f64,
+    /// The planner among them.
+    pub(crate) planner: f64,
+    /// All daemons that end at once.
+    pub(crate) herds: f64,
+    /// The store that is away from all.
+    pub(crate) store: f64,
+    /// Datagrams lost, and how much later they come, in milliseconds.
+    pub(crate) loss: f64,
+    pub(crate) jitter: u64,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Result {
+    pub(crate) broken: Vec<String>,
+    pub(crate) requests: usize,
+    pub(crate) served: usize,
+    /// What the limits of the lone target allowed while one held, and what came.
+    pub(crate) allowed: f64,
+    pub(crate) used: usize,
+    /// The fullest window, as a share of what it may have.
+    pub(crate) fullest: f64,
+}
+
+/// A request that has come to a target.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Time,
+    is_held_to_bounds: bool,
+}
+
+/// A span in which a target names one limit, or none.
+#[derive(Clone, Copy, Debug)]
+struct Spell {
+    limit: Option<f64>,
+    since: Time,
+    /// When an answer came that was surely written in it, and to whom.
+    known: Option<Known>,
+}
+
+/// When a daemon came to know something that it could tell others.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    at: Time,
+    by: usize,
+}
+
+/// One run of a target.
+#[derive(Debug)]
+struct Actor {
+    entry: Target,
+    /// The last one lasts on.
+    spells: Vec<Spell>,
+    arrivals: Vec<Arrival>,
+    /// When the last answer came that was written before the last spell.
+    former_until: Time,
+    /// When its entry was written after it had lapsed.
+    back: Time,
+    lapsed_until: Option<Time>,
+}
+
+impl Actor {
+    fn spell(&self) -> Spell {
+        self.spells[self.spells.len() - 1]
+    }
+
+    fn begin_spell(&mut self, limit: Option<f64>, now: Time) {
+        self.spells.push(Spell { limit, since: now, known: None });
+    }
+
+    fn limit(&self) -> Option<f64> {
+        self.spell().limit
+    }
+
+    /// Tells whether it is known to take any number of requests.
+    fn is_sound(&self, now: Time) -> bool {
+        let Spell { limit, known, .. } = self.spell();
+        let is_known = known.is_some_and(|known| now.since(known.at.max(self.back)) > SOUND_AFTER);
+        limit.is_none() && self.lapsed_until.is_none() && is_known
+    }
+
+    fn signals(&self) -> Signals {
+        let limit = self.limit().and_then(Rate::new);
+        Signals { limit: limit.map_or(Said::Nothing, Said::Value), ..Signals::default() }
+    }
+}
+
+/// A request that looks for a target.
+#[derive(Clone, Debug)]
+struct Request {
+    daemon: usize,
+    epoch: u64,
+    model: ModelName,
+    priority: u8,
+    until: Time,
+    asking: Option<(u32, RunKey)>,
+    permit: Option<Permit>,
+    look_at: Time,
+    seen: u64,
+    tried: Vec<TargetName>,
+}
+
+/// How far a request has come that has a target.
+#[derive(Clone, Copy, Debug)]
+enum Stage {
+    /// The connection opens.
+    Connects,
+    /// The request is on its way.
+    Sent,
+    /// The target writes the head of its answer.
+    Writes,
+    /// The head is on its way that was written at this time.
+    Answered(Signals, Time),
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    req: Request,
+    target: Arc<Target>,
+    began: Time,
+    stage: Stage,
+    next_at: Time,
+}
+
+pub(crate) struct Simulation {
+    network: Network,
+    rng: StdRng,
+    troubles: Troubles,
+    hosts: Hosts,
+    actors: Vec<Actor>,
+    starts: usize,
+    waiting: Vec<Request>,
+    flights: Vec<Flight>,
+    asked_per_s: f64,
+    store_until: Time,
+    cut_until: BTreeMap<usize, Time>,
+    result: Result,
+}
+
+impl Simulation {
+    pub(crate) fn new(seed: u64, daemons: usize, troubles: Troubles) -> Self {
+        let mut network = Network::new(daemons, 0, LEAVE_WITHIN);
+        network.rng = StdRng::seed_from_u64(seed);
+        network.loss = troubles.loss;
+        network.jitter = troubles.jitter;
+        let mut sim = Self {
+            network,
+            rng: StdRng::seed_from_u64(seed),
+            troubles,
+            hosts: Hosts::new(daemons),
+            actors: Vec::new(),
+            starts: 0,
+            waiting: Vec::new(),
+            flights: Vec::new(),
+            asked_per_s: 80.0,
+            store_until: Time::default(),
+            cut_until: BTreeMap::new(),
+            result: Result::default(),
+        };
+        for n in 0..TARGETS {
+            let actor = sim.start(n, None);
+            sim.actors.push(actor);
+        }
+        sim
+    }
+
+    /// Lets `span` pass after a calm start; returns what came of it.
+    pub(crate) fn run(mut self, span: Duration) -> Result {
+        self.network.run(CALM_START);
+        let begin = self.now();
+        while self.now() < begin + span {
+            self.network.run(STEP);
+            self.disturb();
+            self.forget_untold(self.now());
+            self.ask();
+            self.look();
+            self.fly();
+        }
+        (0..self.actors.len()).for_each(|n| self.check_limit(n));
+        self.result
+    }
+
+    fn now(&self) -> Time {
+        self.network.clock_now()
+    }
+
+    fn happens(&mut self, per_s: f64) -> bool {
+        self.rng.random_bool((per_s * STEP.as_secs_f64()).min(1.0))
+    }
+
+    fn span(&mut self, ms: Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(ms))
+    }
+
+    /// Starts a run of the target in place `n`, under its old name or a new one.
+    fn start(&mut self, n: usize, name: Option<TargetName>) -> Actor {
+        self.starts += 1;
+        let model = if n == LONE { "m9" } else { "m0" };
+        let fresh = target(&format!("t{}", self.starts), &[model], &[]);
+        let born = Some(Born(self.starts as u64));
+        let entry = Target { name: name.unwrap_or(fresh.name), born, slots: 32, ..fresh };
+        self.network.table.put(entry.clone());
+        let now = self.now();
+        Actor {
+            entry,
+            spells: vec![Spell { limit: None, since: now, known: Some(Known { at: now, by: 0 }) }],
+            arrivals: Vec::new(),
+            former_until: now,
+            back: now,
+            lapsed_until: None,
+        }
+    }
+
+    fn disturb(&mut self) {
+        let now = self.now();
+        let n = self.rng.random_range(0..TARGETS);
+        if self.happens(self.troubles.limits) {
+            // The lone one speaks as often as all others together.
+            let n = if self.rng.random_bool(0.5) { LONE } else { n };
+            self.change_limit(n, now);
+        }
+        if self.happens(self.troubles.entries) {
+            self.change_entry(n, now);
+        }
+        if self.happens(self.troubles.runs) {
+            self.check_limit(n);
+            let name = self.actors[n].entry.name.clone();
+            let is_same_name = self.rng.random_bool(0.5);
+            if !is_same_name {
+                self.network.table.remove(&name);
+            }
+            self.actors[n] = self.start(n, is_same_name.then_some(name));
+        }
+        self.put_lapsed(now);
+        self.disturb_daemons(now);
+    }
+
+    fn change_limit(&mut self, n: usize, now: Time) {
+        let rate = RATES[self.rng.random_range(0..RATES.len())];
+        let actor = &mut self.actors[n];
+        let limit =
+            if actor.limit().is_some() && self.rng.random_bool(0.4) { None } else { Some(rate) };
+        actor.begin_spell(limit, now);
+    }
+
+    fn change_entry(&mut self, n: usize, now: Time) {
+        if now < self.store_until {
+            return;
+        }
+        let entry = self.actors[n].entry.clone();
+        if self.rng.random_bool(0.5) {
+            self.network.table.put(entry);
+        } else {
+            self.network.table.remove(&entry.name);
+            let until = now + self.span(300..1500);
+            self.actors[n].lapsed_until = Some(until);
+        }
+    }
+
+    fn put_lapsed(&mut self, now: Time) {
+        if now < self.store_until {
+            return;
+        }
+        for actor in &mut self.actors {
+            if actor.lapsed_until.take_if(|until| now >= *until).is_some() {
+                self.network.table.put(actor.entry.clone());
+                actor.back = now;
+            }
+        }
+    }
+
+    fn disturb_daemons(&mut self, now: Time) {
+        if self.happens(self.troubles.daemons) {
+            let n = self.rng.random_range(0..self.hosts.len());
+            self.hosts.disturb(n, 300..4000, &mut self.network, &mut self.rng);
+        }
+        if self.happens(self.troubles.planner)
+            && let Some(n) = self.hosts.planner(&self.network)
+        {
+            self.hosts.disturb(n, 300..4000, &mut self.network, &mut self.rng);
+        }
+        if self.happens(self.troubles.cuts) {
+            let n = self.rng.random_range(0..self.hosts.len());
+            let until = now + self.span(500..5000);
+            self.cut_until.insert(n, until);
+            self.hosts.disturbed_until(n, until);
+        }
+        if self.happens(self.troubles.herds) {
+            self.hosts.restart_all(&mut self.network);
+            let spells = self.actors.iter_mut().filter_map(|actor| actor.spells.last_mut());
+            spells.for_each(|spell| spell.known = None);
+        }
+        if self.happens(self.troubles.store) && now >= self.store_until {
+            self.store_until = now + self.span(1000..9000);
+        }
+        self.cut_until.retain(|_, until| now < *until);
+        let cut: BTreeSet<_> =
+            self.cut_until.keys().map(|n| self.network.nodes[*n].address).collect();
+        self.network.isolated = cut;
+        self.hosts.cut(self.store_until, &self.network);
+    }
+
+    fn ask(&mut self) {
+        if !self.happens(self.asked_per_s) {
+            return;
+        }
+        let daemon = self.rng.random_range(0..self.hosts.len());
+        let model = if self.rng.random_bool(0.5) { "m9" } else { "m0" };
+        let now = self.now();
+        let until = now + self.span(800..4000);
+        self.result.requests += 1;
+        self.waiting.push(Request {
+            daemon,
+            epoch: self.hosts.epoch(daemon),
+            model: ModelName::from(model),
+            priority: self.rng.random_range(0..4),
+            until,
+            asking: None,
+            permit: None,
+            look_at: now,
+            seen: 0,
+            tried: Vec::new(),
+        });
+    }
+
+    fn is_there(&self, req: &Request) -> bool {
+        self.hosts.epoch(req.daemon) == req.epoch
+    }
+
+    fn look(&mut self) {
+        let now = self.now();
+        for mut req in std::mem::take(&mut self.waiting) {
+            if !self.is_there(&req) {
+                continue;
+            }
+            let node = &self.network.nodes[req.daemon];
+            let seen = node.state.targets_changed.count();
+            let is_idle = now < req.look_at && seen == req.seen;
+            if is_idle || !node.runs_at(now) {
+                self.waiting.push(req);
+                continue;
+            }
+            (req.seen, req.look_at) = (seen, now + LOOK);
+            if now >= req.until {
+                self.give_up(&mut req, now);
+                continue;
+            }
+            match self.find_target(&mut req, now) {
+                Found::Target(target) => self.connect(req, target, now),
+                Found::Nothing => self.waiting.push(req),
+                Found::InVain => self.give_up(&mut req, now),
+            }
+        }
+    }
+
+    fn find_target(&mut self, req: &mut Request, now: Time) -> Found {
+        let state = Arc::clone(&self.network.nodes[req.daemon].state);
+        let service = ServiceName::from("s");
+        let want = Want { service: &service, model: Some(&req.model), adapter: None, prefix: None };
+        let pick = state.fleet().pick(&want, &req.tried, now, &mut self.rng);
+        let found = match pick {
+            Pick::Target(target) => Found::Target(target),
+            Pick::Limited(target) => match self.turn(req, &target, now) {
+                Progress::Granted(permit) => {
+                    req.permit = Some(permit);
+                    state.fleet().enter(&target.name, Some(&req.model));
+                    Found::Target(target)
+                }
+                Progress::Waiting { expected: Some(at) } if at > req.until => Found::InVain,
+                Progress::Waiting { .. } | Progress::AskDue => return Found::Nothing,
+            },
+            _ => Found::Nothing,
+        };
+        self.end_asking(req);
+        found
+    }
+
+    fn turn(&self, req: &mut Request, target: &Target, now: Time) -> Progress {
+        let node = &self.network.nodes[req.daemon];
+        let run = RunKey::of(target);
+        if req.asking.is_some_and(|(_, of)| of != run) {
+            self.end_asking(req);
+        }
+        let (number, _) = *req.asking.get_or_insert_with(|| (node.state.asks().begin(run), run));
+        let progress = node.state.asks().progress(number, now);
+        if progress == Progress::AskDue {
+            let (priority, left) = (req.priority, req.until.since(now));
+            node.conductor.ask(PermitRequest { number, run, priority, left });
+        }
+        node.state.asks().progress(number, now)
+    }
+
+    fn end_asking(&self, req: &mut Request) {
+        let Some((number, run)) = req.asking.take() else { return };
+        let node = &self.network.nodes[req.daemon];
+        let is_unanswered = node.state.asks().end(number);
+        if is_unanswered {
+            node.conductor.end(number, run);
+        }
+    }
+
+    fn give_up(&mut self, req: &mut Request, now: Time) {
+        self.end_asking(req);
+        let fleet = self.network.nodes[req.daemon].state.fleet();
+        let is_listed =
+            |entry: &Target| fleet.target(&entry.name).is_some_and(|t| t.born == entry.born);
+        let is_sound =
+            |a: &&Actor| a.is_sound(now) && a.entry.holds(&req.model, None) && is_listed(&a.entry);
+        let sound = self.actors.iter().find(is_sound);
+        let is_stable = now.since(self.store_until) >= CONTACT;
+        if is_stable
+            && self.hosts.is_sound(req.daemon, CONTACT, now)
+            && let Some(sound) = sound
+        {
+            let (n, name) = (req.daemon, &sound.entry.name);
+            self.result.broken.push(format!("d{n} rejects a request though {name} is sound"));
+        }
+    }
+
+    fn connect(&mut self, req: Request, target: Arc<Target>, now: Time) {
+        let next_at = now + self.span(1..40);
+        self.flights.push(Flight { req, target, began: now, stage: Stage::Connects, next_at });
+    }
+
+    fn fly(&mut self) {
+        let now = self.now();
+        for flight in std::mem::take(&mut self.flights) {
+            if now < flight.next_at {
+                self.flights.push(flight);
+            } else if self.is_there(&flight.req) {
+                self.go_on(flight, now);
+            }
+        }
+    }
+
+    fn go_on(&mut self, mut flight: Flight, now: Time) {
+        let node = &self.network.nodes[flight.req.daemon];
+        let run = RunKey::of(&flight.target);
+        let is_running = node.runs_at(now);
+        match flight.stage {
+            Stage::Connects | Stage::Answered(..) if !is_running => self.flights.push(flight),
+            Stage::Connects => {
+                let may_send = node.state.fleet().may_send(run, flight.req.permit, now);
+                if !may_send {
+                    return self.look_again(flight, now);
+                }
+                flight.stage = Stage::Sent;
+                flight.next_at = now + self.span(1..30);
+                self.flights.push(flight);
+            }
+            Stage::Sent => {
+                let is_held = self.hosts.is_sound(flight.req.daemon, CONTACT, now);
+                let actor = self.actors.iter_mut().find(|a| RunKey::of(&a.entry) == run);
+                let Some(actor) = actor else { return self.unreachable(flight, now) };
+                actor.arrivals.push(Arrival { at: now, is_held_to_bounds: is_held });
+                flight.stage = Stage::Writes;
+                flight.next_at = now + self.span(1..150);
+                self.flights.push(flight);
+            }
+            Stage::Writes => {
+                let actor = self.actors.iter().find(|a| RunKey::of(&a.entry) == run);
+                let Some(mut signals) = actor.map(Actor::signals) else {
+                    return self.unreachable(flight, now);
+                };
+                if self.rng.random_bool(self.troubles.garbled) {
+                    signals.limit = Said::Malformed;
+                }
+                flight.stage = Stage::Answered(signals, now);
+                flight.next_at = now + self.span(1..150);
+                self.flights.push(flight);
+            }
+            Stage::Answered(signals, written) => self.hear(&flight, &signals, written, now),
+        }
+    }
+
+    fn hear(&mut self, flight: &Flight, signals: &Signals, written: Time, now: Time) {
+        let state = &self.network.nodes[flight.req.daemon].state;
+        let at = Interval { sent: flight.began, received: now };
+        let is_changed = {
+            let mut fleet = state.fleet();
+            fleet.leave(&flight.target.name, Some(&flight.req.model));
+            !fleet.hear_signals(&flight.target, signals, Outcome::Ran, at).is_empty()
+        };
+        if is_changed {
+            state.view_changed();
+        }
+        self.result.served += 1;
+        let run = RunKey::of(&flight.target);
+        let actor = self.actors.iter_mut().find(|a| RunKey::of(&a.entry) == run);
+        let Some(actor) = actor else { return };
+        if written < actor.spell().since {
+            actor.former_until = now;
+        }
+        let is_newer = flight.began > actor.spell().since.max(actor.former_until + TRANSIT);
+        let is_told = is_newer && signals.limit != Said::Malformed;
+        let by = flight.req.daemon;
+        if is_told && self.hosts.is_sound(by, CONTACT, now) {
+            let spell = actor.spells.last_mut().expect("there is one from its start");
+            spell.known.get_or_insert(Known { at: now, by });
+        }
+    }
+
+    /// Who is disturbed right after it came to know something need not have told it.
+    fn forget_untold(&mut self, now: Time) {
+        let hosts = &self.hosts;
+        let is_untold = |known: &mut Known| {
+            let age = now.since(known.at);
+            age < WINDOWS_FROM && !hosts.is_sound(known.by, age, now)
+        };
+        let spells = self.actors.iter_mut().filter_map(|actor| actor.spells.last_mut());
+        for spell in spells.filter(|spell| spell.known.is_some_and(|k| k.at > spell.since)) {
+            spell.known.take_if(is_untold);
+        }
+    }
+
+    /// The target is not there any more.
+    fn unreachable(&mut self, mut flight: Flight, now: Time) {
+        let state = &self.network.nodes[flight.req.daemon].state;
+        state.fleet().unreachable(&flight.target.name, now);
+        flight.req.tried.push(flight.target.name.clone());
+        self.look_again(flight, now);
+    }
+
+    fn look_again(&mut self, flight: Flight, now: Time) {
+        let Flight { req, target, .. } = flight;
+        self.network.nodes[req.daemon].state.fleet().leave(&target.name, Some(&req.model));
+        self.waiting.push(Request { permit: None, look_at: now, ..req });
+    }
+
+    /// Checks what came to a run while each of its limits held.
+    fn check_limit(&mut self, n: usize) {
+        let actor = &self.actors[n];
+        let ends = actor.spells.iter().skip(1).map(|spell| spell.since);
+        let ends = ends.chain([self.network.clock_now()]);
+        for (spell, end) in actor.spells.iter().zip(ends) {
+            let (Some(limit), Some(known)) = (spell.limit, spell.known) else { continue };
+            let from = known.at + WINDOWS_FROM;
+            let within = |a: &&Arrival| a.at >= from && a.at < end;
+            let arrivals: Vec<Time> = actor
+                .arrivals
+                .iter()
+                .filter(within)
+                .filter(|a| a.is_held_to_bounds)
+                .map(|a| a.at)
+                .collect();
+            let most = limit * WINDOW.as_secs_f64() + BEYOND;
+            let fullest = (0..arrivals.len())
+                .map(|k| arrivals[k..].iter().filter(|at| at.since(arrivals[k]) < WINDOW).count())
+                .max()
+                .unwrap_or(0);
+            self.result.fullest = self.result.fullest.max(fullest as f64 / most);
+            if fullest as f64 > most {
+                let name = &actor.entry.name;
+                let what = format!("{name} takes {limit} a second and got {fullest} in 4 s");
+                self.result.broken.push(what);
+            }
+            let allowed = limit * end.since(from).as_secs_f64();
+            if n == LONE && allowed >= COUNTED_LEAST {
+                self.result.allowed += allowed;
+                self.result.used += actor.arrivals.iter().filter(within).count();
+            }
+        }
+    }
+}
+
+enum Found {
+    Target(Arc<Target>),
+    Nothing,
+    /// No turn comes in time.
+    InVain,
+}
--- a/crates/tansyknot-fleet/tests/view.rs
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -58,6 +58,7 @@
     let tried: Vec<TargetName> = tried.iter().map(|t| TargetName::from(*t)).collect();
     match fleet.pick(&want.get(), &tried, now, &mut StdRng::seed_from_u64(1)) {
         Pick::Target(t) => t.name.to_string(),
+        Pick::Limited(t) => format!("{} in its turn", t.name),
         Pick::Full => "full".to_owned(),
         Pick::NotLoaded => "not loaded".to_owned(),
         Pick::NoTarget => "no target".to_owned(),
--- a/crates/tansyknot-fleet/tests/words.rs
+++ b/crates/tansyknot-fleet/tests/words.rs
@@ -74,6 +74,10 @@
         &[(naming(20.0), Outcome::Ran, interval(3, 9)), (naming(1.0), Outcome::Ran, interval(0, 20))],
         Some(1.0)
     },
+    not_lowered_by_an_answer_from_before = {
+        &[(naming(20.0), Outcome::Ran, interval(10, 20)), (naming(1.0), Outcome::Ran, interval(0, 9))],
+        Some(20.0)
+    },
     raised_by_a_later_answer = {
         &[(naming(1.0), Outcome::Ran, interval(0, 9)), (naming(20.0), Outcome::Ran, interval(10, 20))],
         Some(20.0)
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -126,6 +126,7 @@
             Arc::clone(&state),
             dialect,
             Arc::clone(&conductor) as _,
+            Arc::clone(&conductor) as _,
             Arc::clone(&recorder) as _,
             Arc::clone(&lifecycle),
         );
@@ -274,6 +275,8 @@
     spawn("conduct", move || tx.conduct());
     let tx = Arc::clone(conductor);
     spawn("crashes", move || tx.tell_crashes_on());
+    let tx = Arc::clone(conductor);
+    spawn("permits", move || tx.grant_permits_on());
 }
 
 /// Starts a thread that lives as long as the process.
