Runs of targets that are numbered alike have keys of their own

The key of a run was a hash of its name with its start as the seed; for short names the two are added up before they are mixed, so that t10 with start 10 and t12 with start 12 had one key. Of 900 runs fewer than 900 keys before, 900 now. Names and starts of the users' targets are longer and not numbered alike, and no clash was seen there; a clash would also put a crash down to another target's run.

--- a/crates/tansyknot-fleet/src/poison/key.rs
+++ b/crates/tansyknot-fleet/src/poison/key.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use tansyknot_http::server::Request;
-use xxhash_rust::xxh3::{self, Xxh3};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::target::Target;
 
@@ -58,8 +58,10 @@
 impl RunKey {
     /// Returns the key of the run that a target is in.
     pub fn of(target: &Target) -> Self {
-        let born = target.born.map_or(0, |born| born.0);
-        Self(xxh3::xxh3_64_with_seed(target.name.as_str().as_bytes(), born))
+        let mut hasher = Xxh3::new();
+        update(&mut hasher, target.name.as_str().as_bytes());
+        hasher.update(&target.born.map_or(0, |born| born.0).to_le_bytes());
+        Self(hasher.digest())
     }
 }
 
--- a/crates/tansyknot-fleet/tests/poison_key.rs
+++ b/crates/tansyknot-fleet/tests/poison_key.rs
@@ -1,6 +1,13 @@
-//! What makes two attempts the same request.
+//! What makes two attempts the same request, and two sends go to the same run of a target.
 
-use tansyknot_fleet::poison::key::RequestKey;
+mod support;
+
+use std::collections::BTreeSet;
+
+use tansyknot_fleet::{
+    poison::key::{RequestKey, RunKey},
+    target::{Born, Target},
+};
 use tansyknot_http::{head, server::Request};
 use yare::parameterized;
 
@@ -33,3 +40,14 @@
     let other = request(&HEAD.replace(from, to), body);
     assert_ne!(RequestKey::of(&other), first);
 }
+
+// A name and a start that differ by the same amount had one key.
+#[test]
+fn runs_of_targets_that_are_numbered_alike_have_keys_of_their_own() {
+    let run = |n: u64, born| Target {
+        born: Some(Born(born)),
+        ..support::target(&format!("t{n}"), &[], &[])
+    };
+    let runs = (10..40).flat_map(|n| (10..40).map(move |born| RunKey::of(&run(n, born))));
+    assert_eq!(runs.collect::<BTreeSet<RunKey>>().len(), 900);
+}
