A target that says in its answers that it leaves gets nothing more

What users saw: requests 2,192 and 2,708 ms after an answer had told the daemon that the target leaves (2,000 ms allowed), while the store was away and the list said ready for 12.5 s.

Change: what a run has said of its leaving is kept apart from its entry, so that an entry that is written again, a note, a success, a lapse or a reading of the whole list leaves it as it is; another run under its name begins with a clean sheet. The view shows the target as draining, so every way that looks at it obeys: picks, handovers, the last look before the first byte, plans, copies counted, doubts of crashes. Nothing is sent after the word even if the target alone holds the model: what begins there need not be finished.

--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -218,7 +218,13 @@
         }
         let is_news = m.lapse.is_some() || !entry.is_same(&m.entry);
         let differs_in_models = m.lapse.is_none() && entry.is_same_but_models(&m.entry);
+        let (before, born) = (m.run, m.entry.born);
         m.set_entry(target, now);
+        if m.run != before && born.is_none() {
+            // The same run, which says now when it began.
+            self.words.rename(before, m.run);
+        }
+        m.set_leaves(self.words.is_leaving(m.run));
         is_news.then(|| if differs_in_models { entry.into_models() } else { Change::Put(entry) })
     }
 
@@ -241,7 +247,9 @@
             ]);
             self.gone.remove(&target.name);
         }
-        self.members.insert(target.name.clone(), Member::new(target));
+        let mut member = Member::new(target);
+        member.set_leaves(self.words.is_leaving(member.run));
+        self.members.insert(entry.name.clone(), member);
         Some(Change::Put(entry))
     }
 
@@ -310,7 +318,7 @@
         let is_later = |other: &Member| {
             other.entry.address == address && other.entry.version > m.entry.version
         };
-        if m.entry.state == TargetState::Draining {
+        if m.target.state == TargetState::Draining {
             Standing::Leaving
         } else if self.members.values().any(is_later) {
             Standing::Gone
--- a/crates/tansyknot-fleet/src/fleet/member.rs
+++ b/crates/tansyknot-fleet/src/fleet/member.rs
@@ -27,6 +27,8 @@
     pub(super) target: Arc<Target>,
     /// The run that it is in.
     pub(super) run: RunKey,
+    /// Whether that run has said that it leaves.
+    pub(super) leaves: bool,
     pub(super) note: Option<Noted>,
     /// This daemon's requests there, by model.
     pub(super) in_flight: HashMap<Option<ModelName>, u16>,
@@ -72,6 +74,7 @@
         let entry = Arc::new(target);
         Self {
             run: RunKey::of(&entry),
+            leaves: false,
             target: Arc::clone(&entry),
             entry,
             note: None,
@@ -125,15 +128,27 @@
         }
     }
 
-    /// Makes the target anew of the entry and the note.
+    /// Takes in what the run has said of its leaving.
+    pub(super) fn set_leaves(&mut self, leaves: bool) {
+        if self.leaves != leaves {
+            self.leaves = leaves;
+            self.show();
+        }
+    }
+
+    /// Makes the target anew of the entry, the note and its own word.
     fn show(&mut self) {
-        let Some(Noted { note, .. }) = &self.note else {
+        let noted = self.note.as_ref().map(|n| &n.note);
+        // A target that leaves does not come back under this name.
+        let leaves = self.leaves || noted.is_some_and(|n| n.state == TargetState::Draining);
+        if noted.is_none() && !leaves {
             return self.replace(Arc::clone(&self.entry));
-        };
+        }
         let mut target = Target::clone(&self.entry);
-        target.models.clone_from(&note.models);
-        if note.state == TargetState::Draining {
-            // A target that leaves does not come back under this name.
+        if let Some(note) = noted {
+            target.models.clone_from(&note.models);
+        }
+        if leaves {
             target.state = TargetState::Draining;
         }
         self.replace(Arc::new(target));
--- a/crates/tansyknot-fleet/src/fleet/signal.rs
+++ b/crates/tansyknot-fleet/src/fleet/signal.rs
@@ -32,7 +32,11 @@
                 m.unlimited = Some(at);
             }
         }
-        self.words.hear(run, signals, outcome, at)
+        let changes = self.words.hear(run, signals, outcome, at);
+        if changes.contains(&Change::Leaves) {
+            self.set_leaving(run);
+        }
+        changes
     }
 
     /// Takes in what another daemon knows of targets; tells whether it changes anything.
@@ -42,6 +46,9 @@
 
     fn merge_word(&mut self, word: &RunWord, now: Time) -> bool {
         let is_changed = self.words.merge(word, now);
+        if is_changed && word.is_leaving {
+            self.set_leaving(word.run);
+        }
         if is_changed && matches!(word.limit, LimitWord::Named { .. }) {
             // The limit may have ended by an answer to this daemon before it knew of it.
             let member = self.members.values().find(|m| m.run == word.run);
@@ -68,6 +75,10 @@
         if self.words.is_empty() { Vec::new() } else { self.words.changed_here(now) }
     }
 
+    fn set_leaving(&mut self, run: RunKey) {
+        self.members.values_mut().filter(|m| m.run == run).for_each(|m| m.set_leaves(true));
+    }
+
     /// Takes in that there is a planner, which tells what targets have said to this daemon.
     pub fn planner_tells_words(&mut self, now: Time) {
         self.words.planner_tells(now);
@@ -101,7 +112,8 @@
     pub fn may_send(&self, run: RunKey, permit: Option<Permit>, now: Time) -> bool {
         match self.words.standing(run, now) {
             Standing::Limited(_) => permit.is_some_and(|permit| permit.allows(run, now)),
-            Standing::Open | Standing::Resting(_) | Standing::Leaving => true,
+            Standing::Open | Standing::Resting(_) => true,
+            Standing::Leaving => false,
         }
     }
 
