Without a planner a target with a limit gets half of it, as two daemons may decide

A daemon that has not had the time to be told of all others does not decide any more, and who decides without a planner grants half of the limit.

--- a/crates/tansyknot-fleet/src/backpressure/desk.rs
+++ b/crates/tansyknot-fleet/src/backpressure/desk.rs
@@ -17,6 +17,8 @@
 
 /// The share of a limit that is granted: requests arrive closer together than they were let go.
 const GRANTED_SHARE: f64 = 0.95;
+/// The same without a planner: two daemons may differ in whom they know, and both decide.
+const DEPUTYS_SHARE: f64 = GRANTED_SHARE / 2.0;
 /// A grant that was due so long ago is made up for.
 const CARRIED: Duration = Duration::from_millis(100);
 /// A request that has not asked again for so long is not there any more.
@@ -40,6 +42,17 @@
     Deputy(u64),
 }
 
+impl Term {
+    /// Returns how long after a request the next one may go to a target that takes `rate`.
+    fn interval(self, rate: Rate) -> Duration {
+        let share = match self {
+            Term::None | Term::Planner(_) => GRANTED_SHARE,
+            Term::Deputy(_) => DEPUTYS_SHARE,
+        };
+        Duration::from_secs_f64(1.0 / (rate.per_s() * share))
+    }
+}
+
 /// A request that asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ask {
@@ -135,7 +148,7 @@
         if self.granted.iter().any(|(_, from, number)| ask.is_of(*from, *number)) {
             return Place::Granted;
         }
-        let interval = interval(rate);
+        let interval = self.term.interval(rate);
         let opens = match self.term {
             Term::None => now,
             Term::Planner(_) | Term::Deputy(_) => now.max(self.opened + HANDOVER.max(interval)),
@@ -167,7 +180,7 @@
             queue.forget(now);
             match rate(*run) {
                 Some(rate) => {
-                    queue.interval = interval(rate);
+                    queue.interval = self.term.interval(rate);
                     while let Some(ask) = queue.grant(now) {
                         granted.push(ask);
                     }
@@ -191,7 +204,3 @@
         }
     }
 }
-
-fn interval(rate: Rate) -> Duration {
-    Duration::from_secs_f64(1.0 / (rate.per_s() * GRANTED_SHARE))
-}
--- a/crates/tansyknot-fleet/src/conduct/permit.rs
+++ b/crates/tansyknot-fleet/src/conduct/permit.rs
@@ -15,7 +15,7 @@
         desk::{Ask, Place, Term},
         message::{PermitAnswer, PermitAsk, PermitEnd, PermitVerdict, RunWord},
     },
-    dissemination::message::Message,
+    dissemination::{message::Message, peers},
     poison::key::RunKey,
 };
 
@@ -40,11 +40,17 @@
             return Term::Planner(fence);
         }
         match self.lease.silent_for(now) {
-            Some(silent) if silent >= DEPUTY_AFTER => Term::Deputy(fence),
+            Some(silent) if silent >= DEPUTY_AFTER && self.knows_others(now) => Term::Deputy(fence),
             Some(_) | None => Term::None,
         }
     }
 
+    /// Tells whether this daemon has had the time to be told of all others: it would take itself for the
+    /// one that a target falls to beside another one that does.
+    fn knows_others(&self, now: Time) -> bool {
+        self.state.runs_for(now) >= peers::TOLD_WITHIN
+    }
+
     fn decider(&self, run: RunKey, now: Time) -> Decider {
         let term = self.term(now);
         let silent = self.lease.silent_for(now);
--- a/crates/tansyknot-fleet/src/dissemination/peers.rs
+++ b/crates/tansyknot-fleet/src/dissemination/peers.rs
@@ -10,7 +10,7 @@
 
 /// All daemons are told of once within this span, some with each beat; a daemon that has started
 /// could then take the lease with the fleet at hand.
-const TOLD_WITHIN: Duration = Duration::from_secs(5);
+pub const TOLD_WITHIN: Duration = Duration::from_secs(5);
 /// A daemon that has not been told of for longer is forgotten: two rounds may have been lost.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(16);
 /// A daemon with less than this share of the best link known leaves the lease to others.
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -239,6 +239,11 @@
         self.asks.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns how long this daemon has run.
+    pub fn runs_for(&self, now: Time) -> Duration {
+        now.since(self.started)
+    }
+
     /// Returns the configuration in force, and the view of its keys.
     pub fn in_force(&self) -> (Option<Arc<Catalog>>, KeyView) {
         let view = self.key_view();
