A soak of real processes before targets that speak of themselves

Three daemons, targets that name a limit of one request a second, want 30 s of rest or leave, while daemons lose the store, read their settings again and get new configurations.

--- a/crates/tansyknotd/tests/soak/client.rs
+++ b/crates/tansyknotd/tests/soak/client.rs
@@ -26,6 +26,13 @@
     whole: bool,
 }
 
+impl Answer {
+    /// Tells whether another request may follow on the connection.
+    pub(crate) fn keeps_connection(&self) -> bool {
+        self.keeps && self.whole
+    }
+}
+
 /// Asks until the world is over; returns what broke.
 pub(crate) fn run(world: &World, seed: u64) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -51,7 +58,7 @@
         let status = answer.as_ref().map_or(0, |a| a.status);
         if let Some(answer) = answer {
             broken.extend(judge(&answer, path, &id, is_stream));
-            if answer.keeps && answer.whole {
+            if answer.keeps_connection() {
                 kept = Some(stream);
             }
         }
--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod leave;
 mod proxy;
 mod storm;
+mod words;
 mod world;
 
 use std::{
@@ -137,6 +138,16 @@
     }
 }
 
+// Daemons heard nothing of what targets say of themselves, and sent as much as before.
+#[test]
+fn targets_get_what_they_have_said_they_take() {
+    for seed in seeds(1..3) {
+        let broken = words::run(seed);
+        assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
+        println!("seed {seed}: heard");
+    }
+}
+
 // With these, daemons sent requests to a target 20 s after it had gone.
 #[parameterized(
     one_daemon = { 9 },
