--- a/crates/tansyknot-fleet/src/backpressure/word.rs
+++ b/crates/tansyknot-fleet/src/backpressure/word.rs
@@ -5,7 +5,7 @@
 use tansyknot_core::clock::Time;
 
 use super::{
-    Answer, Interval, Outcome, REST_MOST, Rate, Said, Signals,
+    Answer, Interval, Outcome, REST_MOST, Rate, Said, Signal, Signals,
     message::{Ages, LimitWord, RunWord},
 };
 use crate::poison::key::RunKey;
@@ -59,6 +59,18 @@
     Leaving,
 }
 
+impl Standing {
+    /// Returns the word by which a target takes less than others.
+    pub fn signal(self) -> Option<Signal> {
+        match self {
+            Standing::Open => None,
+            Standing::Limited(_) => Some(Signal::Limit),
+            Standing::Resting(_) => Some(Signal::Rest),
+            Standing::Leaving => Some(Signal::Leaving),
+        }
+    }
+}
+
 /// What one run of a target has said of itself.
 #[derive(Clone, Debug, Default)]
 pub struct Word {
--- a/crates/tansyknot-fleet/src/fleet/signal.rs
+++ b/crates/tansyknot-fleet/src/fleet/signal.rs
@@ -2,10 +2,10 @@
 
 use tansyknot_core::{clock::Time, name::TargetName};
 
-use super::{Fleet, member::Member};
+use super::{Fleet, Want, member::Member};
 use crate::{
     backpressure::{
-        Interval, Outcome, Rate, Said, Signals,
+        Interval, Outcome, Rate, Said, Signal, Signals,
         asks::Permit,
         message::{LimitWord, RunWord},
         word::{Change, Standing},
@@ -125,6 +125,17 @@
         }
     }
 
+    /// Returns by which word a target that holds what a request wants is not as good as others.
+    pub fn set_aside(&self, want: &Want<'_>, now: Time) -> Option<Signal> {
+        if self.words.is_empty() {
+            return None;
+        }
+        let of_service = self.members.values().filter(|m| m.target.service == *want.service);
+        let standings =
+            of_service.filter(|m| m.holds(want)).map(|m| self.words.standing(m.run, now));
+        standings.filter_map(Standing::signal).next()
+    }
+
     /// Returns the targets that name limits.
     pub fn limited(&self) -> Vec<TargetName> {
         if self.words.is_empty() {
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tansyknot_core::clock::{BootInstant, Time};
+use tansyknot_core::{
+    clock::{BootInstant, Time},
+    metric,
+    name::ServiceName,
+};
 use tansyknot_http::presence;
 
 use super::{
@@ -10,7 +14,7 @@
     permit::Turn,
     run::{Reason, Run},
 };
-use crate::{fleet::Pick, target::Target};
+use crate::{backpressure::Signal, fleet::Pick, target::Target};
 
 /// How often a waiting request looks whether its caller has left.
 const LOOK: Duration = Duration::from_millis(100);
@@ -43,6 +47,15 @@
         }
     }
 
+    /// Returns the word of targets that the request waits for.
+    fn signal(self) -> Option<Signal> {
+        match self {
+            Wait::Turn(_) => Some(Signal::Limit),
+            Wait::Rest(_) => Some(Signal::Rest),
+            Wait::Load | Wait::Place => None,
+        }
+    }
+
     /// Returns when a rest ends, from now.
     fn ends_in(self, now: Time) -> Option<Duration> {
         match self {
@@ -74,9 +87,11 @@
     /// Finds a target, waiting for a load, a free place or a turn as long as there is time.
     pub(super) fn find_target(&self, run: &mut Run<'_>) -> Result<Arc<Target>, Reason> {
         let mut lack = None;
+        let mut held = None;
         let began = BootInstant::now();
-        let found = self.look_for_target(run, &mut lack, began);
+        let found = self.look_for_target(run, &mut lack, &mut held, began);
         self.end_asking(run);
+        self.count_word(run, &found, held);
         let waited = began.elapsed();
         run.waited += waited;
         if let Some(lack) = lack {
@@ -89,6 +104,7 @@
         &self,
         run: &mut Run<'_>,
         lack: &mut Option<Lack>,
+        held: &mut Option<Signal>,
         began: BootInstant,
     ) -> Result<Arc<Target>, Reason> {
         loop {
@@ -113,6 +129,7 @@
                 Pick::NotLoaded => Wait::Load,
                 Pick::Full | Pick::NoTarget => Wait::Place,
             };
+            *held = wait.signal();
             if lack.is_none() {
                 *lack = wait.lack(began.elapsed());
                 lack.iter().for_each(|_| self.begin_demand(run, now));
@@ -133,6 +150,21 @@
         }
     }
 
+    /// Counts a request that targets' words have held up, sent elsewhere or had rejected.
+    fn count_word(&self, run: &Run<'_>, found: &Result<Arc<Target>, Reason>, held: Option<Signal>) {
+        let now = self.state.now();
+        let (metric, signal) = match (found, held) {
+            (Ok(_), Some(signal)) => (metric::SIGNAL_HELD, Some(signal)),
+            (Ok(_), None) => {
+                (metric::SIGNAL_ELSEWHERE, self.state.fleet().set_aside(&run.want(), now))
+            }
+            (Err(_), signal) => (metric::SIGNAL_REJECTED, signal),
+        };
+        if let Some(signal) = signal {
+            self.recorder.count(metric.name, &ServiceName::from(signal.name()), 1);
+        }
+    }
+
     /// Has the planner know that a request waits for a copy.
     fn begin_demand(&self, run: &Run<'_>, now: Time) {
         self.state.fleet().begin_waiting(&run.want(), now);
