The end of a limit is told for 10 s; planning and the search's parts are files of their own

In reading: an ended limit would have gone with each beat as long as its target lives. Who has missed the end asks for a permit, is granted it at once and is told by the answer. Datagrams have another format's mark, as demand and news have words now. Moved without a change: planning out of conduct, targets and requests of the search out of its simulation.

--- a/crates/tansyknot-fleet/src/backpressure/word.rs
+++ b/crates/tansyknot-fleet/src/backpressure/word.rs
@@ -16,6 +16,9 @@
 /// Another daemon's word seems younger than it is by what it took on its way.
 const TRANSIT: Duration = Duration::from_millis(100);
 
+/// The end of a limit is told for so long. Who has missed it is told by the next answer.
+const ENDED_TOLD: Duration = Duration::from_secs(10);
+
 /// A limit, and the newest answer that names it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -154,7 +157,8 @@
             per_s: limit.rate.per_s(),
             at: Ages::of(limit.named, now),
         });
-        let ended = self.ended().map(|at| LimitWord::Ended(Ages::of(at, now)));
+        let is_news = |ended: &Answer| now.since(ended.at.received) < ENDED_TOLD;
+        let ended = self.ended().filter(is_news).map(|at| LimitWord::Ended(Ages::of(at, now)));
         let limit = named.or(ended).unwrap_or(LimitWord::Unknown);
         RunWord { run, limit, is_leaving: self.is_leaving }
     }
--- /dev/null
+++ b/crates/tansyknot-fleet/src/conduct/planning.rs
@@ -0,0 +1,78 @@
+//! Planning as the planner: what is known goes in, and tasks are started.
+
+use std::{sync::Arc, thread};
+
+use tansyknot_core::{clock::Time, name::TargetName};
+
+use super::Conductor;
+use crate::{
+    outside::Action,
+    plan::{Task, Tier},
+    target::Target,
+    task::TaskEnd,
+};
+
+impl Conductor {
+    pub(super) fn plan(self: &Arc<Self>, now: Time) {
+        let Some(catalog) = self.state.catalog() else { return };
+        let (targets, suspects) = {
+            let fleet = self.state.fleet();
+            let targets = without_limited(fleet.targets().cloned().collect(), &fleet.limited());
+            let suspects: Vec<TargetName> = targets
+                .iter()
+                .map(|t| t.name.clone())
+                .filter(|name| fleet.is_suspect(name, now))
+                .collect();
+            (targets, suspects)
+        };
+        let opens_at = |name: &TargetName| {
+            let is_reached = !suspects.contains(name);
+            is_reached.then(|| self.lease.opens_at(name, now)).flatten()
+        };
+        let tasks = self.planner().plan(&targets, &opens_at, &catalog, now);
+        for task in tasks {
+            self.start(task);
+        }
+    }
+
+    fn start(self: &Arc<Self>, task: Task) {
+        let me = Arc::clone(self);
+        let name = task.target.name.clone();
+        let spawned = thread::Builder::new().name("task".to_owned()).spawn(move || me.run(&task));
+        if let Err(e) = spawned {
+            log::warn!("no thread for a task: {e}");
+            self.planner().ended(&name, TaskEnd::Failed, self.state.now());
+        }
+    }
+
+    fn run(&self, task: &Task) {
+        self.count_remote(task);
+        let end = self.orders.run(task);
+        self.planner().ended(&task.target.name, end, self.state.now());
+        self.state.demand_changed.raise();
+    }
+
+    fn count_remote(&self, task: &Task) {
+        let now = self.state.now();
+        for step in &task.steps {
+            let Action::Load { model, adapter: None } = &step.action else { continue };
+            if Tier::of(&task.target, model) == Tier::Remote {
+                self.planner().remote_begins(now);
+            }
+        }
+    }
+}
+
+/// Leaves out targets that name limits, unless all of their service do: what they take is too little to
+/// place models by.
+fn without_limited(targets: Vec<Arc<Target>>, limited: &[TargetName]) -> Vec<Arc<Target>> {
+    if limited.is_empty() {
+        return targets;
+    }
+    let (limited, open): (Vec<Arc<Target>>, Vec<Arc<Target>>) =
+        targets.into_iter().partition(|t| limited.contains(&t.name));
+    let is_ready_elsewhere =
+        |t: &Arc<Target>| open.iter().any(|o| o.service == t.service && o.is_ready());
+    let last: Vec<Arc<Target>> = limited.into_iter().filter(|t| !is_ready_elsewhere(t)).collect();
+    [open, last].concat()
+}
--- a/crates/tansyknot-fleet/src/dissemination/datagram.rs
+++ b/crates/tansyknot-fleet/src/dissemination/datagram.rs
@@ -3,7 +3,7 @@
 use super::message::Message;
 
 /// The first byte of each datagram; it changes with the format.
-const FORMAT: u8 = 0xAA;
+const FORMAT: u8 = 0xAB;
 /// Longer messages to one daemon are not sent: they would be split on the way.
 pub const MAX_BYTES: usize = 1200;
 /// The longest datagram to a relay: a message and the addresses that it goes to. One of 1472 bytes
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -21,7 +21,6 @@
 /// A request waits this long at least for word of a load: a demand and its news are on their way,
 /// and one of them may be lost and repeated on the next beat.
 const WORD_SPAN: Duration = Duration::from_millis(650);
-
 /// A turn that comes within this span needs no copy elsewhere.
 const TURN_USUAL: Duration = Duration::from_millis(150);
 
--- a/crates/tansyknot-fleet/tests/support/signals.rs
+++ b/crates/tansyknot-fleet/tests/support/signals.rs
@@ -1,35 +1,30 @@
 //! Daemons before targets that say of themselves how much they take, that they leave, or that they want
 //! rest, under faults drawn from a seed, in virtual time.
 
+mod actor;
+mod flight;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Range,
-    sync::Arc,
     time::Duration,
 };
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use tansyknot_core::{
-    clock::Time,
-    name::{ModelName, ServiceName, TargetName},
-};
+use tansyknot_core::{clock::Time, name::TargetName};
 use tansyknot_fleet::{
-    backpressure::{
-        Interval, Outcome, PermitRequest, Permits, Rate, Said, Signals,
-        asks::{Permit, Progress},
-    },
-    fleet::{Pick, Want},
+    backpressure::{Interval, Outcome, Said, Signals},
     poison::key::RunKey,
     target::{Born, Target, TargetState},
 };
 
 use super::{hosts::Hosts, network::Network, target};
+use actor::{Actor, Arrival, Known, Leaving, Spell};
+use flight::{Flight, Request};
 
 const STEP: Duration = Duration::from_millis(5);
 /// Daemons that have been undisturbed for this long are held to the bounds.
 const CONTACT: Duration = Duration::from_secs(3);
-/// A target that has had nothing to say for this long is known as sound.
-const SOUND_AFTER: Duration = Duration::from_secs(2);
 /// The window in which requests to a target with a limit are counted, from when, and how many there
 /// may be beyond the limit.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -39,8 +34,6 @@
 const TRANSIT: Duration = Duration::from_millis(250);
 /// Of fewer requests no share can be told.
 const COUNTED_LEAST: f64 = 10.0;
-/// How often a request looks again that waits.
-const LOOK: Duration = Duration::from_millis(50);
 const LEAVE_WITHIN: Duration = Duration::from_secs(2);
 const CALM_START: Duration = Duration::from_secs(6);
 const TARGETS: usize = 6;
@@ -92,36 +85,6 @@
     pub(crate) fullest: f64,
 }
 
-/// A request that has come to a target.
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    at: Time,
-    is_held_to_bounds: bool,
-}
-
-/// A span in which a target names one limit, or none.
-#[derive(Clone, Copy, Debug)]
-struct Spell {
-    limit: Option<f64>,
-    since: Time,
-    /// When an answer came that was surely written in it, and to whom.
-    known: Option<Known>,
-}
-
-/// When a daemon came to know something that it could tell others.
-#[derive(Clone, Copy, Debug)]
-struct Known {
-    at: Time,
-    by: usize,
-}
-
-/// How a target leaves.
-#[derive(Clone, Copy, Debug)]
-struct Leaving {
-    listed_at: Time,
-    gone_at: Time,
-}
-
 /// What a run of a daemon has been told by a run of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Told {
@@ -130,89 +93,6 @@
     run: RunKey,
 }
 
-/// One run of a target.
-#[derive(Debug)]
-struct Actor {
-    entry: Target,
-    /// The last one lasts on.
-    spells: Vec<Spell>,
-    arrivals: Vec<Arrival>,
-    /// When the last answer came that was written before the last spell.
-    former_until: Time,
-    /// Since when it says that it leaves, when the list says so, and when it is gone.
-    leaving: Option<Leaving>,
-    /// Until when it turns all requests away.
-    rests_until: Time,
-    /// When its entry was written after it had lapsed.
-    back: Time,
-    lapsed_until: Option<Time>,
-}
-
-impl Actor {
-    fn spell(&self) -> Spell {
-        self.spells[self.spells.len() - 1]
-    }
-
-    fn begin_spell(&mut self, limit: Option<f64>, now: Time) {
-        self.spells.push(Spell { limit, since: now, known: None });
-    }
-
-    fn limit(&self) -> Option<f64> {
-        self.spell().limit
-    }
-
-    /// Tells whether it is known to take any number of requests.
-    fn is_sound(&self, now: Time) -> bool {
-        let Spell { limit, known, .. } = self.spell();
-        let is_known = known.is_some_and(|known| now.since(known.at.max(self.back)) > SOUND_AFTER);
-        let is_open = self.leaving.is_none() && now.since(self.rests_until) > SOUND_AFTER;
-        limit.is_none() && self.lapsed_until.is_none() && is_known && is_open
-    }
-
-    fn signals(&self) -> Signals {
-        let limit = self.limit().and_then(Rate::new);
-        let leaving = self.leaving.map_or(Said::Nothing, |_| Said::Value(()));
-        Signals { limit: limit.map_or(Said::Nothing, Said::Value), leaving, rest: Said::Nothing }
-    }
-}
-
-/// A request that looks for a target.
-#[derive(Clone, Debug)]
-struct Request {
-    daemon: usize,
-    epoch: u64,
-    model: ModelName,
-    priority: u8,
-    until: Time,
-    asking: Option<(u32, RunKey)>,
-    permit: Option<Permit>,
-    look_at: Time,
-    seen: u64,
-    tried: Vec<TargetName>,
-}
-
-/// How far a request has come that has a target.
-#[derive(Clone, Copy, Debug)]
-enum Stage {
-    /// The connection opens.
-    Connects,
-    /// The request is on its way.
-    Sent,
-    /// The target writes the head of its answer.
-    Writes,
-    /// The head is on its way that was written at this time.
-    Answered(Signals, Outcome, Time),
-}
-
-#[derive(Clone, Debug)]
-struct Flight {
-    req: Request,
-    target: Arc<Target>,
-    began: Time,
-    stage: Stage,
-    next_at: Time,
-}
-
 pub(crate) struct Simulation {
     network: Network,
     rng: StdRng,
@@ -425,196 +305,6 @@
         self.hosts.cut(self.store_until, &self.network);
     }
 
-    fn ask(&mut self) {
-        if !self.happens(self.asked_per_s) {
-            return;
-        }
-        let daemon = self.rng.random_range(0..self.hosts.len());
-        let model = if self.rng.random_bool(0.5) { "m9" } else { "m0" };
-        let now = self.now();
-        let until = now + self.span(800..4000);
-        self.result.requests += 1;
-        self.waiting.push(Request {
-            daemon,
-            epoch: self.hosts.epoch(daemon),
-            model: ModelName::from(model),
-            priority: self.rng.random_range(0..4),
-            until,
-            asking: None,
-            permit: None,
-            look_at: now,
-            seen: 0,
-            tried: Vec::new(),
-        });
-    }
-
-    fn is_there(&self, req: &Request) -> bool {
-        self.hosts.epoch(req.daemon) == req.epoch
-    }
-
-    fn look(&mut self) {
-        let now = self.now();
-        for mut req in std::mem::take(&mut self.waiting) {
-            if !self.is_there(&req) {
-                continue;
-            }
-            let node = &self.network.nodes[req.daemon];
-            let seen = node.state.targets_changed.count();
-            let is_idle = now < req.look_at && seen == req.seen;
-            if is_idle || !node.runs_at(now) {
-                self.waiting.push(req);
-                continue;
-            }
-            (req.seen, req.look_at) = (seen, now + LOOK);
-            if now >= req.until {
-                self.give_up(&mut req, now);
-                continue;
-            }
-            match self.find_target(&mut req, now) {
-                Found::Target(target) => self.connect(req, target, now),
-                Found::Nothing => self.waiting.push(req),
-                Found::InVain => self.give_up(&mut req, now),
-            }
-        }
-    }
-
-    fn find_target(&mut self, req: &mut Request, now: Time) -> Found {
-        let state = Arc::clone(&self.network.nodes[req.daemon].state);
-        let service = ServiceName::from("s");
-        let want = Want { service: &service, model: Some(&req.model), adapter: None, prefix: None };
-        let pick = state.fleet().pick(&want, &req.tried, now, &mut self.rng);
-        let found = match pick {
-            Pick::Target(target) => Found::Target(target),
-            Pick::Limited { target, or_at } => match self.turn(req, &target, now) {
-                Progress::Granted(permit) => {
-                    req.permit = Some(permit);
-                    state.fleet().enter(&target.name, Some(&req.model), now);
-                    Found::Target(target)
-                }
-                Progress::Waiting { expected: Some(at) }
-                    if at > req.until && or_at.is_none_or(|at| at > req.until) =>
-                {
-                    Found::InVain
-                }
-                Progress::Waiting { .. } | Progress::AskDue => return Found::Nothing,
-            },
-            _ => Found::Nothing,
-        };
-        self.end_asking(req);
-        found
-    }
-
-    fn turn(&self, req: &mut Request, target: &Target, now: Time) -> Progress {
-        let node = &self.network.nodes[req.daemon];
-        let run = RunKey::of(target);
-        if req.asking.is_some_and(|(_, of)| of != run) {
-            self.end_asking(req);
-        }
-        let (number, _) = *req.asking.get_or_insert_with(|| (node.state.asks().begin(run), run));
-        let progress = node.state.asks().progress(number, now);
-        if progress == Progress::AskDue {
-            let (priority, left) = (req.priority, req.until.since(now));
-            node.conductor.ask(PermitRequest { number, run, priority, left });
-        }
-        node.state.asks().progress(number, now)
-    }
-
-    fn end_asking(&self, req: &mut Request) {
-        let Some((number, run)) = req.asking.take() else { return };
-        let node = &self.network.nodes[req.daemon];
-        let is_unanswered = node.state.asks().end(number);
-        if is_unanswered {
-            node.conductor.end(number, run);
-        }
-    }
-
-    fn give_up(&mut self, req: &mut Request, now: Time) {
-        self.end_asking(req);
-        let fleet = self.network.nodes[req.daemon].state.fleet();
-        let is_listed =
-            |entry: &Target| fleet.target(&entry.name).is_some_and(|t| t.born == entry.born);
-        let is_sound =
-            |a: &&Actor| a.is_sound(now) && a.entry.holds(&req.model, None) && is_listed(&a.entry);
-        let sound = self.actors.iter().find(is_sound);
-        let is_stable = now.since(self.store_until) >= CONTACT;
-        if is_stable
-            && self.hosts.is_sound(req.daemon, CONTACT, now)
-            && let Some(sound) = sound
-        {
-            let (n, name) = (req.daemon, &sound.entry.name);
-            self.result.broken.push(format!("d{n} rejects a request though {name} is sound"));
-        }
-    }
-
-    fn connect(&mut self, req: Request, target: Arc<Target>, now: Time) {
-        let next_at = now + self.span(1..40);
-        self.flights.push(Flight { req, target, began: now, stage: Stage::Connects, next_at });
-    }
-
-    fn fly(&mut self) {
-        let now = self.now();
-        for flight in std::mem::take(&mut self.flights) {
-            if now < flight.next_at {
-                self.flights.push(flight);
-            } else if self.is_there(&flight.req) {
-                self.go_on(flight, now);
-            }
-        }
-    }
-
-    fn go_on(&mut self, mut flight: Flight, now: Time) {
-        let node = &self.network.nodes[flight.req.daemon];
-        let run = RunKey::of(&flight.target);
-        let is_running = node.runs_at(now);
-        match flight.stage {
-            Stage::Connects | Stage::Answered(..) if !is_running => self.flights.push(flight),
-            Stage::Connects => {
-                let may_send = node.state.fleet().may_send(run, flight.req.permit, now);
-                if !may_send {
-                    return self.look_again(flight, now);
-                }
-                self.check_told(&flight.req, run, now);
-                flight.stage = Stage::Sent;
-                flight.next_at = now + self.span(1..30);
-                self.flights.push(flight);
-            }
-            Stage::Sent => {
-                let is_held = self.hosts.is_sound(flight.req.daemon, CONTACT, now);
-                let actor = self.actors.iter_mut().find(|a| RunKey::of(&a.entry) == run);
-                let Some(actor) = actor else { return self.unreachable(flight, now) };
-                actor.arrivals.push(Arrival { at: now, is_held_to_bounds: is_held });
-                flight.stage = Stage::Writes;
-                flight.next_at = now + self.span(1..150);
-                self.flights.push(flight);
-            }
-            Stage::Writes => {
-                let actor = self.actors.iter().find(|a| RunKey::of(&a.entry) == run);
-                let Some(actor) = actor else { return self.unreachable(flight, now) };
-                let mut signals = actor.signals();
-                let mut outcome = Outcome::Ran;
-                if now < actor.rests_until {
-                    signals.rest = Said::Value(actor.rests_until.since(now));
-                    outcome = Outcome::NotRun;
-                }
-                if self.rng.random_bool(self.troubles.garbled) {
-                    signals.limit = Said::Malformed;
-                }
-                if self.rng.random_bool(self.troubles.garbled) {
-                    signals.leaving = Said::Malformed;
-                }
-                flight.stage = Stage::Answered(signals, outcome, now);
-                flight.next_at = now + self.span(1..150);
-                self.flights.push(flight);
-            }
-            Stage::Answered(signals, outcome, written) => {
-                self.hear(&flight, &signals, outcome, written, now);
-                if outcome == Outcome::NotRun {
-                    self.waiting.push(Request { permit: None, look_at: now, ..flight.req });
-                }
-            }
-        }
-    }
-
     /// Checks that nothing is sent to a target that has told this daemon to send nothing.
     fn check_told(&mut self, req: &Request, run: RunKey, now: Time) {
         let told = Told { daemon: req.daemon, epoch: req.epoch, run };
@@ -687,20 +377,6 @@
         }
     }
 
-    /// The target is not there any more.
-    fn unreachable(&mut self, mut flight: Flight, now: Time) {
-        let state = &self.network.nodes[flight.req.daemon].state;
-        state.fleet().unreachable(&flight.target.name, now);
-        flight.req.tried.push(flight.target.name.clone());
-        self.look_again(flight, now);
-    }
-
-    fn look_again(&mut self, flight: Flight, now: Time) {
-        let Flight { req, target, .. } = flight;
-        self.network.nodes[req.daemon].state.fleet().leave(&target.name, Some(&req.model));
-        self.waiting.push(Request { permit: None, look_at: now, ..req });
-    }
-
     /// Checks what came to a run while each of its limits held.
     fn check_limit(&mut self, n: usize) {
         let actor = &self.actors[n];
@@ -736,10 +412,3 @@
         }
     }
 }
-
-enum Found {
-    Target(Arc<Target>),
-    Nothing,
-    /// No turn comes in time.
-    InVain,
-}
