--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -119,6 +119,6 @@
     FLEET_TASK_DONE = 1633, Info, "A load is done.";
     FLEET_READY = 1641, Info, "The daemon is ready for callers.";
     FLEET_LOG_DROPPED = 1651, Warn, "Log lines were left out.";
-    TARGET_SAYS = 1661, Info, "A target has said of itself how much it takes, that it leaves, or how long it wants nothing.";
-    TARGET_MALFORMED = 1662, Warn, "A target has said something of itself that can't be read, and nothing has changed by it.";
+    TARGET_SIGNAL = 1661, Info, "A backpressure signal of a target has changed: its rate limit, that it leaves, or how long it wants rest.";
+    TARGET_SIGNAL_BAD = 1662, Warn, "A backpressure signal of a target can't be read and is ignored.";
 }
--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -74,10 +74,10 @@
     SENDS_AGAIN = "sends_again", Counter, "route", "Sends of requests beyond the first.";
     CUT_OFF = "cut_off", Counter, "service", "Sends whose target closed or reset the connection before its whole answer.";
     CRASHED = "crashed", Counter, "service", "Targets that this daemon has seen end while they had requests.";
-    SIGNALS = "signals", Counter, "signal", "Words of targets of themselves that changed what this daemon knows: limit, leaving, rest.";
-    SIGNALS_MALFORMED = "signals_malformed", Counter, "signal", "Words of targets of themselves that can't be read.";
+    SIGNALS = "signals", Counter, "signal", "Backpressure signals that changed what this daemon knows of a target: limit, leaving, rest.";
+    SIGNALS_MALFORMED = "signals_malformed", Counter, "signal", "Backpressure signals that can't be read.";
     SIGNAL_HELD = "signal_held", Counter, "signal", "Requests that waited for their turn or the end of a rest, and were sent.";
-    SIGNAL_ELSEWHERE = "signal_elsewhere", Counter, "signal", "Requests sent to another target than one that holds the model and takes less or nothing by its own word.";
+    SIGNAL_ELSEWHERE = "signal_elsewhere", Counter, "signal", "Requests sent elsewhere than to a target that holds the model and takes less or nothing by its signal.";
     SIGNAL_REJECTED = "signal_rejected", Counter, "signal", "Requests rejected as their turn, or the end of a rest, would come too late; not run.";
     ORDERS = "orders", Counter, "service", "Orders that targets accepted.";
     ORDERS_FAILED = "orders_failed", Counter, "service", "Tasks that stopped before their last order was done.";
--- a/crates/tansyknot-fleet/examples/limits.rs
+++ b/crates/tansyknot-fleet/examples/limits.rs
@@ -10,7 +10,7 @@
     access::{message::Stamp, share::Share},
     backpressure::{
         Rate,
-        desk::{Ask, Desk},
+        scheduler::{Ask, Scheduler},
     },
     dissemination::pace::BEAT,
     poison::key::RunKey,
@@ -81,7 +81,7 @@
 
 /// One daemon decides request by request.
 struct Permits {
-    desk: Desk,
+    scheduler: Scheduler,
     rate: Rate,
 }
 
@@ -91,10 +91,10 @@
             let from: SocketAddr = ([10, 0, 0, 1], 7000).into();
             let stamp = Stamp { run: 0, us: now.as_micros() };
             let ask = Ask { from, number: r.number, stamp, priority: 0, until: r.until };
-            self.desk.ask(RUN, self.rate, ask, now);
+            self.scheduler.ask(RUN, self.rate, ask, now);
         }
         let rate = self.rate;
-        self.desk.grant(&|_| Some(rate), now).into_iter().map(|ask| ask.number).collect()
+        self.scheduler.grant(&|_| Some(rate), now).into_iter().map(|ask| ask.number).collect()
     }
 }
 
@@ -129,7 +129,7 @@
             let mut equal = Parts::equal(limit, daemons, now);
             let mut lent =
                 Lent { parts: Parts::equal(0.0, daemons, now), rate: limit, beat_at: now };
-            let mut permits = Permits { desk: Desk::default(), rate };
+            let mut permits = Permits { scheduler: Scheduler::default(), rate };
             let ways: [(&str, &mut dyn Way); 3] =
                 [("equal parts", &mut equal), ("lent parts", &mut lent), ("permits", &mut permits)];
             for (name, way) in ways {
--- a/crates/tansyknot-fleet/examples/plan.rs
+++ b/crates/tansyknot-fleet/examples/plan.rs
@@ -141,7 +141,7 @@
         models: (0..size.models).map(one).collect(),
         poison: Default::default(),
         crashes: Vec::new(),
-        words: Vec::new(),
+        signals: Vec::new(),
         in_flight: (0..size.targets).step_by(2).map(busy).collect(),
     }
 }
--- a/crates/tansyknot-fleet/src/backpressure.rs
+++ b/crates/tansyknot-fleet/src/backpressure.rs
@@ -1,12 +1,14 @@
-//! What targets say of themselves in their answers: that they leave, take only so much, or want rest.
+//! Backpressure signals of targets: rate limits, connection draining and retry delays, as their answers
+//! carry them.
 //!
-//! Decided without threads or sockets. `serve` hears and obeys, `conduct` carries words between daemons.
+//! Decided without threads or sockets. `serve` records and obeys them, `conduct` shares them between
+//! daemons.
 
-pub mod asks;
-pub mod desk;
 pub mod message;
-pub mod word;
-pub mod words;
+pub mod pending;
+pub mod registry;
+pub mod run_state;
+pub mod scheduler;
 
 use std::{fmt, time::Duration};
 
@@ -43,7 +45,7 @@
     }
 }
 
-/// What an answer says in one of its fields.
+/// One field of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Said<T> {
     /// The field is absent.
@@ -51,18 +53,18 @@
     Nothing,
     /// The field has this value.
     Value(T),
-    /// The field can't be read, and says nothing.
+    /// The field can't be read and counts for nothing.
     Malformed,
 }
 
-/// A field of an answer in which a target speaks of itself.
+/// A kind of backpressure signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Signal {
-    /// How much it takes.
+    /// A rate limit over all daemons.
     Limit,
-    /// That it leaves.
+    /// The target drains.
     Leaving,
-    /// How long it wants nothing.
+    /// A retry delay for this daemon.
     Rest,
 }
 
@@ -77,14 +79,14 @@
     }
 }
 
-/// What the head of an answer says of its target.
+/// The signals in the head of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Signals {
     /// The requests a second that it takes from all daemons together.
     pub limit: Said<Rate>,
-    /// That it leaves.
+    /// The target drains.
     pub leaving: Said<()>,
-    /// How long it wants nothing from this daemon.
+    /// How long this daemon is to send nothing.
     pub rest: Said<Duration>,
 }
 
@@ -110,7 +112,7 @@
 /// A request that asks whether it may go to a target that names a limit.
 #[derive(Clone, Copy, Debug)]
 pub struct PermitRequest {
-    /// Names it in [`Asks`](asks::Asks), where the answer comes.
+    /// Names it in [`PendingPermits`](pending::PendingPermits), where the answer comes.
     pub number: u32,
     /// The run of the target.
     pub run: RunKey,
--- a/crates/tansyknot-fleet/src/backpressure/message.rs
+++ b/crates/tansyknot-fleet/src/backpressure/message.rs
@@ -1,5 +1,4 @@
-//! What daemons tell each other of targets that speak of themselves. Nothing of it carries authority
-//! over a target: a daemon's own answers from there go before it.
+//! Messages between daemons about backpressure signals and permits.
 
 use std::time::Duration;
 
@@ -38,30 +37,30 @@
     }
 }
 
-/// What a run of a target has said of how much it takes.
+/// The rate limit of one run of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum LimitWord {
-    /// Nothing, as far as is known.
+pub enum LimitSummary {
+    /// None is known.
     Unknown,
-    /// So many requests a second, in this answer.
+    /// It is in force.
     Named {
         /// The requests a second.
         per_s: f64,
-        /// The newest answer that says so.
+        /// The newest answer that names it.
         at: Ages,
     },
-    /// As much as any other again, in this answer.
+    /// It has ended, by this answer.
     Ended(Ages),
 }
 
-/// What a run of a target has said of itself.
+/// The signals of one run of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RunWord {
+pub struct RunSummary {
     /// The run.
     pub run: RunKey,
-    /// How much it takes.
-    pub limit: LimitWord,
-    /// Whether it leaves.
+    /// Its rate limit.
+    pub limit: LimitSummary,
+    /// Whether it drains.
     pub is_leaving: bool,
 }
 
@@ -74,7 +73,7 @@
     /// When it asked.
     pub stamp: Stamp,
     /// The target, and what it has told this daemon.
-    pub word: RunWord,
+    pub summary: RunSummary,
     /// The rank of the request; 0 goes first.
     pub priority: u8,
     /// How much longer it can wait, in milliseconds.
--- a/crates/tansyknot-fleet/src/backpressure/asks.rs
+++ b/crates/tansyknot-fleet/src/backpressure/pending.rs
@@ -52,14 +52,14 @@
 
 /// This daemon's requests that ask.
 #[derive(Debug, Default)]
-pub struct Asks {
+pub struct PendingPermits {
     asking: HashMap<u32, Asking>,
     number: u32,
     /// Drawn by each run of a daemon.
     of_run: u64,
 }
 
-impl Asks {
+impl PendingPermits {
     /// Makes what a run of a daemon has asked that has not asked anything yet. Its questions have
     /// numbers that no earlier run had lately.
     pub fn of_run(of_run: u64) -> Self {
--- a/crates/tansyknot-fleet/src/backpressure/words.rs
+++ b/crates/tansyknot-fleet/src/backpressure/registry.rs
@@ -1,5 +1,5 @@
-//! The words of all targets, by run: an entry of the list that is written again, lapses or comes back
-//! changes nothing in them.
+//! The backpressure state of all targets, by run: an entry of the list that is written again, lapses or
+//! comes back does not change it.
 
 use std::{
     cmp::Reverse,
@@ -11,25 +11,25 @@
 
 use super::{
     Interval, Outcome, Rate, Signals,
-    message::{LimitWord, RunWord},
-    word::{Change, Standing, Word},
+    message::{LimitSummary, RunSummary},
+    run_state::{Availability, Change, RunState},
 };
 use crate::poison::key::RunKey;
 
-/// Runs whose words are kept: more than a fleet has targets. Beyond that the one goes first that was
+/// Runs whose state is kept: more than a fleet has targets. Beyond that the one goes first that was
 /// heard longest ago, as targets that leave end soon, and one that is there speaks with its next answer.
 const RUNS_MOST: usize = 8192;
 /// What an answer to this daemon has changed is told to the planner for so long, as datagrams get lost.
 const TOLD_FOR: Duration = Duration::from_secs(3);
 /// While there is no planner others are told directly, so often.
 const TELLINGS: u32 = 3;
-/// Words in one message at most, those that changed last.
+/// Summaries in one message at most, those that changed last.
 const TOLD_MOST: usize = 64;
 
-/// A run's word.
+/// A run's state, and when it changed.
 #[derive(Clone, Debug, Default)]
 struct Kept {
-    word: Word,
+    state: RunState,
     heard: Time,
     /// When it changed last.
     changed: Time,
@@ -44,16 +44,16 @@
     }
 }
 
-/// What targets have said of themselves.
+/// The backpressure state of all targets.
 #[derive(Clone, Debug, Default)]
-pub struct Words {
+pub struct Registry {
     by_run: HashMap<RunKey, Kept>,
-    /// Runs whose words answers to this daemon have changed, and how often others are to be told yet.
+    /// Runs whose state answers to this daemon have changed, and how often others are to be told yet.
     untold: BTreeMap<RunKey, u32>,
 }
 
-impl Words {
-    /// Takes in what an answer of a run says; returns what it changes.
+impl Registry {
+    /// Takes in the signals of an answer; returns what they change.
     pub fn hear(
         &mut self,
         run: RunKey,
@@ -65,7 +65,7 @@
             return Vec::new();
         }
         let kept = self.kept(run, at.received);
-        let changes = kept.word.hear(signals, outcome, at);
+        let changes = kept.state.hear(signals, outcome, at);
         if !changes.is_empty() {
             kept.changed = at.received;
             kept.changed_here = Some(at.received);
@@ -76,12 +76,12 @@
     }
 
     /// Takes in what another daemon knows; tells whether it changes anything.
-    pub fn merge(&mut self, word: &RunWord, now: Time) -> bool {
-        if word.limit == LimitWord::Unknown && !word.is_leaving {
+    pub fn merge(&mut self, summary: &RunSummary, now: Time) -> bool {
+        if summary.limit == LimitSummary::Unknown && !summary.is_leaving {
             return false;
         }
-        let kept = self.kept(word.run, now);
-        let is_changed = kept.word.merge(word, now);
+        let kept = self.kept(summary.run, now);
+        let is_changed = kept.state.merge(summary, now);
         if is_changed {
             kept.changed = now;
         }
@@ -90,7 +90,7 @@
     }
 
     /// Returns what answers to this daemon have changed lately.
-    pub fn changed_here(&self, now: Time) -> Vec<RunWord> {
+    pub fn changed_here(&self, now: Time) -> Vec<RunSummary> {
         newest(self.by_run.iter().filter(|(_, kept)| kept.is_new(now)), now)
     }
 
@@ -102,7 +102,7 @@
 
     /// Returns what answers to this daemon have changed and no planner may have told, and takes it for
     /// told once.
-    pub fn take_untold(&mut self, now: Time) -> Vec<RunWord> {
+    pub fn take_untold(&mut self, now: Time) -> Vec<RunSummary> {
         self.planner_tells(now);
         let untold = self.told_of(self.untold.keys().copied(), now);
         self.untold.values_mut().for_each(|left| *left -= 1);
@@ -111,51 +111,51 @@
     }
 
     /// Returns what is known of these runs.
-    pub fn told_of(&self, runs: impl Iterator<Item = RunKey>, now: Time) -> Vec<RunWord> {
+    pub fn told_of(&self, runs: impl Iterator<Item = RunKey>, now: Time) -> Vec<RunSummary> {
         let known = runs.filter_map(|run| self.by_run.get_key_value(&run));
         newest(known, now)
     }
 
     /// Returns what is known of a run.
-    pub fn told(&self, run: RunKey, now: Time) -> Option<RunWord> {
-        self.by_run.get(&run).map(|kept| kept.word.told(run, now))
+    pub fn told(&self, run: RunKey, now: Time) -> Option<RunSummary> {
+        self.by_run.get(&run).map(|kept| kept.state.told(run, now))
     }
 
     /// Returns how much a run takes, if it names a limit.
     pub fn limit(&self, run: RunKey) -> Option<Rate> {
-        self.by_run.get(&run)?.word.limit().map(|limit| limit.rate)
+        self.by_run.get(&run)?.state.limit().map(|limit| limit.rate)
     }
 
-    /// Tells whether a run has said that it leaves.
+    /// Tells whether a run drains.
     pub fn is_leaving(&self, run: RunKey) -> bool {
-        self.by_run.get(&run).is_some_and(|kept| kept.word.is_leaving())
+        self.by_run.get(&run).is_some_and(|kept| kept.state.is_leaving())
     }
 
-    /// Has the words of one run count for a name under which it is known from now on.
+    /// Moves the state of a run to another key of the same run.
     pub fn rename(&mut self, run: RunKey, to: RunKey) {
         if let Some(kept) = self.by_run.remove(&run) {
             self.by_run.insert(to, kept);
         }
     }
 
-    /// Takes in that a request is meant for a run now.
+    /// Takes in that a request has chosen a run.
     pub fn sends(&mut self, run: RunKey, now: Time) {
         if let Some(kept) = self.by_run.get_mut(&run) {
-            kept.word.sends(now);
+            kept.state.sends(now);
         }
     }
 
-    /// Tells whether another request may be meant for a run by its own word.
-    pub fn standing(&self, run: RunKey, now: Time) -> Standing {
-        self.by_run.get(&run).map_or(Standing::Open, |kept| kept.word.standing(now))
+    /// Tells whether the signals of a run allow another request to choose it.
+    pub fn standing(&self, run: RunKey, now: Time) -> Availability {
+        self.by_run.get(&run).map_or(Availability::Open, |kept| kept.state.standing(now))
     }
 
-    /// Tells whether a run takes a request that was meant for it before.
-    pub fn standing_at_send(&self, run: RunKey, now: Time) -> Standing {
-        self.by_run.get(&run).map_or(Standing::Open, |kept| kept.word.standing_at_send(now))
+    /// Tells whether the signals of a run still allow a request that has chosen it.
+    pub fn standing_at_send(&self, run: RunKey, now: Time) -> Availability {
+        self.by_run.get(&run).map_or(Availability::Open, |kept| kept.state.standing_at_send(now))
     }
 
-    /// Tells whether no run has said anything.
+    /// Tells whether no run has sent a signal.
     pub fn is_empty(&self) -> bool {
         self.by_run.is_empty()
     }
@@ -176,10 +176,10 @@
 }
 
 /// Returns what others are told of these runs, those first that changed last.
-fn newest<'a>(kept: impl Iterator<Item = (&'a RunKey, &'a Kept)>, now: Time) -> Vec<RunWord> {
+fn newest<'a>(kept: impl Iterator<Item = (&'a RunKey, &'a Kept)>, now: Time) -> Vec<RunSummary> {
     let mut kept: Vec<(&RunKey, &Kept)> = kept.collect();
     kept.sort_by_key(|(run, kept)| (Reverse(kept.changed), **run));
     kept.truncate(TOLD_MOST);
-    let words = kept.into_iter().map(|(run, kept)| kept.word.told(*run, now));
-    words.filter(|word| word.limit != LimitWord::Unknown || word.is_leaving).collect()
+    let summaries = kept.into_iter().map(|(run, kept)| kept.state.told(*run, now));
+    summaries.filter(|s| s.limit != LimitSummary::Unknown || s.is_leaving).collect()
 }
--- a/crates/tansyknot-fleet/src/backpressure/word.rs
+++ b/crates/tansyknot-fleet/src/backpressure/run_state.rs
@@ -1,4 +1,4 @@
-//! What one run of a target has said of itself, however its answers overtake each other.
+//! The backpressure state of one run of a target, whose answers may overtake each other.
 
 use std::time::Duration;
 
@@ -6,14 +6,14 @@
 
 use super::{
     Answer, Interval, Outcome, REST_MOST, Rate, Said, Signal, Signals,
-    message::{Ages, LimitWord, RunWord},
+    message::{Ages, LimitSummary, RunSummary},
 };
 use crate::poison::key::RunKey;
 
 /// A target whose rest is over gets one request each so long, until it has answered one.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 
-/// Another daemon's word seems younger than it is by what it took on its way.
+/// An answer that another daemon has shared seems younger than it is by its time on the way.
 const TRANSIT: Duration = Duration::from_millis(100);
 
 /// The end of a limit is told for so long. Who has missed it is told by the next answer.
@@ -49,9 +49,9 @@
     Rests(Duration),
 }
 
-/// Whether a target takes a request of this daemon by its own word.
+/// Whether the signals of a target allow a request of this daemon.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Standing {
+pub enum Availability {
     /// It does.
     Open,
     /// It does if the request is one of so many a second.
@@ -62,21 +62,21 @@
     Leaving,
 }
 
-impl Standing {
-    /// Returns the word by which a target takes less than others.
+impl Availability {
+    /// Returns the signal by which a target takes less than others.
     pub fn signal(self) -> Option<Signal> {
         match self {
-            Standing::Open => None,
-            Standing::Limited(_) => Some(Signal::Limit),
-            Standing::Resting(_) => Some(Signal::Rest),
-            Standing::Leaving => Some(Signal::Leaving),
+            Availability::Open => None,
+            Availability::Limited(_) => Some(Signal::Limit),
+            Availability::Resting(_) => Some(Signal::Rest),
+            Availability::Leaving => Some(Signal::Leaving),
         }
     }
 }
 
-/// What one run of a target has said of itself.
+/// The backpressure state of one run of a target.
 #[derive(Clone, Debug, Default)]
-pub struct Word {
+pub struct RunState {
     limit: Option<Limit>,
     /// The answer that ended the last limit.
     ended: Option<Answer>,
@@ -84,8 +84,8 @@
     rest: Option<Rest>,
 }
 
-impl Word {
-    /// Takes in what an answer says; returns what it changes.
+impl RunState {
+    /// Takes in the signals of an answer; returns what they change.
     pub fn hear(&mut self, signals: &Signals, outcome: Outcome, at: Interval) -> Vec<Change> {
         let mut changes = Vec::new();
         changes.extend(match (signals.limit, outcome) {
@@ -133,13 +133,13 @@
     }
 
     /// Takes in what another daemon has heard; tells whether it changes anything.
-    pub fn merge(&mut self, word: &RunWord, now: Time) -> bool {
-        let limit = match word.limit {
-            LimitWord::Unknown => None,
-            LimitWord::Named { per_s, at } => {
+    pub fn merge(&mut self, summary: &RunSummary, now: Time) -> bool {
+        let limit = match summary.limit {
+            LimitSummary::Unknown => None,
+            LimitSummary::Named { per_s, at } => {
                 Rate::new(per_s).and_then(|rate| self.limit_named(rate, at.answer(now)))
             }
-            LimitWord::Ended(at) => {
+            LimitSummary::Ended(at) => {
                 let Answer { id, at: Interval { sent, received } } = at.answer(now);
                 self.limit_ended(Answer {
                     id,
@@ -147,20 +147,20 @@
                 })
             }
         };
-        let leaves = if word.is_leaving { self.leave() } else { None };
+        let leaves = if summary.is_leaving { self.leave() } else { None };
         limit.is_some() || leaves.is_some()
     }
 
     /// Returns what other daemons are told of it.
-    pub fn told(&self, run: RunKey, now: Time) -> RunWord {
-        let named = self.limit.map(|limit| LimitWord::Named {
+    pub fn told(&self, run: RunKey, now: Time) -> RunSummary {
+        let named = self.limit.map(|limit| LimitSummary::Named {
             per_s: limit.rate.per_s(),
             at: Ages::of(limit.named, now),
         });
         let is_news = |ended: &Answer| now.since(ended.at.received) < ENDED_TOLD;
-        let ended = self.ended().filter(is_news).map(|at| LimitWord::Ended(Ages::of(at, now)));
-        let limit = named.or(ended).unwrap_or(LimitWord::Unknown);
-        RunWord { run, limit, is_leaving: self.is_leaving }
+        let ended = self.ended().filter(is_news).map(|at| LimitSummary::Ended(Ages::of(at, now)));
+        let limit = named.or(ended).unwrap_or(LimitSummary::Unknown);
+        RunSummary { run, limit, is_leaving: self.is_leaving }
     }
 
     /// Takes in that the target leaves, which it can't take back.
@@ -186,33 +186,33 @@
         self.rest.take_if(|rest| at.sent >= rest.until);
     }
 
-    /// Takes in that a request is meant for the target now.
+    /// Takes in that a request has chosen the target.
     pub fn sends(&mut self, now: Time) {
         if let Some(rest) = self.rest.as_mut().filter(|rest| now >= rest.until) {
             rest.probed = Some(now);
         }
     }
 
-    /// Tells whether another request may be meant for the target by its own word: after a rest they come
-    /// one by one until it has answered.
-    pub fn standing(&self, now: Time) -> Standing {
+    /// Tells whether the signals allow another request to choose the target: after a rest requests come
+    /// one by one until one is answered.
+    pub fn standing(&self, now: Time) -> Availability {
         self.standing_from(now, |rest| match rest.probed {
             Some(at) => at + PROBE_EVERY,
             None => rest.until,
         })
     }
 
-    /// Tells whether the target takes a request that was meant for it before.
-    pub fn standing_at_send(&self, now: Time) -> Standing {
+    /// Tells whether the signals still allow a request that has chosen the target.
+    pub fn standing_at_send(&self, now: Time) -> Availability {
         self.standing_from(now, |rest| rest.until)
     }
 
-    fn standing_from(&self, now: Time, open_at: impl Fn(&Rest) -> Time) -> Standing {
+    fn standing_from(&self, now: Time, open_at: impl Fn(&Rest) -> Time) -> Availability {
         match (self.is_leaving, self.rest.as_ref().map(open_at), self.limit) {
-            (true, _, _) => Standing::Leaving,
-            (false, Some(open_at), _) if now < open_at => Standing::Resting(open_at),
-            (false, _, Some(limit)) => Standing::Limited(limit.rate),
-            (false, _, None) => Standing::Open,
+            (true, _, _) => Availability::Leaving,
+            (false, Some(open_at), _) if now < open_at => Availability::Resting(open_at),
+            (false, _, Some(limit)) => Availability::Limited(limit.rate),
+            (false, _, None) => Availability::Open,
         }
     }
 
--- a/crates/tansyknot-fleet/src/backpressure/desk.rs
+++ b/crates/tansyknot-fleet/src/backpressure/scheduler.rs
@@ -18,7 +18,7 @@
 /// The share of a limit that is granted: requests arrive closer together than they were let go.
 const GRANTED_SHARE: f64 = 0.95;
 /// The same without a planner: two daemons may differ in whom they know, and both decide.
-const DEPUTYS_SHARE: f64 = GRANTED_SHARE / 2.0;
+const FALLBACK_SHARE: f64 = GRANTED_SHARE / 2.0;
 /// A grant that was due so long ago is made up for.
 const CARRIED: Duration = Duration::from_millis(100);
 /// A request that has not asked again for so long is not there any more.
@@ -39,7 +39,7 @@
     /// It is the planner with this fencing token.
     Planner(u64),
     /// The planner with this fencing token has gone and no other one has come.
-    Deputy(u64),
+    Fallback(u64),
 }
 
 impl Term {
@@ -47,7 +47,7 @@
     fn interval(self, rate: Rate) -> Duration {
         let share = match self {
             Term::None | Term::Planner(_) => GRANTED_SHARE,
-            Term::Deputy(_) => DEPUTYS_SHARE,
+            Term::Fallback(_) => FALLBACK_SHARE,
         };
         Duration::from_secs_f64(1.0 / (rate.per_s() * share))
     }
@@ -126,7 +126,7 @@
 
 /// The queues of all targets that name limits.
 #[derive(Debug, Default)]
-pub struct Desk {
+pub struct Scheduler {
     term: Term,
     opened: Time,
     queues: HashMap<RunKey, Queue>,
@@ -134,7 +134,7 @@
     granted: VecDeque<(Time, SocketAddr, u32)>,
 }
 
-impl Desk {
+impl Scheduler {
     /// Goes on by this right, with nothing of what was decided by another one.
     pub fn begin(&mut self, term: Term, now: Time) {
         if self.term != term {
@@ -151,7 +151,7 @@
         let interval = self.term.interval(rate);
         let opens = match self.term {
             Term::None => now,
-            Term::Planner(_) | Term::Deputy(_) => now.max(self.opened + HANDOVER.max(interval)),
+            Term::Planner(_) | Term::Fallback(_) => now.max(self.opened + HANDOVER.max(interval)),
         };
         let new = || Queue { last: opens.before(interval), interval, waiting: Vec::new() };
         let queue = self.queues.entry(run).or_insert_with(new);
--- a/crates/tansyknot-fleet/src/conduct.rs
+++ b/crates/tansyknot-fleet/src/conduct.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     access::lending::Books,
-    backpressure::desk::Desk,
+    backpressure::scheduler::Scheduler,
     dissemination::{
         datagram::{self, FORWARD_MAX_BYTES},
         message::{Demand, Extent, Forward, Message, News},
@@ -52,7 +52,7 @@
     account: Mutex<Account>,
     resent: Mutex<Resent>,
     books: Mutex<Books>,
-    desk: Mutex<Desk>,
+    scheduler: Mutex<Scheduler>,
     peers: Arc<dyn Datagrams>,
     me: Me,
 }
@@ -86,7 +86,7 @@
             account: Mutex::default(),
             resent: Mutex::default(),
             books: Mutex::default(),
-            desk: Mutex::default(),
+            scheduler: Mutex::default(),
             peers,
             me,
         }
@@ -111,8 +111,8 @@
         books
     }
 
-    fn desk(&self) -> MutexGuard<'_, Desk> {
-        self.desk.lock().expect("no holder of the lock panics")
+    fn scheduler(&self) -> MutexGuard<'_, Scheduler> {
+        self.scheduler.lock().expect("no holder of the lock panics")
     }
 
     /// Receives messages until the socket fails.
@@ -146,7 +146,7 @@
             Some(Message::Answer(answer)) => self.take_answer(&answer, now),
             Some(Message::Take(take)) => self.take_take(&take, from, now),
             Some(Message::Taken(taken)) => self.take_taken(taken),
-            Some(Message::Words(words)) => self.take_words(&words, now),
+            Some(Message::Signals(signals)) => self.take_signals(&signals, now),
             Some(Message::PermitAsk(ask)) => self.take_permit_ask(&ask, from, now),
             Some(Message::PermitAnswer(answer)) => self.take_permit_answer(&answer, now),
             Some(Message::PermitEnd(end)) => self.take_permit_end(end, from),
@@ -160,7 +160,7 @@
         let entry = PeerEntry { address: from, zone, link_mbps };
         self.take_crashes(&demand.crashes, from, now);
         self.compare_poison(demand.poison, from, now);
-        if self.state.fleet().merge_words(&demand.words, now) {
+        if self.state.fleet().merge_signals(&demand.signals, now) {
             self.state.view_changed();
         }
         let lacks = self.told().audience.hear(entry, demand.known, self.lease.fence(), now);
@@ -222,8 +222,8 @@
             news.peers.into_iter().for_each(|peer| peers.add(peer, now));
         }
         let mut fleet = self.state.fleet();
-        fleet.told_words();
-        let is_changed = fleet.merge_words(&news.words, now) || !changes.is_empty();
+        fleet.signals_synced();
+        let is_changed = fleet.merge_signals(&news.signals, now) || !changes.is_empty();
         fleet.set_daemons(news.daemons.into());
         fleet.set_list_version(news.list.version);
         for change in changes {
@@ -288,7 +288,7 @@
         } else {
             self.told().end();
             self.send_demand(demand);
-            self.tell_words(now);
+            self.share_signals(now);
         }
     }
 
@@ -303,8 +303,9 @@
         let is_planner_new = self.told().is_planner_new(self.lease.fence(), now);
         let mut fleet = self.state.fleet();
         fleet.expire(now);
-        // A new planner may know nothing of what targets have said.
-        let words = if is_planner_new { fleet.words(now) } else { fleet.words_heard(now) };
+        // A new planner may have received no signals yet.
+        let signals =
+            if is_planner_new { fleet.known_signals(now) } else { fleet.recent_signals(now) };
         Demand {
             daemon: Arc::clone(&self.me.daemon),
             incarnation: Arc::clone(&self.me.incarnation),
@@ -316,7 +317,7 @@
             in_flight: fleet.in_flight(),
             poison,
             crashes,
-            words,
+            signals,
         }
     }
 
@@ -330,7 +331,7 @@
     fn lead(self: &Arc<Self>, demand: Demand, occasion: Occasion, now: Time) {
         let is_new = !std::mem::replace(&mut self.told().was_planner, true);
         if is_new {
-            self.state.fleet().told_words();
+            self.state.fleet().signals_synced();
             self.planner().reset();
             self.begin_telling(now);
             // The planner before may have left the row of poison requests behind.
--- a/crates/tansyknot-fleet/src/conduct/permit.rs
+++ b/crates/tansyknot-fleet/src/conduct/permit.rs
@@ -12,15 +12,15 @@
     access::{message::Stamp, share::SILENT_AFTER},
     backpressure::{
         PermitRequest, Permits,
-        desk::{Ask, Place, Term},
-        message::{PermitAnswer, PermitAsk, PermitEnd, PermitVerdict, RunWord},
+        message::{PermitAnswer, PermitAsk, PermitEnd, PermitVerdict, RunSummary},
+        scheduler::{Ask, Place, Term},
     },
     dissemination::{message::Message, peers},
     poison::key::RunKey,
 };
 
 /// A planner that has been silent for so long decides nothing any more: its lease is over.
-const DEPUTY_AFTER: Duration = Duration::from_millis(1500);
+const FALLBACK_AFTER: Duration = Duration::from_millis(1500);
 /// How long to wait for requests that ask while none does.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -40,7 +40,9 @@
             return Term::Planner(fence);
         }
         match self.lease.silent_for(now) {
-            Some(silent) if silent >= DEPUTY_AFTER && self.knows_others(now) => Term::Deputy(fence),
+            Some(silent) if silent >= FALLBACK_AFTER && self.knows_others(now) => {
+                Term::Fallback(fence)
+            }
             Some(_) | None => Term::None,
         }
     }
@@ -63,39 +65,39 @@
         let chosen = self.state.peers().chosen(run.0, now);
         match chosen {
             Some(address) if address != self.me.address => Decider::Other(address),
-            Some(_) if matches!(term, Term::Deputy(_)) => Decider::Me,
+            Some(_) if matches!(term, Term::Fallback(_)) => Decider::Me,
             Some(_) | None => Decider::Nobody,
         }
     }
 
-    /// Tells all others what targets have said to this daemon, unless there is a planner, which does that.
-    pub(super) fn tell_words(&self, now: Time) {
+    /// Shares the signals that this daemon has received with all others, unless a planner does.
+    pub(super) fn share_signals(&self, now: Time) {
         let has_planner = self.lease.silent_for(now).is_some_and(|silent| silent < SILENT_AFTER);
         if has_planner {
-            self.state.fleet().planner_tells_words(now);
+            self.state.fleet().signals_are_shared(now);
             return;
         }
-        let words = self.state.fleet().take_untold_words(now);
-        if !words.is_empty() {
-            self.send_parts(Message::Words(words), &self.others());
+        let signals = self.state.fleet().take_unshared_signals(now);
+        if !signals.is_empty() {
+            self.send_parts(Message::Signals(signals), &self.others());
         }
     }
 
-    /// Takes in what another daemon has heard of targets.
-    pub(super) fn take_words(&self, words: &[RunWord], now: Time) {
-        if self.state.fleet().merge_words(words, now) {
+    /// Takes in signals that another daemon has received.
+    pub(super) fn take_signals(&self, signals: &[RunSummary], now: Time) {
+        if self.state.fleet().merge_signals(signals, now) {
             self.state.targets_changed.raise();
         }
     }
 
     /// Answers a request that asks, if this daemon decides.
     pub(super) fn take_permit_ask(&self, ask: &PermitAsk, from: SocketAddr, now: Time) {
-        if self.decider(ask.word.run, now) != Decider::Me {
+        if self.decider(ask.summary.run, now) != Decider::Me {
             return;
         }
         let (is_news, rate) = {
             let mut fleet = self.state.fleet();
-            (fleet.merge_words(&[ask.word], now), fleet.limit(ask.word.run))
+            (fleet.merge_signals(&[ask.summary], now), fleet.limit(ask.summary.run))
         };
         if is_news {
             self.state.view_changed();
@@ -111,9 +113,9 @@
             until: now + Duration::from_millis(ask.left_ms.into()),
         };
         let place = {
-            let mut desk = self.desk();
-            desk.begin(self.term(now), now);
-            desk.ask(ask.word.run, rate, asking, now)
+            let mut scheduler = self.scheduler();
+            scheduler.begin(self.term(now), now);
+            scheduler.ask(ask.summary.run, rate, asking, now)
         };
         let verdict = match place {
             Place::Granted => PermitVerdict::Granted,
@@ -126,12 +128,12 @@
 
     /// Takes in that a request does not wait any more.
     pub(super) fn take_permit_end(&self, end: PermitEnd, from: SocketAddr) {
-        self.desk().end(end.run, from, end.number);
+        self.scheduler().end(end.run, from, end.number);
     }
 
     /// Takes in the answer to a request of this daemon.
     pub(super) fn take_permit_answer(&self, answer: &PermitAnswer, now: Time) {
-        if self.state.asks().answered(answer, now) {
+        if self.state.permits().answered(answer, now) {
             self.state.targets_changed.raise();
         }
     }
@@ -140,9 +142,9 @@
     pub fn grant_permits(&self) {
         let now = self.state.now();
         let granted = {
-            let mut desk = self.desk();
-            desk.begin(self.term(now), now);
-            desk.grant(&|run| self.state.fleet().limit(run), now)
+            let mut scheduler = self.scheduler();
+            scheduler.begin(self.term(now), now);
+            scheduler.grant(&|run| self.state.fleet().limit(run), now)
         };
         for ask in granted {
             self.answer(ask.from, ask.number, ask.stamp, PermitVerdict::Granted);
@@ -154,7 +156,7 @@
         loop {
             let seen = self.state.permits_changed.count();
             self.grant_permits();
-            let next = self.desk().next_at();
+            let next = self.scheduler().next_at();
             let pause = next.map_or(IDLE, |at| at.since(self.state.now()));
             self.state.permits_changed.wait(seen, pause);
         }
@@ -174,11 +176,11 @@
     fn ask(&self, request: PermitRequest) {
         let PermitRequest { number, run, priority, left } = request;
         let now = self.state.now();
-        let stamp = self.state.asks().asked(number, now);
-        let word = self.state.fleet().word(run, now);
-        let Some(word) = word else { return };
+        let stamp = self.state.permits().asked(number, now);
+        let summary = self.state.fleet().summary(run, now);
+        let Some(summary) = summary else { return };
         let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-        let ask = PermitAsk { number, stamp, word, priority, left_ms };
+        let ask = PermitAsk { number, stamp, summary, priority, left_ms };
         match self.decider(run, now) {
             Decider::Me => self.take_permit_ask(&ask, self.me.address, now),
             Decider::Other(address) => self.send_parts(Message::PermitAsk(ask), &[address]),
--- a/crates/tansyknot-fleet/src/conduct/telling.rs
+++ b/crates/tansyknot-fleet/src/conduct/telling.rs
@@ -225,8 +225,8 @@
         let extent = extent(occasion, loads.len() * count);
         let (loads, coming) = self.told().choose(extent, loads, coming, now);
         let list = self.changes_between(after, u64::MAX, now);
-        let words = self.state.fleet().words(now);
-        let mut news = News { extent, peers, coming, loads, words, ..self.news(beat, list, now) };
+        let signals = self.state.fleet().known_signals(now);
+        let mut news = News { extent, peers, coming, loads, signals, ..self.news(beat, list, now) };
         news.trim();
         let parts = datagram::datagrams(Message::News(news));
         let groups = self.told().audience.groups().to_vec();
@@ -270,7 +270,7 @@
             peers: Vec::new(),
             coming: Vec::new(),
             loads: Vec::new(),
-            words: Vec::new(),
+            signals: Vec::new(),
         }
     }
 
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -14,7 +14,7 @@
 use super::{changes::ListNews, followed::Known, peers::PeerEntry};
 use crate::{
     access,
-    backpressure::{self, message::RunWord},
+    backpressure::{self, message::RunSummary},
     poison::evidence::{Digest, Evidence},
     target::{Born, Held, TargetState},
 };
@@ -92,8 +92,8 @@
     pub poison: Digest,
     /// What it has found lately of requests under which targets crashed.
     pub crashes: Vec<Evidence>,
-    /// What targets have lately said to it of themselves.
-    pub words: Vec<RunWord>,
+    /// Backpressure signals that it has received lately.
+    pub signals: Vec<RunSummary>,
 }
 
 /// A model that is being loaded.
@@ -161,8 +161,8 @@
     pub coming: Vec<Coming>,
     /// Targets that have requests.
     pub loads: Vec<TargetLoad>,
-    /// What targets have said of themselves.
-    pub words: Vec<RunWord>,
+    /// Backpressure signals of targets.
+    pub signals: Vec<RunSummary>,
 }
 
 /// News that a daemon passes on.
@@ -193,8 +193,8 @@
     Take(access::message::Take),
     /// The planner's answer to it.
     Taken(access::message::Taken),
-    /// From any daemon to any other while there is no planner: what targets have said to it.
-    Words(Vec<RunWord>),
+    /// From any daemon to any other while there is no planner: signals that it has received.
+    Signals(Vec<RunSummary>),
     /// From a daemon to the one that decides, for a request that could go to a target with a limit.
     PermitAsk(backpressure::message::PermitAsk),
     /// The answer to it.
@@ -219,9 +219,9 @@
                 let rest = first.split_off(first.len() / 2);
                 (!first.is_empty()).then_some((Message::Crashes(first), Message::Crashes(rest)))
             }
-            Message::Words(mut first) => {
+            Message::Signals(mut first) => {
                 let rest = first.split_off(first.len() / 2);
-                (!first.is_empty()).then_some((Message::Words(first), Message::Words(rest)))
+                (!first.is_empty()).then_some((Message::Signals(first), Message::Signals(rest)))
             }
             Message::Demand(demand) => {
                 let (first, rest) = demand.split()?;
@@ -238,7 +238,7 @@
 impl Demand {
     fn split(mut self) -> Option<(Self, Self)> {
         let items = self.models.len() + self.in_flight.len();
-        let items = items + self.crashes.len() + self.words.len();
+        let items = items + self.crashes.len() + self.signals.len();
         if items < 2 {
             return None;
         }
@@ -246,8 +246,8 @@
         let models = split_off(&mut self.models, &mut left);
         let in_flight = split_off(&mut self.in_flight, &mut left);
         let crashes = split_off(&mut self.crashes, &mut left);
-        let words = split_off(&mut self.words, &mut left);
-        let rest = Self { models, in_flight, crashes, words, ..self.clone() };
+        let signals = split_off(&mut self.signals, &mut left);
+        let rest = Self { models, in_flight, crashes, signals, ..self.clone() };
         Some((self, rest))
     }
 }
@@ -269,7 +269,7 @@
     fn split(mut self) -> Option<(Self, Self)> {
         let changes = self.list.changes.len();
         let items = changes + self.peers.len() + self.coming.len();
-        let items = items + self.loads.len() + self.words.len();
+        let items = items + self.loads.len() + self.signals.len();
         if items < 2 {
             return None;
         }
@@ -279,8 +279,8 @@
         let peers = split_off(&mut self.peers, &mut left);
         let coming = split_off(&mut self.coming, &mut left);
         let loads = split_off(&mut self.loads, &mut left);
-        let words = split_off(&mut self.words, &mut left);
-        let rest = Self { list, peers, coming, loads, words, ..self.clone() };
+        let signals = split_off(&mut self.signals, &mut left);
+        let rest = Self { list, peers, coming, loads, signals, ..self.clone() };
         Some((self, rest))
     }
 }
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    backpressure::words::Words,
+    backpressure::registry::Registry,
     dissemination::{
         changes::ChangeLog,
         message::{Coming, InFlight, ModelUse, TargetLoad, TargetNote},
@@ -115,10 +115,10 @@
     coming: HashMap<(ServiceName, ModelName), Time>,
     /// The most daemons that the planner has counted.
     daemons: usize,
-    /// What targets have said of themselves.
-    words: Words,
-    /// Whether a planner has told what targets have said to others.
-    is_told_words: bool,
+    /// The backpressure signals of targets.
+    backpressure: Registry,
+    /// Whether a planner has shared the signals that other daemons have received.
+    has_synced_signals: bool,
     /// What the other daemons are told if this one is the planner.
     pub log: ChangeLog,
 }
--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -222,9 +222,9 @@
         m.set_entry(target, now);
         if m.run != before && born.is_none() {
             // The same run, which says now when it began.
-            self.words.rename(before, m.run);
+            self.backpressure.rename(before, m.run);
         }
-        m.set_leaves(self.words.is_leaving(m.run));
+        m.set_leaves(self.backpressure.is_leaving(m.run));
         is_news.then(|| if differs_in_models { entry.into_models() } else { Change::Put(entry) })
     }
 
@@ -248,7 +248,7 @@
             self.gone.remove(&target.name);
         }
         let mut member = Member::new(target);
-        member.set_leaves(self.words.is_leaving(member.run));
+        member.set_leaves(self.backpressure.is_leaving(member.run));
         self.members.insert(entry.name.clone(), member);
         Some(Change::Put(entry))
     }
--- a/crates/tansyknot-fleet/src/fleet/member.rs
+++ b/crates/tansyknot-fleet/src/fleet/member.rs
@@ -27,7 +27,7 @@
     pub(super) target: Arc<Target>,
     /// The run that it is in.
     pub(super) run: RunKey,
-    /// Whether that run has said that it leaves.
+    /// Whether that run has signalled that it drains.
     pub(super) leaves: bool,
     pub(super) note: Option<Noted>,
     /// This daemon's requests there, by model.
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Takes in what the run has said of its leaving.
+    /// Takes in whether the run drains by its own signal.
     pub(super) fn set_leaves(&mut self, leaves: bool) {
         if self.leaves != leaves {
             self.leaves = leaves;
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Makes the target anew of the entry, the note and its own word.
+    /// Makes the target anew of the entry, the note and its own signal.
     fn show(&mut self) {
         let noted = self.note.as_ref().map(|n| &n.note);
         // A target that leaves does not come back under this name.
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{Fleet, Pick, Want, member::Member};
-use crate::{backpressure::word::Standing, target::Target};
+use crate::{backpressure::run_state::Availability, target::Target};
 
 /// What a mean failure of one adds to a target's load, in slots.
 const FAILURE_WEIGHT: f64 = 3.0;
@@ -51,8 +51,9 @@
         let Some(from) = choices.into_iter().find(|c| !c.is_empty()) else {
             return Pick::NotLoaded;
         };
-        let is_free =
-            |m: &&Member| now >= m.full_until && m.load() < 1.0 + OVERFILL && self.is_met(m);
+        let is_free = |m: &&Member| {
+            now >= m.full_until && m.load() < 1.0 + OVERFILL && self.is_past_first_contact(m)
+        };
         let (limited, open): (Vec<&Member>, Vec<&Member>) =
             from.into_iter().filter(is_free).partition(|m| self.limit(m.run).is_some());
         if let Some(chosen) = self.least_loaded(&open, want, rng) {
@@ -80,8 +81,10 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Option<Arc<Target>> {
-        let is_sound = |m: &Member| now >= m.suspect_until && now >= m.full_until && self.is_met(m);
-        let is_open = |m: &Member| self.words.standing(m.run, now) == Standing::Open;
+        let is_sound = |m: &Member| {
+            now >= m.suspect_until && now >= m.full_until && self.is_past_first_contact(m)
+        };
+        let is_open = |m: &Member| self.backpressure.standing(m.run, now) == Availability::Open;
         let is_free = |m: &&Member| is_sound(m) && m.load() < 1.0 && is_open(m);
         let free: Vec<&Member> = self.holding(want, now).filter(is_free).collect();
         let chosen = self.least_loaded(&untried(&free, tried), want, rng)?;
@@ -127,7 +130,7 @@
     pub fn enter(&mut self, target: &TargetName, model: Option<&ModelName>, now: Time) {
         if let Some(m) = self.members.get_mut(target) {
             *m.in_flight.entry(model.cloned()).or_default() += 1;
-            self.words.sends(m.run, now);
+            self.backpressure.sends(m.run, now);
         }
     }
 }
--- a/crates/tansyknot-fleet/src/fleet/signal.rs
+++ b/crates/tansyknot-fleet/src/fleet/signal.rs
@@ -1,4 +1,4 @@
-//! What targets say of themselves, in the view of the fleet.
+//! The backpressure signals of targets in the view of the fleet.
 
 use tansyknot_core::{clock::Time, name::TargetName};
 
@@ -6,16 +6,16 @@
 use crate::{
     backpressure::{
         Interval, Outcome, Rate, Said, Signal, Signals,
-        asks::Permit,
-        message::{LimitWord, RunWord},
-        word::{Change, Standing},
+        message::{LimitSummary, RunSummary},
+        pending::Permit,
+        run_state::{Availability, Change},
     },
     poison::key::RunKey,
     target::Target,
 };
 
 impl Fleet {
-    /// Takes in what an answer of a target says of it; returns what it changes.
+    /// Takes in the signals of an answer; returns what they change.
     pub fn hear_signals(
         &mut self,
         target: &Target,
@@ -32,113 +32,113 @@
                 m.unlimited = Some(at);
             }
         }
-        let changes = self.words.hear(run, signals, outcome, at);
+        let changes = self.backpressure.hear(run, signals, outcome, at);
         if changes.contains(&Change::Leaves) {
             self.set_leaving(run);
         }
         changes
     }
 
-    /// Takes in what another daemon knows of targets; tells whether it changes anything.
-    pub fn merge_words(&mut self, words: &[RunWord], now: Time) -> bool {
-        words.iter().filter(|word| self.merge_word(word, now)).count() > 0
+    /// Takes in what another daemon has shared; tells whether it changes anything.
+    pub fn merge_signals(&mut self, summaries: &[RunSummary], now: Time) -> bool {
+        summaries.iter().filter(|summary| self.merge_summary(summary, now)).count() > 0
     }
 
-    fn merge_word(&mut self, word: &RunWord, now: Time) -> bool {
-        let is_changed = self.words.merge(word, now);
-        if is_changed && word.is_leaving {
-            self.set_leaving(word.run);
+    fn merge_summary(&mut self, summary: &RunSummary, now: Time) -> bool {
+        let is_changed = self.backpressure.merge(summary, now);
+        if is_changed && summary.is_leaving {
+            self.set_leaving(summary.run);
         }
-        if is_changed && matches!(word.limit, LimitWord::Named { .. }) {
+        if is_changed && matches!(summary.limit, LimitSummary::Named { .. }) {
             // The limit may have ended by an answer to this daemon before it knew of it.
-            let member = self.members.values().find(|m| m.run == word.run);
+            let member = self.members.values().find(|m| m.run == summary.run);
             if let Some(at) = member.and_then(|m| m.unlimited) {
-                self.words.hear(word.run, &Signals::default(), Outcome::Ran, at);
+                self.backpressure.hear(summary.run, &Signals::default(), Outcome::Ran, at);
             }
         }
         is_changed
     }
 
-    /// Takes in that a planner has told what targets have said, or that this daemon is the planner.
-    pub fn told_words(&mut self) {
-        self.is_told_words = true;
+    /// Takes in that a planner has shared the signals that it knows, or that this daemon is the planner.
+    pub fn signals_synced(&mut self) {
+        self.has_synced_signals = true;
     }
 
-    /// Tells whether a target takes another request. A daemon that has just started does not know what
-    /// targets have said to others, and sends each of them one request first.
-    pub(super) fn is_met(&self, m: &Member) -> bool {
-        self.is_told_words || m.has_answered || m.own() == 0
+    /// Tells whether a target may get more than one request. A daemon that has just started does not know
+    /// the signals that others have received, and sends each target one request first.
+    pub(super) fn is_past_first_contact(&self, m: &Member) -> bool {
+        self.has_synced_signals || m.has_answered || m.own() == 0
     }
 
-    /// Returns what targets have lately said to this daemon.
-    pub fn words_heard(&self, now: Time) -> Vec<RunWord> {
-        if self.words.is_empty() { Vec::new() } else { self.words.changed_here(now) }
+    /// Returns the signals that this daemon has received lately.
+    pub fn recent_signals(&self, now: Time) -> Vec<RunSummary> {
+        if self.backpressure.is_empty() { Vec::new() } else { self.backpressure.changed_here(now) }
     }
 
     fn set_leaving(&mut self, run: RunKey) {
         self.members.values_mut().filter(|m| m.run == run).for_each(|m| m.set_leaves(true));
     }
 
-    /// Takes in that there is a planner, which tells what targets have said to this daemon.
-    pub fn planner_tells_words(&mut self, now: Time) {
-        self.words.planner_tells(now);
+    /// Takes in that there is a planner, which shares what this daemon receives.
+    pub fn signals_are_shared(&mut self, now: Time) {
+        self.backpressure.planner_tells(now);
     }
 
-    /// Returns what targets have said to this daemon and no planner may have told, and takes it for told.
-    pub fn take_untold_words(&mut self, now: Time) -> Vec<RunWord> {
-        self.words.take_untold(now)
+    /// Returns the signals that no planner may have shared, and counts them as shared once.
+    pub fn take_unshared_signals(&mut self, now: Time) -> Vec<RunSummary> {
+        self.backpressure.take_untold(now)
     }
 
-    /// Returns what targets that are there have said of themselves.
-    pub fn words(&self, now: Time) -> Vec<RunWord> {
-        if self.words.is_empty() {
+    /// Returns the signals of all targets known.
+    pub fn known_signals(&self, now: Time) -> Vec<RunSummary> {
+        if self.backpressure.is_empty() {
             return Vec::new();
         }
-        self.words.told_of(self.members.values().map(|m| m.run), now)
+        self.backpressure.told_of(self.members.values().map(|m| m.run), now)
     }
 
-    /// Returns what a run has said of itself.
-    pub fn word(&self, run: RunKey, now: Time) -> Option<RunWord> {
-        self.words.told(run, now)
+    /// Returns the signals of a run.
+    pub fn summary(&self, run: RunKey, now: Time) -> Option<RunSummary> {
+        self.backpressure.told(run, now)
     }
 
     /// Returns how much a run takes, if it names a limit.
     pub fn limit(&self, run: RunKey) -> Option<Rate> {
-        self.words.limit(run)
+        self.backpressure.limit(run)
     }
 
-    /// Tells whether a run takes a request by its own word as it is sent; one that names a limit takes one
-    /// that has a permit.
+    /// Tells whether the signals of a run allow a request as it is sent; one with a limit takes requests
+    /// that have a permit.
     pub fn may_send(&self, run: RunKey, permit: Option<Permit>, now: Time) -> bool {
-        match self.words.standing_at_send(run, now) {
-            Standing::Open => true,
-            Standing::Limited(_) => permit.is_some_and(|permit| permit.allows(run, now)),
-            Standing::Resting(_) | Standing::Leaving => false,
+        match self.backpressure.standing_at_send(run, now) {
+            Availability::Open => true,
+            Availability::Limited(_) => permit.is_some_and(|permit| permit.allows(run, now)),
+            Availability::Resting(_) | Availability::Leaving => false,
         }
     }
 
     /// Returns until when a target wants nothing from this daemon, if it does.
     pub(super) fn rests_until(&self, m: &Member, now: Time) -> Option<Time> {
-        match self.words.standing(m.run, now) {
-            Standing::Resting(at) => Some(at),
-            Standing::Open | Standing::Limited(_) | Standing::Leaving => None,
+        match self.backpressure.standing(m.run, now) {
+            Availability::Resting(at) => Some(at),
+            Availability::Open | Availability::Limited(_) | Availability::Leaving => None,
         }
     }
 
-    /// Returns by which word a target that holds what a request wants is not as good as others.
+    /// Returns a signal by which a target that holds what a request wants takes less than others.
     pub fn set_aside(&self, want: &Want<'_>, now: Time) -> Option<Signal> {
-        if self.words.is_empty() {
+        if self.backpressure.is_empty() {
             return None;
         }
         let of_service = self.members.values().filter(|m| m.target.service == *want.service);
         let standings =
-            of_service.filter(|m| m.holds(want)).map(|m| self.words.standing(m.run, now));
-        standings.filter_map(Standing::signal).next()
+            of_service.filter(|m| m.holds(want)).map(|m| self.backpressure.standing(m.run, now));
+        standings.filter_map(Availability::signal).next()
     }
 
     /// Returns the targets that name limits.
     pub fn limited(&self) -> Vec<TargetName> {
-        if self.words.is_empty() {
+        if self.backpressure.is_empty() {
             return Vec::new();
         }
         let is_limited = |m: &&Member| self.limit(m.run).is_some();
--- a/crates/tansyknot-fleet/src/outside.rs
+++ b/crates/tansyknot-fleet/src/outside.rs
@@ -274,7 +274,7 @@
         headers: &[(String, String)],
     ) -> Verdict;
 
-    /// Reads what an answer to the request `id` says of `target` itself; `None` if it need not be an
+    /// Reads the backpressure signals in an answer to the request `id`; `None` if it need not be an
     /// answer of `target` to that request.
     fn signals(
         &self,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -126,7 +126,7 @@
             }
         };
         let verdict = self.dialect.judge(&run.ask.id, &target.name, head.status, &head.headers);
-        self.heed(run, target, &head, verdict, began);
+        self.record_signals(run, target, &head, verdict, began);
         match verdict {
             Verdict::Ran => {}
             Verdict::Foreign => {
--- a/crates/tansyknot-fleet/src/serve/permit.rs
+++ b/crates/tansyknot-fleet/src/serve/permit.rs
@@ -4,7 +4,7 @@
 
 use super::{Server, run::Run};
 use crate::{
-    backpressure::{PermitRequest, asks::Progress},
+    backpressure::{PermitRequest, pending::Progress},
     poison::key::RunKey,
     target::Target,
 };
@@ -32,15 +32,15 @@
         if run.asking.is_some_and(|asking| asking.run != of) {
             self.end_asking(run);
         }
-        let begin = || Asking { number: self.state.asks().begin(of), run: of };
+        let begin = || Asking { number: self.state.permits().begin(of), run: of };
         let Asking { number, .. } = *run.asking.get_or_insert_with(begin);
-        let progress = self.state.asks().progress(number, now);
+        let progress = self.state.permits().progress(number, now);
         if progress == Progress::AskDue {
             let left = run.take_by().duration_since(BootInstant::now());
             let priority = run.asker.priority(&run.route);
             self.permits.ask(PermitRequest { number, run: of, priority, left });
         }
-        let progress = self.state.asks().progress(number, now);
+        let progress = self.state.permits().progress(number, now);
         match progress {
             Progress::Granted(permit) => {
                 run.permit = Some(permit);
@@ -54,13 +54,13 @@
     /// Takes back what a request asks, if it does.
     pub(super) fn end_asking(&self, run: &mut Run<'_>) {
         let Some(Asking { number, run: of }) = run.asking.take() else { return };
-        let is_unanswered = self.state.asks().end(number);
+        let is_unanswered = self.state.permits().end(number);
         if is_unanswered {
             self.permits.end(number, of);
         }
     }
 
-    /// Tells whether a target takes a request by its own word now that the connection stands.
+    /// Tells whether the signals of a target still allow a request now that the connection stands.
     pub(super) fn is_taken(&self, run: &Run<'_>, target: &Target) -> bool {
         let now = self.state.now();
         self.state.fleet().may_send(RunKey::of(target), run.permit, now)
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -17,7 +17,7 @@
     permit::Asking,
 };
 use crate::{
-    backpressure::asks::Permit,
+    backpressure::pending::Permit,
     catalog::Route,
     exchange::Failure,
     fleet::{Prefix, Want},
--- a/crates/tansyknot-fleet/src/serve/signal.rs
+++ b/crates/tansyknot-fleet/src/serve/signal.rs
@@ -1,4 +1,4 @@
-//! Hearing what a target says of itself in the head of its answer.
+//! Recording the backpressure signals in the head of an answer.
 
 use tansyknot_core::{
     clock::Time,
@@ -8,15 +8,15 @@
 
 use super::{Server, run::Run};
 use crate::{
-    backpressure::{Interval, Outcome, Signal, Signals, word::Change},
+    backpressure::{Interval, Outcome, Signal, Signals, run_state::Change},
     exchange::AnswerHead,
     outside::Verdict,
     target::Target,
 };
 
 impl Server {
-    /// Takes in what the answer to a request that was sent no earlier than `sent` says of its target.
-    pub(super) fn heed(
+    /// Records the signals of a target in its answer to a request that was sent no earlier than `sent`.
+    pub(super) fn record_signals(
         &self,
         run: &Run<'_>,
         target: &Target,
@@ -48,7 +48,11 @@
             Change::Rests(span) => (Signal::Rest, format!("{} ms", span.as_millis())),
         };
         self.recorder.count(metric::SIGNALS.name, &ServiceName::from(signal.name()), 1);
-        event::TARGET_SAYS.emit(&[("target", target), ("signal", &signal.name()), ("what", &what)]);
+        event::TARGET_SIGNAL.emit(&[
+            ("target", target),
+            ("signal", &signal.name()),
+            ("what", &what),
+        ]);
     }
 
     fn report_malformed(&self, target: &TargetName, signals: &Signals) {
@@ -59,7 +63,7 @@
                 1,
             );
             if self.malformed.admits(self.state.now()) {
-                event::TARGET_MALFORMED.emit(&[("target", target), ("signal", &signal.name())]);
+                event::TARGET_SIGNAL_BAD.emit(&[("target", target), ("signal", &signal.name())]);
             }
         }
     }
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Returns the word of targets that the request waits for.
+    /// Returns the signal that holds the request up.
     fn signal(self) -> Option<Signal> {
         match self {
             Wait::Turn(_) => Some(Signal::Limit),
@@ -90,7 +90,7 @@
         let began = BootInstant::now();
         let found = self.look_for_target(run, &mut lack, &mut held, began);
         self.end_asking(run);
-        self.count_word(run, &found, held);
+        self.count_backpressure(run, &found, held);
         let waited = began.elapsed();
         run.waited += waited;
         if let Some(lack) = lack {
@@ -149,8 +149,13 @@
         }
     }
 
-    /// Counts a request that targets' words have held up, sent elsewhere or had rejected.
-    fn count_word(&self, run: &Run<'_>, found: &Result<Arc<Target>, Reason>, held: Option<Signal>) {
+    /// Counts a request that signals have held up, sent elsewhere or had rejected.
+    fn count_backpressure(
+        &self,
+        run: &Run<'_>,
+        found: &Result<Arc<Target>, Reason>,
+        held: Option<Signal>,
+    ) {
         let now = self.state.now();
         let (metric, signal) = match (found, held) {
             (Ok(_), Some(signal)) => (metric::SIGNAL_HELD, Some(signal)),
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     access::{AccessOptions, pending::Pending, view::KeyView},
-    backpressure::asks::Asks,
+    backpressure::pending::PendingPermits,
     budget::{Budget, BudgetOptions, Part, Retries},
     catalog::Catalog,
     dissemination::{followed::Followed, peers::Peers},
@@ -116,7 +116,7 @@
     poison: Mutex<Poison>,
     key_view: Mutex<KeyView>,
     pending: Mutex<Pending>,
-    asks: Mutex<Asks>,
+    permits: Mutex<PendingPermits>,
     contacts: Mutex<Contacts>,
     catalog: RwLock<Option<Arc<Catalog>>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
@@ -159,7 +159,7 @@
             poison: Mutex::new(Poison::new(started)),
             key_view: Mutex::default(),
             pending: Mutex::new(Pending::of_run(rand::random())),
-            asks: Mutex::new(Asks::of_run(rand::random())),
+            permits: Mutex::new(PendingPermits::of_run(rand::random())),
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
@@ -235,8 +235,8 @@
     /// # Panics
     ///
     /// Panics if another thread has panicked with it.
-    pub fn asks(&self) -> MutexGuard<'_, Asks> {
-        self.asks.lock().expect("no holder of the lock panics")
+    pub fn permits(&self) -> MutexGuard<'_, PendingPermits> {
+        self.permits.lock().expect("no holder of the lock panics")
     }
 
     /// Returns how long this daemon has run.
--- a/crates/tansyknot-fleet/tests/news.rs
+++ b/crates/tansyknot-fleet/tests/news.rs
@@ -244,7 +244,7 @@
         in_flight: (0..in_flight).map(one).collect(),
         poison: Default::default(),
         crashes: Vec::new(),
-        words: Vec::new(),
+        signals: Vec::new(),
     }
 }
 
@@ -291,7 +291,7 @@
         peers: Vec::new(),
         coming: Vec::new(),
         loads: (1..=targets).map(load).collect(),
-        words: Vec::new(),
+        signals: Vec::new(),
     }
 }
 
--- a/crates/tansyknot-fleet/tests/obeyed.rs
+++ b/crates/tansyknot-fleet/tests/obeyed.rs
@@ -13,7 +13,7 @@
 use tansyknot_fleet::{
     backpressure::{
         Interval, Outcome, Rate, Said, Signals,
-        message::{Ages, LimitWord, RunWord},
+        message::{Ages, LimitSummary, RunSummary},
     },
     dissemination::message::TargetNote,
     fleet::{Fleet, Pick, Want},
@@ -33,7 +33,7 @@
 /// Makes the view of a daemon that has heard a planner, with two targets that hold `m0`.
 fn told() -> Fleet {
     let mut fleet = untold();
-    fleet.told_words();
+    fleet.signals_synced();
     fleet
 }
 
@@ -233,11 +233,11 @@
     let mut fleet = told();
     hear(&mut fleet, Signals::default(), Outcome::Ran, at(1000));
     let named = Interval { sent: at(100), received: at(200) };
-    let limit = LimitWord::Named { per_s: 1.0, at: Ages::of(named.into(), at(1500)) };
-    let word = RunWord { run: RunKey::of(&entry("t1", 1)), limit, is_leaving: false };
-    fleet.merge_words(&[word], at(1500));
+    let limit = LimitSummary::Named { per_s: 1.0, at: Ages::of(named.into(), at(1500)) };
+    let word = RunSummary { run: RunKey::of(&entry("t1", 1)), limit, is_leaving: false };
+    fleet.merge_signals(&[word], at(1500));
     assert!(fleet.limited().is_empty());
-    assert_eq!(fleet.words_heard(at(1500)).len(), 1, "the planner is told");
+    assert_eq!(fleet.recent_signals(at(1500)).len(), 1, "the planner is told");
 }
 
 // It would have sent all that waits to a target that has told others that it takes one a second.
--- a/crates/tansyknot-fleet/tests/support/planner.rs
+++ b/crates/tansyknot-fleet/tests/support/planner.rs
@@ -65,7 +65,7 @@
             in_flight,
             poison: Default::default(),
             crashes: Vec::new(),
-            words: Vec::new(),
+            signals: Vec::new(),
         };
         self.planner.hear(demand, self.now);
     }
--- a/crates/tansyknot-fleet/tests/support/signals/flight.rs
+++ b/crates/tansyknot-fleet/tests/support/signals/flight.rs
@@ -10,7 +10,7 @@
 use tansyknot_fleet::{
     backpressure::{
         Outcome, PermitRequest, Permits, Said, Signals,
-        asks::{Permit, Progress},
+        pending::{Permit, Progress},
     },
     fleet::{Pick, Want},
     poison::key::RunKey,
@@ -155,19 +155,19 @@
         if req.asking.is_some_and(|(_, of)| of != run) {
             self.end_asking(req);
         }
-        let (number, _) = *req.asking.get_or_insert_with(|| (node.state.asks().begin(run), run));
-        let progress = node.state.asks().progress(number, now);
+        let (number, _) = *req.asking.get_or_insert_with(|| (node.state.permits().begin(run), run));
+        let progress = node.state.permits().progress(number, now);
         if progress == Progress::AskDue {
             let (priority, left) = (req.priority, req.until.since(now));
             node.conductor.ask(PermitRequest { number, run, priority, left });
         }
-        node.state.asks().progress(number, now)
+        node.state.permits().progress(number, now)
     }
 
     pub(super) fn end_asking(&self, req: &mut Request) {
         let Some((number, run)) = req.asking.take() else { return };
         let node = &self.network.nodes[req.daemon];
-        let is_unanswered = node.state.asks().end(number);
+        let is_unanswered = node.state.permits().end(number);
         if is_unanswered {
             node.conductor.end(number, run);
         }
--- a/crates/tansyknot-fleet/tests/view.rs
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -50,7 +50,7 @@
 
 fn fleet(targets: Vec<Target>) -> Fleet {
     let mut fleet = Fleet::new(ZoneName::from("z1"), Spans::default());
-    fleet.told_words();
+    fleet.signals_synced();
     fleet.set_all(targets, 1, None, at(0));
     fleet
 }
--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! `failed_before`, with the cause.
 #![cfg(feature = "services")]
 
+mod backpressure;
 mod check;
 mod client;
 mod crash;
@@ -14,7 +15,6 @@
 mod leave;
 mod proxy;
 mod storm;
-mod words;
 mod world;
 
 use std::{
@@ -142,7 +142,7 @@
 #[test]
 fn targets_get_what_they_have_said_they_take() {
     for seed in seeds(1..3) {
-        let broken = words::run(seed);
+        let broken = backpressure::run(seed);
         assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
         println!("seed {seed}: heard");
     }
