A request that is withheld at the last look is no send

Found in reading: a request that a signal held back after its connection stood counted a first send once more in the retry budget, and lost the one trial of a request that crashes targets. It counts as a send once a byte may have left. Also: availability in place of standing, which the list of targets has another meaning for.

--- a/crates/tansyknot-fleet/src/backpressure/registry.rs
+++ b/crates/tansyknot-fleet/src/backpressure/registry.rs
@@ -146,13 +146,15 @@
     }
 
     /// Tells whether the signals of a run allow another request to choose it.
-    pub fn standing(&self, run: RunKey, now: Time) -> Availability {
-        self.by_run.get(&run).map_or(Availability::Open, |kept| kept.state.standing(now))
+    pub fn availability(&self, run: RunKey, now: Time) -> Availability {
+        self.by_run.get(&run).map_or(Availability::Open, |kept| kept.state.availability(now))
     }
 
     /// Tells whether the signals of a run still allow a request that has chosen it.
-    pub fn standing_at_send(&self, run: RunKey, now: Time) -> Availability {
-        self.by_run.get(&run).map_or(Availability::Open, |kept| kept.state.standing_at_send(now))
+    pub fn availability_at_send(&self, run: RunKey, now: Time) -> Availability {
+        self.by_run
+            .get(&run)
+            .map_or(Availability::Open, |kept| kept.state.availability_at_send(now))
     }
 
     /// Tells whether no run has sent a signal.
--- a/crates/tansyknot-fleet/src/backpressure/run_state.rs
+++ b/crates/tansyknot-fleet/src/backpressure/run_state.rs
@@ -12,10 +12,8 @@
 
 /// A target whose rest is over gets one request each so long, until it has answered one.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
-
 /// An answer that another daemon has shared seems younger than it is by its time on the way.
 const TRANSIT: Duration = Duration::from_millis(100);
-
 /// The end of a limit is told for so long. Who has missed it is told by the next answer.
 const ENDED_TOLD: Duration = Duration::from_secs(10);
 
@@ -52,13 +50,13 @@
 /// Whether the signals of a target allow a request of this daemon.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Availability {
-    /// It does.
+    /// They do.
     Open,
-    /// It does if the request is one of so many a second.
+    /// They do if the request has a permit; so many go a second.
     Limited(Rate),
-    /// It does from then on.
+    /// They do from then on.
     Resting(Time),
-    /// It never does again.
+    /// They never do again.
     Leaving,
 }
 
@@ -169,8 +167,8 @@
         (!was_leaving).then_some(Change::Leaves)
     }
 
-    /// Takes in a rest. A shorter one does not end a longer one: nothing was sent that could be a newer
-    /// word.
+    /// Takes in a rest. A shorter one does not end a longer one: nothing was sent whose answer
+    /// could be newer.
     fn rest_for(&mut self, span: Duration, now: Time) -> Option<Change> {
         let span = span.min(REST_MOST);
         let until = now + span;
@@ -195,19 +193,19 @@
 
     /// Tells whether the signals allow another request to choose the target: after a rest requests come
     /// one by one until one is answered.
-    pub fn standing(&self, now: Time) -> Availability {
-        self.standing_from(now, |rest| match rest.probed {
+    pub fn availability(&self, now: Time) -> Availability {
+        self.availability_from(now, |rest| match rest.probed {
             Some(at) => at + PROBE_EVERY,
             None => rest.until,
         })
     }
 
     /// Tells whether the signals still allow a request that has chosen the target.
-    pub fn standing_at_send(&self, now: Time) -> Availability {
-        self.standing_from(now, |rest| rest.until)
+    pub fn availability_at_send(&self, now: Time) -> Availability {
+        self.availability_from(now, |rest| rest.until)
     }
 
-    fn standing_from(&self, now: Time, open_at: impl Fn(&Rest) -> Time) -> Availability {
+    fn availability_from(&self, now: Time, open_at: impl Fn(&Rest) -> Time) -> Availability {
         match (self.is_leaving, self.rest.as_ref().map(open_at), self.limit) {
             (true, _, _) => Availability::Leaving,
             (false, Some(open_at), _) if now < open_at => Availability::Resting(open_at),
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -84,7 +84,7 @@
         let is_sound = |m: &Member| {
             now >= m.suspect_until && now >= m.full_until && self.is_past_first_contact(m)
         };
-        let is_open = |m: &Member| self.backpressure.standing(m.run, now) == Availability::Open;
+        let is_open = |m: &Member| self.backpressure.availability(m.run, now) == Availability::Open;
         let is_free = |m: &&Member| is_sound(m) && m.load() < 1.0 && is_open(m);
         let free: Vec<&Member> = self.holding(want, now).filter(is_free).collect();
         let chosen = self.least_loaded(&untried(&free, tried), want, rng)?;
--- a/crates/tansyknot-fleet/src/fleet/signal.rs
+++ b/crates/tansyknot-fleet/src/fleet/signal.rs
@@ -110,7 +110,7 @@
     /// Tells whether the signals of a run allow a request as it is sent; one with a limit takes requests
     /// that have a permit.
     pub fn may_send(&self, run: RunKey, permit: Option<Permit>, now: Time) -> bool {
-        match self.backpressure.standing_at_send(run, now) {
+        match self.backpressure.availability_at_send(run, now) {
             Availability::Open => true,
             Availability::Limited(_) => permit.is_some_and(|permit| permit.allows(run, now)),
             Availability::Resting(_) | Availability::Leaving => false,
@@ -119,7 +119,7 @@
 
     /// Returns until when a target wants nothing from this daemon, if it does.
     pub(super) fn rests_until(&self, m: &Member, now: Time) -> Option<Time> {
-        match self.backpressure.standing(m.run, now) {
+        match self.backpressure.availability(m.run, now) {
             Availability::Resting(at) => Some(at),
             Availability::Open | Availability::Limited(_) | Availability::Leaving => None,
         }
@@ -131,9 +131,10 @@
             return None;
         }
         let of_service = self.members.values().filter(|m| m.target.service == *want.service);
-        let standings =
-            of_service.filter(|m| m.holds(want)).map(|m| self.backpressure.standing(m.run, now));
-        standings.filter_map(Availability::signal).next()
+        let signals = of_service
+            .filter(|m| m.holds(want))
+            .map(|m| self.backpressure.availability(m.run, now));
+        signals.filter_map(Availability::signal).next()
     }
 
     /// Returns the targets that name limits.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -130,9 +130,13 @@
                 Ok(target) => target,
                 Err(reason) => return self.give_up(run, reason),
             };
-            run.sends += 1;
             let sent = self.send(run, &target);
             self.leave(run, &target);
+            if matches!(sent, Sent::NotRun(NotRun::Withheld)) {
+                // Nothing has gone there, and it may be chosen again once it takes requests.
+                continue;
+            }
+            run.sends += 1;
             run.is_trial = false;
             run.tried.push(target.name.clone());
             match sent {
@@ -140,11 +144,6 @@
                     run.relay.finish();
                     return Ended::Answered { status, after: run.caller.after };
                 }
-                Sent::NotRun(NotRun::Withheld) => {
-                    // Nothing has gone there, and it may be asked again once it takes requests.
-                    run.sends -= 1;
-                    run.tried.pop();
-                }
                 Sent::NotRun(_) => {}
                 Sent::Failure(whole) => {
                     run.may_have_run = true;
@@ -201,7 +200,9 @@
         }
         let target = self.find_target(run)?;
         if run.sends == 0 {
-            self.state.count_first_send(&run.service);
+            if !std::mem::replace(&mut run.is_counted, true) {
+                self.state.count_first_send(&run.service);
+            }
         } else if run.arrivals > 0 && !self.state.take_second_send(&run.service) {
             self.leave(run, &target);
             run.note(format_args!("retry budget empty"));
@@ -333,6 +334,7 @@
             caller,
             began,
             until: began + allowed,
+            is_counted: false,
             sends: 0,
             arrivals: 0,
             runs: 0,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -235,5 +235,5 @@
 
 /// Tells whether a request that a target has now may still be sent to another one.
 fn may_go_elsewhere(run: &Run<'_>) -> bool {
-    run.is_repeatable() && run.runs + 1 < run.route.attempts_max && run.sends < SENDS_MAX
+    run.is_repeatable() && run.runs + 1 < run.route.attempts_max && run.sends + 1 < SENDS_MAX
 }
--- a/crates/tansyknot-fleet/src/serve/run.rs
+++ b/crates/tansyknot-fleet/src/serve/run.rs
@@ -201,6 +201,8 @@
     pub(super) caller: CallerSide<'a>,
     pub(super) began: BootInstant,
     pub(super) until: BootInstant,
+    /// Whether its first send is counted in the retry budget.
+    pub(super) is_counted: bool,
     pub(super) sends: u32,
     /// Sends of which a target may have seen a byte: these count against the retry budget.
     pub(super) arrivals: u32,
