Regions: a bound route or team is served, and its models placed, only there

Change: the zones that all bounds allow are worked out on arrival from the setting regions; every choice, second send and handover is among them; no target there is refused at once with region_unavailable. Demand carries the zones (DemandKey), and the planner plans once for free demand and once for each set of zones, with the copies there.

--- a/crates/tansyknot-config/src/fleet.rs
+++ b/crates/tansyknot-config/src/fleet.rs
@@ -1,10 +1,13 @@
 //! The settings file of a daemon that serves a fleet of shared targets.
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
 
 use miette::Diagnostic;
 use serde::{Deserialize, Serialize};
-use tansyknot_core::name::{DaemonName, ZoneName};
+use tansyknot_core::name::{DaemonName, RegionName, ZoneName};
 use thiserror::Error;
 
 use crate::{
@@ -23,6 +26,9 @@
     pub availability_zone: ZoneName,
     /// The addresses that the daemon listens on.
     pub listen: FleetListen,
+    /// The region of each availability zone, for routes and teams that are bound to regions.
+    #[serde(default)]
+    pub regions: BTreeMap<ZoneName, RegionName>,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The bandwidth of the host's link in Mbit/s. A daemon on a slow link leaves the
--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -54,6 +54,7 @@
     TARGET_ERROR = "target_error", Counter, "route", "Requests that received a target's error response.";
     NO_TARGET_IN_TIME = "no_target_in_time", Counter, "route", "Requests that no target could accept before their deadline; not run.";
     ZONES_DRAINED = "zones_drained", Counter, "route", "Requests whose service has targets only in drained availability zones; not run.";
+    REGION_UNAVAILABLE = "region_unavailable", Counter, "route", "Requests whose service has no target in a region that they are bound to; not run.";
     REFUSED_BY_TARGETS = "refused_by_targets", Counter, "route", "Requests that targets refused and that may not be retried further; not run.";
     STOPPING = "stopping", Counter, "route", "Requests that the daemon could not finish before it stopped; not run.";
     NO_ANSWER_IN_TIME = "no_answer_in_time", Counter, "route", "Requests whose target did not respond before their deadline.";
--- a/crates/tansyknot-core/src/name.rs
+++ b/crates/tansyknot-core/src/name.rs
@@ -62,6 +62,8 @@
     DaemonName;
     /// An availability zone.
     ZoneName;
+    /// A region, which contains availability zones.
+    RegionName;
     /// One run of a process. It changes at each start.
     Incarnation;
     /// One request of a caller. The daemon generates it and returns it to the caller.
--- a/crates/tansyknot-fleet/examples/access.rs
+++ b/crates/tansyknot-fleet/examples/access.rs
@@ -51,7 +51,7 @@
     let quota = Quota { unit: Unit::Tokens, rate: 1e5, burst: 1e5, default_units: 200.0 };
     let name = |n: u32| TeamName::new(format!("team{n}"));
     let entry = |n| TeamEntry {
-        team: Team { name: name(n), priority: None, quota: Some(quota) },
+        team: Team { name: name(n), priority: None, quota: Some(quota), regions: None },
         keys: Vec::new(),
     };
     let teams = Teams::new((0..TEAMS).map(entry).collect()).expect("the teams are valid");
@@ -74,7 +74,7 @@
 
 fn teams(keys: u32) -> Teams {
     let keys = (0..keys).map(|n| KeyDigest::of(&format!("key{n}"))).collect();
-    let team = Team { name: "alpha".into(), priority: None, quota: None };
+    let team = Team { name: "alpha".into(), priority: None, quota: None, regions: None };
     Teams::new(vec![TeamEntry { team, keys }]).expect("the team is valid")
 }
 
--- a/crates/tansyknot-fleet/examples/plan.rs
+++ b/crates/tansyknot-fleet/examples/plan.rs
@@ -13,7 +13,7 @@
 use tansyknot_fleet::{
     catalog::{Catalog, Engine, Model, Repeatability, Route, Service},
     dissemination::{
-        message::{Demand, InFlight, ModelUse},
+        message::{Demand, DemandKey, InFlight, ModelUse},
         planner_view::ReceivedState,
     },
     plan::Planner,
@@ -94,6 +94,7 @@
         max_attempts: 2,
         split: vec![(name.clone(), 1)],
         is_public: false,
+        regions: None,
     };
     Catalog::new(1, vec![route], vec![Service { name, engine: Some(engine), warm_up: None }])
 }
@@ -122,9 +123,12 @@
 /// flight.
 fn demand(size: Size) -> Demand {
     let model_use = |n: usize| ModelUse {
-        service: ServiceName::from("s"),
-        model: model(n),
-        adapter: None,
+        key: DemandKey {
+            service: ServiceName::from("s"),
+            model: model(n),
+            adapter: None,
+            zones: None,
+        },
         waiting: u16::from(n.is_multiple_of(WAITING_MODEL_STEP)),
         arrived: 1,
     };
--- a/crates/tansyknot-fleet/src/access/team.rs
+++ b/crates/tansyknot-fleet/src/access/team.rs
@@ -8,6 +8,8 @@
 };
 use thiserror::Error;
 
+use crate::residency::RegionSet;
+
 /// The unit that a quota counts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Unit {
@@ -51,6 +53,8 @@
     pub priority: Option<u8>,
     /// Its quota; `None` for no limit.
     pub quota: Option<Quota>,
+    /// The regions to which its requests are bound; `None` for no bound.
+    pub regions: Option<RegionSet>,
 }
 
 /// A team and the digests of its keys.
--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -4,7 +4,7 @@
 
 use tansyknot_core::name::{ModelName, ServiceName};
 
-use crate::{access::team::Teams, fleet::warm_up::WarmUpPolicy};
+use crate::{access::team::Teams, fleet::warm_up::WarmUpPolicy, residency::RegionSet};
 
 /// Whether a request may be retried after it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +56,8 @@
     pub split: Vec<(ServiceName, u32)>,
     /// Whether the route's requests need no key.
     pub is_public: bool,
+    /// The regions to which its requests are bound; `None` for no bound.
+    pub regions: Option<RegionSet>,
 }
 
 impl Route {
@@ -164,6 +166,14 @@
         self.routes.get(host)?.iter().find(|r| path.starts_with(r.prefix.as_ref()))
     }
 
+    /// Returns the name and the regions of each route and team that is bound to regions.
+    pub fn residency_bounds(&self) -> impl Iterator<Item = (&str, &RegionSet)> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.filter_map(|r| Some((r.name.as_ref(), r.regions.as_ref()?)));
+        let teams = self.teams.iter().flat_map(Teams::all);
+        routes.chain(teams.filter_map(|t| Some((t.name.as_str(), t.regions.as_ref()?))))
+    }
+
     /// Returns the longest objective of the routes that lead to a service.
     pub fn longest_objective(&self, service: &ServiceName) -> Duration {
         self.longest_objectives.get(service).copied().unwrap_or_default()
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -16,19 +16,29 @@
     access,
     backpressure::{self, message::RunSummary},
     poison::evidence::{Digest, Evidence},
+    residency::ZoneSet,
     target::{LoadedModel, StartTime, TargetState},
     zone_drain::DrainedZones,
 };
 
-/// The demand of one daemon for a model.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ModelUse {
+/// What requests demand.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct DemandKey {
     /// The service.
     pub service: ServiceName,
     /// The model.
     pub model: ModelName,
     /// The adapter; `None` stands for the model without one.
     pub adapter: Option<AdapterName>,
+    /// The only zones in which the requests may be served; `None` for all.
+    pub zones: Option<ZoneSet>,
+}
+
+/// The demand of one daemon for a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelUse {
+    /// What the requests demand.
+    pub key: DemandKey,
     /// The number of requests that wait for a load, or for a further replica of the model.
     pub waiting: u16,
     /// The number of requests since the daemon started.
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -24,9 +24,10 @@
     backpressure::registry::Registry,
     dissemination::{
         changes::ChangeLog,
-        message::{InFlight, ModelUse, PendingLoad, TargetLoad, TargetOverride},
+        message::{DemandKey, InFlight, ModelUse, PendingLoad, TargetLoad, TargetOverride},
     },
     freshness::FreshnessLimits,
+    residency::ZoneSet,
     target::Target,
     zone_drain::ZoneDrains,
 };
@@ -54,6 +55,15 @@
     pub adapter: Option<&'a AdapterName>,
     /// The start of the prompt that other prompts share.
     pub prefix: Option<PromptPrefix>,
+    /// The only zones in which the request may be served; `None` for all.
+    pub zones: Option<&'a ZoneSet>,
+}
+
+impl TargetRequirements<'_> {
+    /// Returns whether the request may be served in `zone`.
+    pub fn allows(&self, zone: &ZoneName) -> bool {
+        self.zones.is_none_or(|zones| zones.contains(zone))
+    }
 }
 
 /// The start of a prompt that several requests share.
@@ -85,8 +95,17 @@
     NotLoaded,
     /// No target of the service accepts new work.
     NoTarget,
-    /// All targets of the service that accept new work are in drained zones.
+    /// All targets of the service that accept new work are in zones that exclude the request.
+    Excluded(Exclusion),
+}
+
+/// Why zones exclude a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exclusion {
+    /// Operators have drained them.
     Drained,
+    /// The request is bound to other regions.
+    Region,
 }
 
 /// Identifies a planner update, whose parts share one identifier. A newer update compares greater.
@@ -106,8 +125,6 @@
     last_request: Time,
 }
 
-type UseKey = (ServiceName, ModelName, Option<AdapterName>);
-
 /// The daemon's view of all targets.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -116,7 +133,7 @@
     members: BTreeMap<TargetName, Member>,
     removed_targets: BTreeMap<TargetName, RemovedTarget>,
     list: ListState,
-    uses: BTreeMap<UseKey, UseCounts>,
+    uses: HashMap<DemandKey, UseCounts>,
     /// The planner update from which the loads and pending loads were last taken.
     last_update: UpdateId,
     /// When models that are being loaded should be ready.
@@ -234,6 +251,10 @@
     /// for another copy of a loaded model.
     pub fn pending_load_due(&self, want: &TargetRequirements<'_>, now: Time) -> Option<Time> {
         let model = want.model?;
+        if want.zones.is_some() {
+            // The load may be in a zone that the request must not use.
+            return None;
+        }
         let is_open = |m: &Member| self.rate_limit(m.run, now).is_none();
         if self.ready(want, now).any(|m| m.target.holds(model, None) && is_open(m)) {
             return None;
@@ -278,10 +299,8 @@
 
     /// Returns the models that this daemon's requests wait for or have recently used.
     pub fn model_uses(&self, now: Time) -> Vec<ModelUse> {
-        let to_model_use = |((service, model, adapter), u): (&UseKey, &UseCounts)| ModelUse {
-            service: service.clone(),
-            model: model.clone(),
-            adapter: adapter.clone(),
+        let to_model_use = |(key, u): (&DemandKey, &UseCounts)| ModelUse {
+            key: key.clone(),
             waiting: u.waiting,
             arrived: u.arrived,
         };
@@ -313,10 +332,14 @@
     }
 }
 
-fn use_keys(want: &TargetRequirements<'_>) -> Vec<UseKey> {
+fn use_keys(want: &TargetRequirements<'_>) -> Vec<DemandKey> {
     let Some(model) = want.model else { return Vec::new() };
-    let key =
-        |adapter: Option<&AdapterName>| (want.service.clone(), model.clone(), adapter.cloned());
+    let key = |adapter: Option<&AdapterName>| DemandKey {
+        service: want.service.clone(),
+        model: model.clone(),
+        adapter: adapter.cloned(),
+        zones: want.zones.cloned(),
+    };
     let mut keys = vec![key(None)];
     if want.adapter.is_some() {
         keys.push(key(want.adapter));
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -39,7 +39,7 @@
         rng: &mut impl Rng,
     ) -> Pick {
         if self.ready(want, now).next().is_none() {
-            return if self.is_drained_for(want, now) { Pick::Drained } else { Pick::NoTarget };
+            return self.exclusion(want, now).map_or(Pick::NoTarget, Pick::Excluded);
         }
         let (backing_off, available): (Vec<&Member>, Vec<&Member>) =
             self.holding(want, now).partition(|m| self.backing_off_until(m, now).is_some());
@@ -105,7 +105,8 @@
         want: &TargetRequirements<'_>,
         now: Time,
     ) -> impl Iterator<Item = &Member> {
-        let of_service = |m: &&Member| m.target.service == *want.service;
+        let of_service =
+            |m: &&Member| m.target.service == *want.service && want.allows(&m.target.zone);
         self.members.values().filter(of_service).filter(move |m| self.takes_requests(m, now))
     }
 
--- a/crates/tansyknot-fleet/src/fleet/zone.rs
+++ b/crates/tansyknot-fleet/src/fleet/zone.rs
@@ -7,7 +7,7 @@
     name::{ModelName, ZoneName},
 };
 
-use super::{Fleet, TargetRequirements, member::Member};
+use super::{Exclusion, Fleet, TargetRequirements, member::Member};
 use crate::zone_drain::{DrainedZones, ZoneDrains, ZoneTransitions, ZoneUpdate};
 
 impl Fleet {
@@ -45,10 +45,14 @@
         drained.flat_map(|m| m.target.models.iter().map(|held| held.model.clone())).collect()
     }
 
-    /// Returns whether a request finds no target only because zones are drained.
-    pub(super) fn is_drained_for(&self, want: &TargetRequirements<'_>, now: Time) -> bool {
+    /// Returns why a request that finds no target is excluded from the zones of the service's
+    /// targets; `None` if there are no targets anywhere.
+    pub(super) fn exclusion(&self, want: &TargetRequirements<'_>, now: Time) -> Option<Exclusion> {
         let of_service = |m: &&Member| m.target.service == *want.service && m.takes_work(now);
-        !self.zone_drains.is_empty() && self.members.values().any(|m| of_service(&m))
+        let mut targets = self.members.values().filter(of_service).peekable();
+        targets.peek()?;
+        let is_allowed = targets.any(|m| want.allows(&m.target.zone));
+        Some(if is_allowed { Exclusion::Drained } else { Exclusion::Region })
     }
 
     /// Returns whether the target takes new requests and its zone is not drained.
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod plan;
 pub mod platform_api;
 pub mod poison;
+pub mod residency;
 pub mod response_relay;
 pub mod serve;
 pub mod shutdown;
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -10,20 +10,22 @@
 mod tier;
 
 use std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
+    iter,
     sync::Arc,
     time::Duration,
 };
 
 use tansyknot_core::{
     clock::Time,
-    name::{AdapterName, ModelName, ServiceName, TargetName},
+    name::{ModelName, ServiceName, TargetName, ZoneName},
 };
 
 use crate::{
     catalog::{Catalog, Engine},
-    dissemination::message::{self, PendingLoad},
+    dissemination::message::{self, DemandKey, PendingLoad},
     platform_api::Action,
+    residency::ZoneSet,
     target::Target,
     task::TaskOutcome,
 };
@@ -80,9 +82,6 @@
 /// retained.
 const MIN_LOCAL_LOADS_PER_S: f64 = 1e-5;
 
-/// A model or adapter of a service.
-type DemandKey = (ServiceName, ModelName, Option<AdapterName>);
-
 /// Orders for one target, carried out one after another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Task {
@@ -104,6 +103,7 @@
 #[derive(Clone, Debug)]
 struct PendingTask {
     service: ServiceName,
+    zone: ZoneName,
     loads: Vec<ModelName>,
     /// When the last order should be done.
     done_at: Time,
@@ -178,23 +178,37 @@
         for service in catalog.services.values() {
             let Some(engine) = &service.engine else { continue };
             let objective = catalog.longest_objective(&service.name);
-            let scope = Scope { service: &service.name, engine, objective, now };
-            let of_service = targets.iter().filter(|t| t.service == service.name && t.is_ready());
-            let reachable =
-                |target| Some(ReachableTarget { target, opens_at: opens_at(&target.name)? });
-            let reachable: Vec<ReachableTarget<'_>> = of_service.filter_map(reachable).collect();
-            let round = Round::new(self, scope, &reachable);
-            self.settling.retain(|(target, model), _| round.in_flight(target, model) == 0);
-            self.plan_models(&round, &mut tasks);
-            self.plan_adapters(&round, &mut tasks);
+            for zones in self.zone_sets(&service.name) {
+                let zones = zones.as_ref();
+                let scope = Scope { service: &service.name, engine, objective, zones, now };
+                let in_scope = |t: &&Arc<Target>| {
+                    t.service == service.name && t.is_ready() && scope.allows(&t.zone)
+                };
+                let reachable =
+                    |target| Some(ReachableTarget { target, opens_at: opens_at(&target.name)? });
+                let reachable: Vec<ReachableTarget<'_>> =
+                    targets.iter().filter(in_scope).filter_map(reachable).collect();
+                let round = Round::new(self, scope, &reachable);
+                self.settling.retain(|(target, model), _| round.in_flight(target, model) == 0);
+                self.plan_models(&round, &mut tasks);
+                self.plan_adapters(&round, &mut tasks);
+            }
         }
         tasks
     }
 
+    /// Returns the sets of zones to which demand for a service is bound: first the demand that is
+    /// bound to none, which sees all targets.
+    fn zone_sets(&self, service: &ServiceName) -> Vec<Option<ZoneSet>> {
+        let of_service = self.demand.keys().filter(|key| key.service == *service);
+        let bound: BTreeSet<&ZoneSet> = of_service.filter_map(|key| key.zones.as_ref()).collect();
+        iter::once(None).chain(bound.into_iter().cloned().map(Some)).collect()
+    }
+
     /// Loads models that are requested and have too few copies, the most urgent first.
     fn plan_models(&mut self, round: &Round<'_>, tasks: &mut Vec<Task>) {
         let mut wanted: Vec<(f64, ModelName)> = Vec::new();
-        for (model, view) in round.models() {
+        for (model, view) in round.models().filter(|(_, view)| view.is_in_scope) {
             let load_urgency = self.load_urgency(round, model, view);
             if load_urgency > 0.0 {
                 wanted.push((load_urgency, model.clone()));
@@ -217,7 +231,9 @@
 
     /// Returns the urgency of loading another copy of a model; zero if it has enough copies.
     fn load_urgency(&self, round: &Round<'_>, model: &ModelName, view: &ModelView) -> f64 {
-        let pending_loads = self.pending.values().filter(|p| p.loads.contains(model)).count();
+        let is_pending_in_scope =
+            |p: &&PendingTask| p.loads.contains(model) && round.scope.allows(&p.zone);
+        let pending_loads = self.pending.values().filter(is_pending_in_scope).count();
         let total_copies = view.copies + pending_loads;
         if total_copies == 0 {
             let is_displaced =
@@ -263,7 +279,8 @@
         }
         let takes: Duration = task.steps.iter().map(|s| s.expected_duration + ORDER_OVERHEAD).sum();
         let (service, done_at) = (round.scope.service.clone(), round.scope.now + takes);
-        let pending = PendingTask { service, loads, done_at, is_remote };
+        let zone = task.target.zone.clone();
+        let pending = PendingTask { service, zone, loads, done_at, is_remote };
         self.pending.insert(task.target.name.clone(), pending);
         tasks.push(task);
     }
--- a/crates/tansyknot-fleet/src/plan/adapters.rs
+++ b/crates/tansyknot-fleet/src/plan/adapters.rs
@@ -5,7 +5,9 @@
 use tansyknot_core::name::{AdapterName, ModelName, TargetName};
 
 use super::{Planner, Round, Step, Task, used_mb};
-use crate::{platform_api::Action, target::Target};
+use crate::{
+    dissemination::message::DemandKey, platform_api::Action, residency::ZoneSet, target::Target,
+};
 
 impl Planner {
     /// Loads the adapters that requests wait for, beside their models.
@@ -33,9 +35,10 @@
 
     fn wanted_adapters(&self, round: &Round<'_>) -> Vec<(ModelName, AdapterName)> {
         let mut wanted: Vec<(u32, ModelName, AdapterName)> = Vec::new();
-        for ((service, model, adapter), d) in &self.demand {
+        for (DemandKey { service, model, adapter, zones }, d) in &self.demand {
             let Some(adapter) = adapter else { continue };
-            if service != round.scope.service || d.waiting() == 0 {
+            let is_in_scope = service == round.scope.service && zones.as_ref() == round.scope.zones;
+            if !is_in_scope || d.waiting() == 0 {
                 continue;
             }
             let is_held = round.targets.iter().any(|t| t.holds(model, Some(adapter)));
@@ -109,10 +112,17 @@
         round: &Round<'_>,
         target: &Target,
     ) -> Option<(ModelName, AdapterName)> {
+        let now = round.scope.now;
         let all = target.models.iter().flat_map(|h| h.adapters.iter().map(|a| (&h.model, a)));
         let rate = |(model, adapter): &(&ModelName, &AdapterName)| {
-            let key = (round.scope.service.clone(), (*model).clone(), Some((*adapter).clone()));
-            self.rate(&key, round.scope.now)
+            let key = |zones: Option<&ZoneSet>| DemandKey {
+                service: round.scope.service.clone(),
+                model: (*model).clone(),
+                adapter: Some((*adapter).clone()),
+                zones: zones.cloned(),
+            };
+            let of_scope = round.scope.zones.map(|zones| self.rate(&key(Some(zones)), now));
+            self.rate(&key(None), now) + of_scope.unwrap_or(0.0)
         };
         let least_used = all.min_by(|a, b| rate(a).total_cmp(&rate(b)))?;
         Some((least_used.0.clone(), least_used.1.clone()))
--- a/crates/tansyknot-fleet/src/plan/demand.rs
+++ b/crates/tansyknot-fleet/src/plan/demand.rs
@@ -9,8 +9,8 @@
 
 use tansyknot_core::{clock::Time, name::TargetName};
 
-use super::{DemandKey, Planner, rate_mean::RateMean};
-use crate::dissemination::message::{Demand as DemandReport, InFlight, TargetLoad};
+use super::{Planner, rate_mean::RateMean};
+use crate::dissemination::message::{Demand as DemandReport, DemandKey, InFlight, TargetLoad};
 
 /// A daemon that has sent no message for this long no longer counts.
 pub const DAEMON_TIMEOUT: Duration = Duration::from_secs(2);
@@ -133,7 +133,7 @@
         daemon.last_seen = now;
         daemon.update_in_flight(report.seq, report.in_flight);
         for u in &report.models {
-            let key = (u.service.clone(), u.model.clone(), u.adapter.clone());
+            let key = u.key.clone();
             let before = daemon.arrived.insert(key.clone(), u.arrived);
             // Arrivals that a daemon counted before its first report to this planner came at
             // unknown times.
--- a/crates/tansyknot-fleet/src/plan/round.rs
+++ b/crates/tansyknot-fleet/src/plan/round.rs
@@ -5,11 +5,11 @@
 
 use tansyknot_core::{
     clock::Time,
-    name::{ModelName, ServiceName, TargetName},
+    name::{ModelName, ServiceName, TargetName, ZoneName},
 };
 
 use super::{ORDER_OVERHEAD, Planner};
-use crate::{catalog::Engine, target::Target};
+use crate::{catalog::Engine, residency::ZoneSet, target::Target};
 
 /// The demand for one model, and its copies.
 #[derive(Clone, Copy, Debug, Default)]
@@ -28,6 +28,8 @@
     pub(super) in_flight: u32,
     /// Targets that hold it.
     pub(super) copies: usize,
+    /// Whether the round may order further copies.
+    pub(super) is_in_scope: bool,
 }
 
 impl ModelView {
@@ -45,10 +47,17 @@
     pub(super) engine: &'a Engine,
     /// The longest objective of the routes that lead to the service.
     pub(super) objective: Duration,
+    /// The only zones that the demand of the round may use; `None` for all.
+    pub(super) zones: Option<&'a ZoneSet>,
     pub(super) now: Time,
 }
 
 impl Scope<'_> {
+    /// Returns whether the round may use targets in `zone`.
+    pub(super) fn allows(&self, zone: &ZoneName) -> bool {
+        self.zones.is_none_or(|zones| zones.contains(zone))
+    }
+
     /// Returns how long a request may have waited for a model and still be on time after a load
     /// from disk.
     fn max_on_time_wait(&self, model: &ModelName) -> Duration {
@@ -97,22 +106,28 @@
         let cooldowns = cooling_down.map(|r| (r.target.name.clone(), r.opens_at)).collect();
         let targets: Vec<&Arc<Target>> = reachable.iter().map(|r| r.target).collect();
         let mut models: HashMap<ModelName, ModelView> = HashMap::new();
-        for ((service, model, adapter), demand) in &planner.demand {
-            if service != scope.service {
-                continue;
-            }
+        for (key, demand) in planner.demand.iter().filter(|(key, _)| key.service == *scope.service)
+        {
+            let model = &key.model;
             let view = models.entry(model.clone()).or_default();
-            if adapter.is_some() {
-                view.adapters_waiting += demand.waiting();
-            } else {
-                view.waiting += demand.waiting();
+            if key.adapter.is_none() {
                 view.rate += demand.rate_at(scope.now);
             }
+            if key.zones.as_ref() != scope.zones {
+                continue;
+            }
+            view.is_in_scope = true;
+            match key.adapter {
+                Some(_) => view.adapters_waiting += demand.waiting(),
+                None => view.waiting += demand.waiting(),
+            }
             view.on_time += demand.waiting_within(scope.max_on_time_wait(model), scope.now);
             view.longest_wait = view.longest_wait.max(demand.longest_wait(scope.now));
         }
         for held in targets.iter().flat_map(|t| &t.models) {
-            models.entry(held.model.clone()).or_default().copies += 1;
+            let view = models.entry(held.model.clone()).or_default();
+            view.copies += 1;
+            view.is_in_scope |= scope.zones.is_none();
         }
         let mut in_flight: HashMap<(TargetName, ModelName), u32> = HashMap::new();
         let mut in_flight_at: HashMap<TargetName, u32> = HashMap::new();
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -32,6 +32,7 @@
     exchange::Failure,
     platform_api::{Dialect, RequestParams},
     poison::key::RequestKey,
+    residency::ZoneSet,
     response_relay::{CallerConnection, EventRelay},
     state::State,
     target::Target,
@@ -85,7 +86,8 @@
         let hash = xxhash_rust::xxh3::xxh3_64(params.id.as_bytes());
         let service = route.service(hash).cloned().ok_or(Reason::NoRoute)?;
         let identity = self.identify(head, &route, &catalog, &view, arrived)?;
-        Ok(Routed { route, service, identity })
+        let zones = self.state.regions.allowed_zones(&identity.residency_bounds(&route));
+        Ok(Routed { route, service, identity, zones })
     }
 
     /// Refuses a request before a target is selected for it.
@@ -292,11 +294,12 @@
     }
 }
 
-/// Route, service and identity of a request.
+/// Route, service, identity and residency of a request.
 struct Routed {
     route: Arc<Route>,
     service: ServiceName,
     identity: Identity,
+    zones: Option<ZoneSet>,
 }
 
 fn find_route(catalog: &Catalog, host: &str, path: &str) -> Option<Arc<Route>> {
@@ -322,7 +325,7 @@
     ) -> io::Result<ConnectionAction> {
         let began = BootInstant::now();
         let params = self.dialect.request_params(&req.head);
-        let Routed { route, service, identity } =
+        let Routed { route, service, identity, zones } =
             match self.route(&req.head, &params, self.state.now()) {
                 Ok(routed) => routed,
                 Err(reason) => {
@@ -345,6 +348,7 @@
             route,
             service,
             identity,
+            zones,
             cost,
             caller,
             began,
--- a/crates/tansyknot-fleet/src/serve/access.rs
+++ b/crates/tansyknot-fleet/src/serve/access.rs
@@ -14,6 +14,7 @@
     access::{self, Denied, QuotaDecision, RequestCredentials, team::Team, view::KeyView},
     catalog::{Catalog, Route},
     platform_api::{RequestParams, RequestSender},
+    residency::RegionSet,
 };
 
 /// Maximum wait of a request for the planner, which keeps the quota accounts. A lost planner is
@@ -51,6 +52,15 @@
         }
     }
 
+    /// Returns the regions to which a request on `route` is bound, each of which must allow it.
+    pub(super) fn residency_bounds<'a>(&'a self, route: &'a Route) -> Vec<&'a RegionSet> {
+        let of_team = match self {
+            Identity::Team(team) => team.regions.as_ref(),
+            Identity::Anybody | Identity::Public => None,
+        };
+        route.regions.iter().chain(of_team).collect()
+    }
+
     /// Returns the team's name for logs; empty if there is no team.
     pub(super) fn name(&self) -> &str {
         match self {
--- a/crates/tansyknot-fleet/src/serve/handover.rs
+++ b/crates/tansyknot-fleet/src/serve/handover.rs
@@ -12,6 +12,7 @@
     exchange::TimeoutPolicy,
     fleet::{PromptPrefix, TargetRequirements},
     poison::key::RequestKey,
+    residency::ZoneSet,
     state::State,
     target::Target,
 };
@@ -30,6 +31,7 @@
     model: Option<ModelName>,
     adapter: Option<AdapterName>,
     prefix: Option<PromptPrefix>,
+    zones: Option<ZoneSet>,
     tried: Vec<TargetName>,
     deadline: BootInstant,
     next_target: RefCell<Option<Arc<Target>>>,
@@ -48,6 +50,7 @@
             model: want.model.cloned(),
             adapter: want.adapter.cloned(),
             prefix: want.prefix,
+            zones: want.zones.cloned(),
             tried,
             deadline: request.give_up_at(),
             next_target: RefCell::default(),
@@ -69,6 +72,7 @@
             model: self.model.as_ref(),
             adapter: self.adapter.as_ref(),
             prefix: self.prefix,
+            zones: self.zones.as_ref(),
         };
         let now = self.state.now();
         let target = self.state.fleet().pick_other(&want, &self.tried, now, &mut rand::rng())?;
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -23,6 +23,7 @@
     fleet::{PromptPrefix, TargetRequirements},
     platform_api::RequestParams,
     poison::key::RequestKey,
+    residency::ZoneSet,
     response_relay::{CallerConnection, EventRelay},
     target::Target,
 };
@@ -67,6 +68,8 @@
     PoisonRequest,
     /// All targets of the service are in drained availability zones.
     ZonesDrained,
+    /// No target of the service is in a region that the request is bound to.
+    RegionUnavailable,
     /// The time limit passed before a target could accept the request.
     NoTargetInTime,
     /// Targets refused the request and no further send is allowed.
@@ -94,6 +97,7 @@
             Reason::QuotaUnknown => "quota_unknown",
             Reason::PoisonRequest => metric::POISON_REQUEST.name,
             Reason::ZonesDrained => metric::ZONES_DRAINED.name,
+            Reason::RegionUnavailable => metric::REGION_UNAVAILABLE.name,
             Reason::NoTargetInTime => metric::NO_TARGET_IN_TIME.name,
             Reason::RefusedByTargets => metric::REFUSED_BY_TARGETS.name,
             Reason::NoAnswerInTime => metric::NO_ANSWER_IN_TIME.name,
@@ -122,6 +126,7 @@
             // loses only this attempt.
             | Reason::PoisonRequest
             | Reason::ZonesDrained
+            | Reason::RegionUnavailable
             | Reason::NoTargetInTime
             | Reason::RefusedByTargets => 503,
             Reason::NoAnswerInTime => 504,
@@ -141,9 +146,10 @@
                 Some(RETRY_AFTER_NOT_READY)
             }
             Reason::Stopping => Some(Duration::ZERO),
-            Reason::ZonesDrained | Reason::NoTargetInTime | Reason::RefusedByTargets => {
-                Some(RETRY_AFTER_NO_TARGET)
-            }
+            Reason::ZonesDrained
+            | Reason::RegionUnavailable
+            | Reason::NoTargetInTime
+            | Reason::RefusedByTargets => Some(RETRY_AFTER_NO_TARGET),
             _ => None,
         }
     }
@@ -208,6 +214,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
     pub(super) identity: Identity,
+    /// The only zones in which the request may be served; `None` for all.
+    pub(super) zones: Option<ZoneSet>,
     /// The units taken from the team's quota.
     pub(super) cost: Option<Cost>,
     pub(super) caller: CallerConnection<'a>,
@@ -246,6 +254,7 @@
             model: self.params.model.as_ref(),
             adapter: self.params.adapter.as_ref(),
             prefix: self.prefix(),
+            zones: self.zones.as_ref(),
         }
     }
 
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -14,7 +14,11 @@
     permit::PermitState,
     request::{ActiveRequest, Reason},
 };
-use crate::{backpressure::Signal, fleet::Pick, target::Target};
+use crate::{
+    backpressure::Signal,
+    fleet::{Exclusion, Pick},
+    target::Target,
+};
 
 /// Interval at which a waiting request checks whether its caller has left.
 const CALLER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -141,7 +145,8 @@
                 Pick::BackingOff(at) => Wait::RetryDelay(at),
                 Pick::NotLoaded => Wait::Load,
                 Pick::Full | Pick::NoTarget => Wait::Slot,
-                Pick::Drained => return Err(Reason::ZonesDrained),
+                Pick::Excluded(Exclusion::Drained) => return Err(Reason::ZonesDrained),
+                Pick::Excluded(Exclusion::Region) => return Err(Reason::RegionUnavailable),
             };
             *delaying_signal = wait.signal();
             if shortage.is_none() {
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -23,6 +23,7 @@
     fleet::{Fleet, TargetRequirements},
     freshness::FreshnessLimits,
     poison::{Merged, Poison, evidence::Evidence, key::RequestKey},
+    residency::Regions,
     zone_drain::{DrainedZones, ZoneTransitions, ZoneUpdate},
 };
 
@@ -132,6 +133,8 @@
     pub access: AccessOptions,
     /// Maximum ages of the views.
     pub freshness: FreshnessLimits,
+    /// The region of each availability zone.
+    pub regions: Regions,
     started: Time,
 }
 
@@ -173,10 +176,17 @@
             budget_options: budget,
             access,
             freshness,
+            regions: Regions::default(),
             started,
         }
     }
 
+    /// Returns this state with the region of each availability zone.
+    #[must_use]
+    pub fn with_regions(self, regions: Regions) -> Self {
+        Self { regions, ..self }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Time {
         self.clock.now()
@@ -264,9 +274,26 @@
         let version = catalog.version;
         let is_newer = self.set_catalog(catalog);
         view.record_in_force(version, as_of);
+        drop(view);
+        if is_newer {
+            self.report_unknown_regions();
+        }
         is_newer
     }
 
+    fn report_unknown_regions(&self) {
+        let Some(catalog) = self.catalog() else { return };
+        for (name, set) in catalog.residency_bounds() {
+            for region in self.regions.unknown(set) {
+                event::REGION_UNKNOWN.emit(&[
+                    ("bound", &name),
+                    ("region", region),
+                    ("config", &catalog.version),
+                ]);
+            }
+        }
+    }
+
     /// Returns whether the view of the keys is fresh enough to validate them; `true` if requests
     /// need no key.
     pub fn keys_are_fresh(&self) -> bool {
--- a/crates/tansyknot-fleet/tests/access.rs
+++ b/crates/tansyknot-fleet/tests/access.rs
@@ -35,7 +35,7 @@
 }
 
 fn team(name: &str, quota: Option<Quota>) -> Team {
-    Team { name: name.into(), priority: None, quota }
+    Team { name: name.into(), priority: None, quota, regions: None }
 }
 
 fn teams(quota: Quota) -> Teams {
--- a/crates/tansyknot-fleet/tests/drained_zones.rs
+++ b/crates/tansyknot-fleet/tests/drained_zones.rs
@@ -15,7 +15,7 @@
     name::{ModelName, ServiceName, ZoneName},
 };
 use tansyknot_fleet::{
-    fleet::{Fleet, Pick, TargetRequirements},
+    fleet::{Exclusion, Fleet, Pick, TargetRequirements},
     freshness::FreshnessLimits,
     target::Target,
     zone_drain::{DrainedZones, ZoneChange, ZoneDrains, ZoneUpdate},
@@ -44,8 +44,13 @@
 
 fn pick(fleet: &mut Fleet, model: &str) -> Pick {
     let (service, model) = (ServiceName::from("s"), ModelName::from(model));
-    let requirements =
-        TargetRequirements { service: &service, model: Some(&model), adapter: None, prefix: None };
+    let requirements = TargetRequirements {
+        service: &service,
+        model: Some(&model),
+        adapter: None,
+        prefix: None,
+        zones: None,
+    };
     fleet.pick(&requirements, &[], at(0), &mut StdRng::seed_from_u64(1))
 }
 
@@ -98,7 +103,8 @@
     fleet.replace_drained_zones(zones(drained, 2), at(0));
     let found = match pick(&mut fleet, model) {
         Pick::Target(t) => t.name.to_string(),
-        Pick::Drained => "drained".to_owned(),
+        Pick::Excluded(Exclusion::Drained) => "drained".to_owned(),
+        Pick::Excluded(Exclusion::Region) => "outside its regions".to_owned(),
         Pick::NotLoaded => "not loaded".to_owned(),
         other => format!("{other:?}"),
     };
--- a/crates/tansyknot-fleet/tests/news.rs
+++ b/crates/tansyknot-fleet/tests/news.rs
@@ -12,7 +12,9 @@
     dissemination::{
         changes::{Change, ChangeLog, Entry, ListRead, ListUpdate},
         datagram,
-        message::{Demand, Extent, InFlight, Message, ModelUse, PlannerUpdate, TargetLoad},
+        message::{
+            Demand, DemandKey, Extent, InFlight, Message, ModelUse, PlannerUpdate, TargetLoad,
+        },
         planner_view::{PlannerView, ReceivedState},
     },
     freshness::FreshnessLimits,
@@ -235,9 +237,12 @@
 fn demand(models: usize, in_flight: usize) -> Demand {
     let name = |n: usize| format!("a-name-of-ordinary-length-{n}");
     let model = |n| ModelUse {
-        service: "service".into(),
-        model: name(n).as_str().into(),
-        adapter: None,
+        key: DemandKey {
+            service: "service".into(),
+            model: name(n).as_str().into(),
+            adapter: None,
+            zones: None,
+        },
         waiting: 1,
         arrived: 300,
     };
--- a/crates/tansyknot-fleet/tests/obeyed.rs
+++ b/crates/tansyknot-fleet/tests/obeyed.rs
@@ -80,22 +80,32 @@
         Pick::Limited { target, .. } => format!("{} with a permit", target.name),
         Pick::BackingOff(until) => format!("in {} ms", until.since(at(0)).as_millis()),
         Pick::Full => "full".to_owned(),
-        Pick::NotLoaded | Pick::NoTarget | Pick::Drained => "none".to_owned(),
+        Pick::NotLoaded | Pick::NoTarget | Pick::Excluded(_) => "none".to_owned(),
     }
 }
 
 fn pick(fleet: &mut Fleet, tried: &[&str], now: Time) -> String {
     let tried: Vec<TargetName> = tried.iter().map(|t| TargetName::from(*t)).collect();
     let (service, model) = (ServiceName::from("s"), ModelName::from("m0"));
-    let requirements =
-        TargetRequirements { service: &service, model: Some(&model), adapter: None, prefix: None };
+    let requirements = TargetRequirements {
+        service: &service,
+        model: Some(&model),
+        adapter: None,
+        prefix: None,
+        zones: None,
+    };
     describe(fleet.pick(&requirements, &tried, now, &mut StdRng::seed_from_u64(1)))
 }
 
 fn pick_other(fleet: &mut Fleet, now: Time) -> Option<String> {
     let (service, model) = (ServiceName::from("s"), ModelName::from("m0"));
-    let requirements =
-        TargetRequirements { service: &service, model: Some(&model), adapter: None, prefix: None };
+    let requirements = TargetRequirements {
+        service: &service,
+        model: Some(&model),
+        adapter: None,
+        prefix: None,
+        zones: None,
+    };
     let tried = [TargetName::from("t2")];
     let picked = fleet.pick_other(&requirements, &tried, now, &mut StdRng::seed_from_u64(1));
     picked.map(|t| t.name.to_string())
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -218,6 +218,7 @@
         max_attempts: 1,
         split: vec![(ServiceName::from("s"), 1)],
         is_public: false,
+        regions: None,
     };
     Catalog::new(1, vec![route], vec![service])
 }
--- a/crates/tansyknot-fleet/tests/support/planner.rs
+++ b/crates/tansyknot-fleet/tests/support/planner.rs
@@ -8,7 +8,7 @@
 };
 use tansyknot_fleet::{
     dissemination::{
-        message::{Demand, InFlight, ModelUse},
+        message::{Demand, DemandKey, InFlight, ModelUse},
         planner_view::ReceivedState,
     },
     plan::{Planner, Task},
@@ -25,13 +25,13 @@
     waiting: u16,
     arrived: u32,
 ) -> ModelUse {
-    ModelUse {
+    let key = DemandKey {
         service: ServiceName::from("s"),
         model: ModelName::from(model),
         adapter: adapter.map(AdapterName::from),
-        waiting,
-        arrived,
-    }
+        zones: None,
+    };
+    ModelUse { key, waiting, arrived }
 }
 
 /// Creates the count of requests of one daemon in flight at a target.
--- a/crates/tansyknot-fleet/tests/support/signals/request.rs
+++ b/crates/tansyknot-fleet/tests/support/signals/request.rs
@@ -131,6 +131,7 @@
             model: Some(&req.model),
             adapter: None,
             prefix: None,
+            zones: None,
         };
         let pick = state.fleet().pick(&requirements, &req.tried, now, &mut self.rng);
         let found = match pick {
--- a/crates/tansyknot-fleet/tests/support/teams.rs
+++ b/crates/tansyknot-fleet/tests/support/teams.rs
@@ -213,7 +213,10 @@
             let rate = self.ledgers[team].rate;
             let quota = Quota { unit: Unit::Tokens, rate, burst: rate, default_units: 200.0 };
             let (name, quota) = (name(team), Some(quota));
-            TeamEntry { team: Team { name, priority: None, quota }, keys: keys_of(team) }
+            TeamEntry {
+                team: Team { name, priority: None, quota, regions: None },
+                keys: keys_of(team),
+            }
         };
         let teams = Teams::new((0..TEAMS).map(entry).collect()).expect("the teams are valid");
         let catalog = Catalog::new(self.version, Vec::new(), Vec::new()).with_teams(Some(teams));
--- a/crates/tansyknot-fleet/tests/support/zones.rs
+++ b/crates/tansyknot-fleet/tests/support/zones.rs
@@ -307,6 +307,7 @@
             model: Some(&req.model),
             adapter: None,
             prefix: None,
+            zones: None,
         };
         let pick = state.fleet().pick(&want, &[], now, &mut self.rng);
         let found = match pick {
--- a/crates/tansyknot-fleet/tests/view.rs
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -17,7 +17,7 @@
         message::{PendingLoad, TargetLoad, TargetOverride},
         planner_view::PlannerView,
     },
-    fleet::{self, Fleet, Pick, TargetRequirements, UpdateId},
+    fleet::{self, Exclusion, Fleet, Pick, TargetRequirements, UpdateId},
     freshness::FreshnessLimits,
     platform_api::TargetChange,
     target::{Removal, StartTime, Target, TargetState},
@@ -41,6 +41,7 @@
             model: Some(&self.model),
             adapter: self.adapter.as_ref(),
             prefix: None,
+            zones: None,
         }
     }
 }
@@ -65,7 +66,8 @@
         Pick::Full => "full".to_owned(),
         Pick::NotLoaded => "not loaded".to_owned(),
         Pick::NoTarget => "no target".to_owned(),
-        Pick::Drained => "drained".to_owned(),
+        Pick::Excluded(Exclusion::Drained) => "drained".to_owned(),
+        Pick::Excluded(Exclusion::Region) => "outside its regions".to_owned(),
     }
 }
 
--- a/crates/tansyknot-fleet/tests/warm_up.rs
+++ b/crates/tansyknot-fleet/tests/warm_up.rs
@@ -63,8 +63,13 @@
 
 fn pick(fleet: &mut Fleet, now: Time) -> String {
     let (service, model) = (ServiceName::from("s"), ModelName::from("m0"));
-    let requirements =
-        TargetRequirements { service: &service, model: Some(&model), adapter: None, prefix: None };
+    let requirements = TargetRequirements {
+        service: &service,
+        model: Some(&model),
+        adapter: None,
+        prefix: None,
+        zones: None,
+    };
     match fleet.pick(&requirements, &[], now, &mut StdRng::seed_from_u64(1)) {
         Pick::Target(t) => t.name.to_string(),
         Pick::Limited { target, .. } => format!("{} with a permit", target.name),
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -29,6 +29,7 @@
     peering::{DaemonIdentity, PeerNode},
     platform_api::Store,
     poison::keeper::PoisonKeeper,
+    residency::Regions,
     serve::Server,
     shutdown::ShutdownPlan,
     state::{State, StateOptions},
@@ -70,7 +71,8 @@
         };
         let freshness = freshness_limits(settings);
         let options = StateOptions { budget, access: access_options(settings), freshness };
-        let state = Arc::new(State::new(settings.availability_zone.clone(), options, clock));
+        let state = State::new(settings.availability_zone.clone(), options, clock);
+        let state = Arc::new(state.with_regions(Regions::new(settings.regions.clone())));
         let recorder = Arc::new(PageRecorder::default());
         let store = Arc::new(StoreClient::new(settings.store, freshness.config_wait));
         let store: Arc<dyn Store> =
