A follower logs the targets that leave, not each that comes

Cause: at the start of the whole fleet each of 984 daemons logged each of 9,998 targets that the planner told it of: 786,660 lines in six seconds, the rest cut by the bound on lines.

Change: ready targets are logged by the daemon that reads them from the store (the planner); leaving and removed ones by all.

--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -45,6 +45,15 @@
     at: Time,
 }
 
+/// Where a daemon has a change from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChangeSource {
+    /// Its own call to the store.
+    Store,
+    /// An update of the planner, which logs what it reads itself.
+    Planner,
+}
+
 /// A target that was removed from the list.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RemovedTarget {
@@ -183,28 +192,33 @@
     /// Logs changes and adds them to the log that is sent to other daemons if this one is the
     /// planner.
     fn log_changes(&mut self, changes: impl IntoIterator<Item = Change>, now: Time) {
-        self.log_changes_as_of(self.list.version, changes, now);
+        self.log_changes_as_of(self.list.version, changes, ChangeSource::Store, now);
     }
 
     fn log_changes_as_of(
         &mut self,
         version: u64,
         changes: impl IntoIterator<Item = Change>,
+        source: ChangeSource,
         now: Time,
     ) {
         for change in changes {
-            self.log_state(&change);
+            self.log_state(&change, source);
             self.log.add(change, version, now);
         }
     }
 
-    /// Logs that a target was added, changed its state or was removed.
-    fn log_state(&mut self, change: &Change) {
+    /// Logs that a target was added, changed its state or was removed. Targets that are ready are
+    /// logged by the daemon that has read them, and not by each that has received them.
+    fn log_state(&mut self, change: &Change, source: ChangeSource) {
         match change {
             Change::Models(_) | Change::Override(_) | Change::FullRead(_) => {}
             Change::Put(entry) => {
                 let Some(m) = self.members.get_mut(&entry.name) else { return };
-                if m.logged_state.replace(entry.state) == Some(entry.state) {
+                let is_known = m.logged_state.replace(entry.state) == Some(entry.state);
+                let is_expected =
+                    source == ChangeSource::Planner && entry.state == TargetState::Ready;
+                if is_known || is_expected {
                     return;
                 }
                 event::FLEET_TARGET.emit(&[
@@ -406,7 +420,7 @@
                 Some(Change::FullRead(read))
             }
         };
-        self.log_changes(change, now);
+        self.log_changes_as_of(self.list.version, change, ChangeSource::Planner, now);
     }
 
     fn put_models(&mut self, entry: EntryModels, now: Time) -> Option<Change> {
@@ -426,7 +440,7 @@
         for removal in due {
             let change = self.drop_member(removal, now);
             // Daemons that read the list after the entry expired have not received its removal.
-            self.log_changes_as_of(self.list.version + 1, change, now);
+            self.log_changes_as_of(self.list.version + 1, change, ChangeSource::Store, now);
         }
         self.removed_targets.retain(|_, removed| now.since(removed.at) < REMOVED_RETENTION);
     }
