An announced configuration that the relay lacks yet is asked for again, for a second

Cause: in a storm of configurations a relay has the next version later than its followers ask for it, and holds a question for 0.4 s; then followers read the store.

Change: the question is repeated for up to a second before the store is read (follow::config).

--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tansyknot_core::{clock::Time, event};
+use tansyknot_core::{Error, clock::Time, event};
 
 use super::{contact::StoreContact, replay_from};
 use crate::{
@@ -23,6 +23,22 @@
 /// configuration before callers send requests.
 const EMPTY_STORE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long a daemon waits at most until the sender of its updates has an announced configuration.
+const MAX_DEFERRAL: Duration = Duration::from_millis(1000);
+/// The pause between two questions for it.
+const DEFERRAL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Whether another daemon has handed over an announced configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Handover {
+    /// The configuration is in force.
+    Done,
+    /// The other daemon does not have it yet.
+    Deferred,
+    /// There is nothing to hand over, or nobody to ask.
+    Unavailable,
+}
+
 /// Follows the operators' configuration.
 pub struct ConfigFollower {
     state: Arc<State>,
@@ -32,6 +48,8 @@
     /// Whether the next call returns immediately, with or without a change.
     skips_wait: bool,
     peers: Option<Arc<dyn SnapshotClient>>,
+    /// Since when the announced configuration has been left to other daemons.
+    deferred_since: Option<Time>,
 }
 
 impl ConfigFollower {
@@ -44,6 +62,7 @@
             contact: StoreContact::new("configuration"),
             skips_wait: false,
             peers: None,
+            deferred_since: None,
         }
     }
 
@@ -106,13 +125,12 @@
         }
     }
 
-    /// Gets a configuration that the planner has announced from the sender of its update; returns
-    /// whether it is in force now.
+    /// Gets a configuration that the planner has announced from the sender of its update.
     ///
     /// A configuration with callers' keys is read from the store: keys do not leave a daemon.
-    fn take_from_peer(&mut self) -> bool {
+    fn take_from_peer(&mut self) -> Handover {
         let Some(peers) = self.peers.clone().filter(|_| !self.state.requires_keys()) else {
-            return false;
+            return Handover::Unavailable;
         };
         let began = self.now();
         let (announced, source) = {
@@ -120,20 +138,29 @@
             (view.config_version(), view.source(began))
         };
         let own_version = self.state.catalog().map_or(0, |c| c.version);
-        let Some(source) = source.filter(|_| announced > own_version) else { return false };
+        let Some(source) = source.filter(|_| announced > own_version) else {
+            return Handover::Unavailable;
+        };
         match peers.fetch(source, SnapshotRequest::Config(announced)) {
             Ok(Snapshot::Config(snapshot)) => {
                 self.apply_snapshot(snapshot, began);
-                true
+                Handover::Done
             }
-            Ok(Snapshot::List(_)) => false,
+            Ok(Snapshot::List(_)) => Handover::Unavailable,
             Err(e) => {
                 log::debug!("no configuration from {source}: {e}");
-                false
+                self.defer(&e, began)
             }
         }
     }
 
+    /// Returns whether a question that failed is to be repeated.
+    fn defer(&mut self, error: &Error, began: Time) -> Handover {
+        let since = *self.deferred_since.get_or_insert(began);
+        let is_due = matches!(error, Error::Busy { .. }) && began.since(since) < MAX_DEFERRAL;
+        if is_due { Handover::Deferred } else { Handover::Unavailable }
+    }
+
     fn apply_snapshot(&mut self, snapshot: ConfigSnapshot, began: Time) {
         let ConfigSnapshot { content, store_version, age_ms } = snapshot;
         let as_of = began.saturating_sub(Duration::from_millis(age_ms.into()));
@@ -145,8 +172,13 @@
 
     /// Makes one call; returns the delay before the next.
     pub fn step(&mut self) -> Duration {
-        if self.take_from_peer() {
-            return Duration::ZERO;
+        match self.take_from_peer() {
+            Handover::Done => {
+                self.deferred_since = None;
+                return Duration::ZERO;
+            }
+            Handover::Deferred => return DEFERRAL_PAUSE,
+            Handover::Unavailable => self.deferred_since = None,
         }
         let began = self.state.now();
         let from = replay_from(self.version, self.known_at(), began);
