--- a/crates/tansyknot-fleet/src/fleet/warm_up.rs
+++ b/crates/tansyknot-fleet/src/fleet/warm_up.rs
@@ -14,7 +14,7 @@
 use super::Fleet;
 use crate::{
     backpressure::{Rate, run_state::Availability},
-    catalog::Catalog,
+    catalog::{Catalog, Service},
     poison::key::RunKey,
 };
 
@@ -28,8 +28,9 @@
 }
 
 /// The warm-up of one run.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct WarmUp {
+    service: ServiceName,
     /// Until when the run warms up by its newest entry.
     by_entry: Time,
     /// Until when the run may warm up because its zone has returned to service.
@@ -46,7 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct WarmUps {
     policies: HashMap<ServiceName, WarmUpPolicy>,
-    runs: HashMap<RunKey, (ServiceName, WarmUp)>,
+    runs: HashMap<RunKey, WarmUp>,
 }
 
 impl WarmUps {
@@ -59,7 +60,7 @@
         now: Time,
     ) {
         if left.is_zero() {
-            if let Some((_, warm_up)) = self.runs.get_mut(&run) {
+            if let Some(warm_up) = self.runs.get_mut(&run) {
                 warm_up.by_entry = Time::default();
             }
             return;
@@ -75,19 +76,23 @@
     }
 
     fn warm_up(&mut self, run: RunKey, service: &ServiceName) -> &mut WarmUp {
-        &mut self.runs.entry(run).or_insert_with(|| (service.clone(), WarmUp::default())).1
+        self.runs.entry(run).or_insert_with(|| WarmUp {
+            service: service.clone(),
+            by_entry: Time::default(),
+            after_drain: Time::default(),
+        })
     }
 
     /// Returns the rate that `run` accepts, if it warms up.
     pub(super) fn rate(&self, run: RunKey, now: Time) -> Option<Rate> {
-        let (service, warm_up) = self.runs.get(&run)?;
-        let policy = self.policies.get(service)?;
+        let warm_up = self.runs.get(&run)?;
+        let policy = self.policies.get(&warm_up.service)?;
         (now < warm_up.until()).then_some(policy.rate)
     }
 
     /// Returns how much longer `run` warms up by its entry.
     pub(super) fn left_by_entry(&self, run: RunKey, now: Time) -> Duration {
-        self.runs.get(&run).map_or(Duration::ZERO, |(_, warm_up)| warm_up.by_entry.since(now))
+        self.runs.get(&run).map_or(Duration::ZERO, |warm_up| warm_up.by_entry.since(now))
     }
 
     /// Returns whether no target warms up.
@@ -97,16 +102,15 @@
 
     /// Drops warm-ups that have ended.
     pub(super) fn expire(&mut self, now: Time) {
-        self.runs.retain(|_, (_, warm_up)| now < warm_up.until());
+        self.runs.retain(|_, warm_up| now < warm_up.until());
     }
 }
 
 impl Fleet {
     /// Sets how the targets of each service warm up, as a configuration states it.
     pub fn set_warm_up_policies(&mut self, catalog: &Catalog) {
-        let policy = |(name, service): (&ServiceName, &crate::catalog::Service)| {
-            Some((name.clone(), service.warm_up?))
-        };
+        let policy =
+            |(name, service): (&ServiceName, &Service)| Some((name.clone(), service.warm_up?));
         self.warm_ups.policies = catalog.services.iter().filter_map(policy).collect();
     }
 
--- a/crates/tansyknot-fleet/src/follow.rs
+++ b/crates/tansyknot-fleet/src/follow.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod contact;
+mod deferral;
 mod list;
 
 use std::time::Duration;
@@ -9,7 +10,8 @@
 use tansyknot_core::clock::Time;
 
 pub use config::ConfigFollower;
-pub use list::{CallOutcome, ListCall, ListResponse, TargetFollower, own_call_delay};
+pub use deferral::own_call_delay;
+pub use list::{CallOutcome, ListCall, ListResponse, TargetFollower};
 
 /// Maximum age of a version after which a follower requests single changes; with an older one it
 /// reads the full table. A response with changes contains every version in between, while a call's
--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -11,7 +11,7 @@
     dissemination::relays::MAX_FOLLOWERS,
     platform_api::{OperatorUpdate, Store},
     snapshot::{ConfigSnapshot, Snapshot, SnapshotClient, SnapshotRequest},
-    state::State,
+    state::{ConfigRead, State},
 };
 
 /// Maximum time between the state of the store that a response shows and the response's arrival.
@@ -119,7 +119,7 @@
     fn apply(&self, catalog: Catalog, store_version: u64, as_of: Time) {
         let version = catalog.version;
         if self.state.put_in_force(catalog, as_of) {
-            self.state.store_contacts().config_read = Some((version, store_version));
+            self.state.store_contacts().config_read = Some(ConfigRead { version, store_version });
             event::FLEET_CONFIG.emit(&[("version", &version), ("store_version", &store_version)]);
             self.state.notify_view_changed();
         }
--- a/crates/tansyknot-fleet/src/follow/list.rs
+++ b/crates/tansyknot-fleet/src/follow/list.rs
@@ -11,7 +11,7 @@
 
 use tansyknot_core::{Result, clock::Time, event};
 
-use super::{contact::StoreContact, replay_from};
+use super::{contact::StoreContact, deferral, replay_from};
 use crate::{
     dissemination::changes::Entry,
     platform_api::{Store, TargetChange, TargetListUpdate},
@@ -20,32 +20,6 @@
     target::Target,
 };
 
-/// Returns how long a daemon whose view of the list is too old leaves the store to others.
-///
-/// A long list takes seconds to read over most links, and the store has no room for hundreds of
-/// readers. Without updates of a planner, daemons read it one after the other, those with good links
-/// first, until one of them is the planner.
-pub fn own_call_delay(state: &State, now: Time) -> Duration {
-    if !state.fleet().has_long_list() || state.planner_view().source(now).is_some() {
-        return Duration::ZERO;
-    }
-    stagger(state, now)
-}
-
-fn stagger(state: &State, now: Time) -> Duration {
-    let before = state.peers().own_rank(now);
-    LONG_LIST_STAGGER.saturating_mul(u32::try_from(before).unwrap_or(u32::MAX))
-}
-
-/// How long a daemon at least waits for another one to have the list, before it reads a long list
-/// itself: as long as a relay takes to get it.
-const MIN_DEFERRAL: Duration = Duration::from_millis(1000);
-/// How long a daemon without any list waits: until another daemon has become the planner and has
-/// read the list.
-const MIN_FIRST_DEFERRAL: Duration = Duration::from_millis(3500);
-
-/// The time between two daemons' reads of a long list.
-const LONG_LIST_STAGGER: Duration = Duration::from_millis(200);
 /// How long a daemon that needs a long list waits for an update, whose sender it asks.
 const MAX_SOURCE_WAIT: Duration = Duration::from_millis(500);
 const SOURCE_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -322,9 +296,8 @@
     /// Returns whether this daemon leaves the store to others a while longer.
     fn may_defer(&self, call: ListCall) -> bool {
         let has_list = self.has_read.load(Ordering::SeqCst);
-        let least = if has_list { MIN_DEFERRAL } else { MIN_FIRST_DEFERRAL };
-        let delay = stagger(&self.state, call.began).max(least);
-        self.deferred_since.is_none_or(|since| call.began.since(since) < delay)
+        let limit = deferral::max_deferral(&self.state, has_list, call.began);
+        self.deferred_since.is_none_or(|since| call.began.since(since) < limit)
     }
 
     fn fetch_list(&self, peers: &dyn SnapshotClient) -> Option<ListSnapshot> {
--- a/crates/tansyknot-fleet/src/snapshot.rs
+++ b/crates/tansyknot-fleet/src/snapshot.rs
@@ -142,12 +142,10 @@
     fn config(&self, version: u64, now: Time) -> Option<ConfigSnapshot> {
         let contacts = *self.state.store_contacts();
         let catalog = self.state.catalog().filter(|catalog| catalog.version >= version)?;
-        let (read_version, store_version) = contacts.config_read?;
-        if read_version != catalog.version {
-            return None;
-        }
+        let read = contacts.config_read.filter(|read| read.version == catalog.version)?;
         let as_of = self.state.planner_view().config_as_of(catalog.version).max(contacts.config)?;
         let age_ms = millis(now.since(as_of));
+        let store_version = read.store_version;
         Some(ConfigSnapshot { content: catalog.content()?, store_version, age_ms })
     }
 
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -1,15 +1,18 @@
 //! State shared by the threads of a daemon: the configuration in force, the view of the targets,
 //! and the views of peers, keys and quotas.
 
+mod contacts;
+mod notifier;
+mod operators;
+
 use std::{
     collections::HashMap,
-    sync::{Arc, Condvar, Mutex, MutexGuard, RwLock},
+    sync::{Arc, Mutex, MutexGuard, RwLock},
     time::Duration,
 };
 
 use tansyknot_core::{
     clock::{Clock, Time},
-    event,
     name::{ServiceName, ZoneName},
 };
 
@@ -24,9 +27,11 @@
     freshness::FreshnessLimits,
     poison::{Merged, Poison, evidence::Evidence, key::RequestKey},
     residency::Regions,
-    zone_drain::{DrainedZones, ZoneTransitions, ZoneUpdate},
 };
 
+pub use contacts::{ConfigRead, Contacts};
+pub use notifier::Notifier;
+
 /// A daemon has read the configuration within this time after its start if the store responds; the
 /// read usually takes about 100 ms.
 const USUAL_STARTUP: Duration = Duration::from_millis(500);
@@ -36,53 +41,6 @@
 /// often as a planner does.
 const LIST_CALLS_PER_S: f64 = 15.0;
 
-/// A counter of notifications that other threads can wait on.
-#[derive(Debug, Default)]
-pub struct Notifier {
-    count: Mutex<u64>,
-    changed: Condvar,
-}
-
-impl Notifier {
-    /// Wakes all waiting threads.
-    pub fn notify(&self) {
-        *self.count.lock().expect("no holder of the lock panics") += 1;
-        self.changed.notify_all();
-    }
-
-    /// Waits up to `timeout` until the count differs from `seen`; returns the count for the next
-    /// wait.
-    pub fn wait(&self, seen: u64, timeout: Duration) -> u64 {
-        let count = self.count.lock().expect("no holder of the lock panics");
-        let (count, _) = self
-            .changed
-            .wait_timeout_while(count, timeout, |count| *count == seen)
-            .expect("no holder of the lock panics");
-        *count
-    }
-
-    /// Returns the number of notifications so far.
-    pub fn count(&self) -> u64 {
-        *self.count.lock().expect("no holder of the lock panics")
-    }
-}
-
-/// When the last successful calls to the store began, and whether the store responds.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Contacts {
-    /// Start of the last successful call for the list of targets.
-    pub list: Option<Time>,
-    /// The moment as of which the last successful call showed the configuration.
-    pub config: Option<Time>,
-    /// The version of the configuration in force, and the version of the store as of which it was
-    /// read.
-    pub config_read: Option<(u64, u64)>,
-    /// Whether the last call that followed the store failed.
-    pub is_lost: bool,
-    /// When the store last responded again after failed calls.
-    pub returned_at: Option<Time>,
-}
-
 /// Estimates of how long requests wait for loads that succeed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadWaits {
@@ -269,34 +227,6 @@
         (self.catalog(), *view)
     }
 
-    /// Puts a configuration in force if it is newer than the current one, and records that it was
-    /// the newest as of `as_of`. Returns whether it was newer.
-    pub fn put_in_force(&self, catalog: Catalog, as_of: Time) -> bool {
-        self.fleet().set_warm_up_policies(&catalog);
-        let mut view = self.key_view();
-        let version = catalog.version;
-        let is_newer = self.set_catalog(catalog);
-        view.record_in_force(version, as_of);
-        drop(view);
-        if is_newer {
-            self.report_unknown_regions();
-        }
-        is_newer
-    }
-
-    fn report_unknown_regions(&self) {
-        let Some(catalog) = self.catalog() else { return };
-        for (name, set) in catalog.residency_bounds() {
-            for region in self.regions.unknown(set) {
-                event::REGION_UNKNOWN.emit(&[
-                    ("bound", &name),
-                    ("region", region),
-                    ("config", &catalog.version),
-                ]);
-            }
-        }
-    }
-
     /// Returns whether the view of the keys is fresh enough to validate them; `true` if requests
     /// need no key.
     pub fn keys_are_fresh(&self) -> bool {
@@ -448,33 +378,6 @@
         is_newer
     }
 
-    /// Applies what a response of the store shows of the drained zones.
-    pub fn apply_zone_update(&self, update: ZoneUpdate) {
-        let now = self.now();
-        let transitions = self.fleet().apply_zone_update(update, now);
-        self.report_zone_transitions(&transitions);
-    }
-
-    /// Applies the drained zones that the planner has published.
-    pub fn apply_published_zones(&self, zones: DrainedZones) {
-        let now = self.now();
-        let transitions = self.fleet().replace_drained_zones(zones, now);
-        self.report_zone_transitions(&transitions);
-    }
-
-    fn report_zone_transitions(&self, transitions: &ZoneTransitions) {
-        for zone in &transitions.drained {
-            let targets = self.fleet().targets_in(zone);
-            event::ZONE_DRAINED.emit(&[("zone", zone), ("targets", &targets)]);
-        }
-        for zone in &transitions.returned {
-            event::ZONE_RETURNED.emit(&[("zone", zone)]);
-        }
-        if !transitions.is_empty() {
-            self.notify_view_changed();
-        }
-    }
-
     /// Counts the first attempt of a request to a service.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/tansyknot-fleet/src/state/contacts.rs
@@ -0,0 +1,27 @@
+//! A daemon's contacts with the store.
+
+use tansyknot_core::clock::Time;
+
+/// A version of the configuration, as the store showed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigRead {
+    /// The version of the configuration.
+    pub version: u64,
+    /// The version of the store as of which it was read.
+    pub store_version: u64,
+}
+
+/// When the last successful calls to the store began, and whether the store responds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Contacts {
+    /// Start of the last successful call for the list of targets.
+    pub list: Option<Time>,
+    /// The moment as of which the last successful call showed the configuration.
+    pub config: Option<Time>,
+    /// What the store showed of the configuration in force.
+    pub config_read: Option<ConfigRead>,
+    /// Whether the last call that followed the store failed.
+    pub is_lost: bool,
+    /// When the store last responded again after failed calls.
+    pub returned_at: Option<Time>,
+}
--- /dev/null
+++ b/crates/tansyknot-fleet/src/state/operators.rs
@@ -0,0 +1,66 @@
+//! The operators' documents in a daemon's state: the configuration and the drained zones.
+
+use tansyknot_core::{clock::Time, event};
+
+use super::State;
+use crate::{
+    catalog::Catalog,
+    zone_drain::{DrainedZones, ZoneTransitions, ZoneUpdate},
+};
+
+impl State {
+    /// Puts a configuration in force if it is newer than the current one, and records that it was
+    /// the newest as of `as_of`. Returns whether it was newer.
+    pub fn put_in_force(&self, catalog: Catalog, as_of: Time) -> bool {
+        self.fleet().set_warm_up_policies(&catalog);
+        let mut view = self.key_view();
+        let version = catalog.version;
+        let is_newer = self.set_catalog(catalog);
+        view.record_in_force(version, as_of);
+        drop(view);
+        if is_newer {
+            self.report_unknown_regions();
+        }
+        is_newer
+    }
+
+    /// Applies what a response of the store shows of the drained zones.
+    pub fn apply_zone_update(&self, update: ZoneUpdate) {
+        let now = self.now();
+        let transitions = self.fleet().apply_zone_update(update, now);
+        self.report_zone_transitions(&transitions);
+    }
+
+    /// Applies the drained zones that the planner has published.
+    pub fn apply_published_zones(&self, zones: DrainedZones) {
+        let now = self.now();
+        let transitions = self.fleet().replace_drained_zones(zones, now);
+        self.report_zone_transitions(&transitions);
+    }
+
+    fn report_zone_transitions(&self, transitions: &ZoneTransitions) {
+        for zone in &transitions.drained {
+            let targets = self.fleet().targets_in(zone);
+            event::ZONE_DRAINED.emit(&[("zone", zone), ("targets", &targets)]);
+        }
+        for zone in &transitions.returned {
+            event::ZONE_RETURNED.emit(&[("zone", zone)]);
+        }
+        if !transitions.is_empty() {
+            self.notify_view_changed();
+        }
+    }
+
+    fn report_unknown_regions(&self) {
+        let Some(catalog) = self.catalog() else { return };
+        for (name, set) in catalog.residency_bounds() {
+            for region in self.regions.unknown(set) {
+                event::REGION_UNKNOWN.emit(&[
+                    ("bound", &name),
+                    ("region", region),
+                    ("config", &catalog.version),
+                ]);
+            }
+        }
+    }
+}
--- a/crates/tansyknot-fleet/tests/snapshot.rs
+++ b/crates/tansyknot-fleet/tests/snapshot.rs
@@ -36,7 +36,7 @@
         ConfigSnapshot, ListSnapshot, Snapshot, SnapshotClient, SnapshotProvider, SnapshotRequest,
         tcp::{self, TcpSnapshots},
     },
-    state::{State, StateOptions},
+    state::{ConfigRead, State, StateOptions},
     target::Target,
 };
 use yare::parameterized;
@@ -102,7 +102,7 @@
     let mut contacts = state.store_contacts();
     contacts.config = Some(clock.now());
     contacts.list = Some(clock.now());
-    contacts.config_read = Some((version, 30));
+    contacts.config_read = Some(ConfigRead { version, store_version: 30 });
     drop(contacts);
     state
 }
@@ -133,7 +133,8 @@
     let in_force = state.catalog().expect("the configuration is in force");
     assert_eq!((in_force.version, in_force.services.len()), (1, 1));
     assert!(in_force.route("h", "/x").is_some());
-    assert_eq!(state.store_contacts().config_read, Some((1, 30)));
+    let read = state.store_contacts().config_read;
+    assert_eq!(read, Some(ConfigRead { version: 1, store_version: 30 }));
 }
 
 #[parameterized(
@@ -312,7 +313,7 @@
     state.put_in_force(catalog(), state.now());
     let mut contacts = state.store_contacts();
     contacts.config = Some(state.now());
-    contacts.config_read = Some((1, 30));
+    contacts.config_read = Some(ConfigRead { version: 1, store_version: 30 });
     drop(contacts);
     let snapshot = asking.join().expect("the client does not panic").expect("there is a reply");
     assert!(matches!(snapshot, Snapshot::Config(c) if c.content.version == 1));
