--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -78,6 +78,7 @@
     WAIT_EXPECTED = "wait_expected", Durations, "route", "Expected waits of requests that got a slot from the queue, when they joined it.";
     WAIT_ACTUAL = "wait_actual", Durations, "route", "Time that requests which got a slot from the queue waited in it.";
     SENDS_AGAIN = "sends_again", Counter, "route", "Retries of requests.";
+    UNREACHABLE = "unreachable", Counter, "service", "Connections to targets that could not be opened; nothing was sent over them.";
     CUT_OFF = "cut_off", Counter, "service", "Sends whose target closed or reset the connection before its full response.";
     CRASHED = "crashed", Counter, "service", "Targets that ended while they had requests, as seen by this daemon.";
     SIGNALS = "signals", Counter, "signal", "Backpressure signals that changed this daemon's state of a target: limit, leaving, rest (retry delay).";
@@ -109,6 +110,7 @@
     POISON_SUSPECTED = "poison_suspected", Gauge, "daemon", "Requests that were at a target when it crashed, but not often enough to be rejected.";
     TARGETS = "targets", Gauge, "daemon", "Targets in this daemon's view.";
     TARGETS_KEPT = "targets_kept", Gauge, "daemon", "Targets that are retained although their entries are gone, because the entries may have expired while the store was unavailable.";
+    TARGETS_SUSPECT = "targets_suspect", Gauge, "daemon", "Targets that this daemon avoids because it could not reach them or they did not respond.";
     TARGETS_SLOW = "targets_slow", Gauge, "daemon", "Targets that the planner has announced as slow (1.1 times the typical time) or failing (2 in 100 requests); 0 unless `scheduling.target_choice` is `expected_time`.";
     LIST_VERSION = "list_version", Gauge, "daemon", "The newest version of the store in this daemon's view of the list of targets.";
     LIST_CALL_AGE = "list_call_age_seconds", Gauge, "daemon", "Time since this daemon's own last call for the list of targets; -1 before the first call, large at daemons that follow the planner.";
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -303,6 +303,11 @@
         self.members.get(target).is_some_and(|m| now < m.suspect_until)
     }
 
+    /// Returns the number of targets that are avoided after a failure.
+    pub fn suspect_targets(&self, now: Time) -> usize {
+        self.members.values().filter(|m| now < m.suspect_until).count()
+    }
+
     /// Counts a request that has arrived.
     pub fn count_arrival(&mut self, want: &TargetRequirements<'_>, now: Time) {
         for key in use_keys(want) {
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -58,6 +58,7 @@
             }
             Err(Failure::NotAllowed) => SendOutcome::NotRun(NotRun::Withheld),
             Err(f) if f.nothing_sent() => {
+                self.recorder.count(metric::UNREACHABLE.name, &target.service, 1);
                 request.note(format_args!("{} {f}", target.name));
                 SendOutcome::NotRun(NotRun::Unreachable)
             }
