Tunnels: a daemon that does not reach a target connects to it through another daemon

Callers of daemons that had lost their links to the targets were refused, while other daemons reached them: each way of a request ended at a connection of its own daemon, and nothing told a fault of the daemon's links from one of the targets.

- A daemon learns from its own connections which targets it reaches (reachability).
A connection that it can't open is opened by another daemon, over the port on which daemons already serve each other.
All decisions about the request stay with the first daemon: the other one only connects, to a target that its own view lists, and never through a third.
So budgets, permits, keys, regions and the promise to run once hold as before.
- What the target sends is framed, so that the end of a tunnel is not taken for the end of a response.
- A daemon that is cut off probes two targets each 250 ms and returns to its own connections with the first success.
- Where no daemon reaches a service for 1 s, requests are refused at once.
- A planner that is cut off from all engines for 1 s, while another daemon reaches targets, leaves the lease to others.

--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -124,6 +124,7 @@
     FLEET_WEIGHT_STORE = 1634, Info, "What is known of the number of concurrent loads that the weight store runs at full speed has changed.";
     FLEET_NO_ROOM = 1635, Warn, "A requested model gets no room at any target, or only after its callers can no longer wait; requests for it are refused.";
     FLEET_NO_ROOM_ENDED = 1636, Info, "A model that had no room is being loaded, or is no longer requested.";
+    FLEET_LEASE_YIELDED = 1637, Warn, "This planner reaches no engine by itself and leaves the lease to another daemon.";
     FLEET_READY = 1641, Info, "The daemon is ready for callers.";
     FLEET_LOG_DROPPED = 1651, Warn, "Log lines were dropped.";
     TARGET_SIGNAL = 1661, Info, "A backpressure signal of a target has changed: its rate limit, that it is leaving, or its retry delay.";
@@ -131,4 +132,7 @@
     TARGET_SLOW = 1671, Warn, "A target is slow or fails many requests, as the observations of all daemons show; it gets fewer.";
     TARGET_RECOVERED = 1672, Info, "A target that was slow or failed many requests is nearly typical again.";
     LENGTH_HINT_BAD = 1673, Warn, "A caller's `Length-Hint` is not a number and is ignored; further ones are not logged.";
+    PATHS_CUT_OFF = 1681, Warn, "This daemon reaches no target of a service by itself; it connects to them through other daemons.";
+    PATHS_RESTORED = 1682, Info, "This daemon reaches the targets of a service by itself again.";
+    TUNNEL_REJECTED = 1683, Warn, "A connection that asked for a tunnel was closed: its sender is no daemon of the fleet.";
 }
--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -55,6 +55,7 @@
     NO_TARGET_IN_TIME = "no_target_in_time", Counter, "route", "Requests that no target could accept before their deadline; not run.";
     ZONES_DRAINED = "zones_drained", Counter, "route", "Requests whose service has targets only in drained availability zones; not run.";
     REGION_UNAVAILABLE = "region_unavailable", Counter, "route", "Requests whose service has no target in a region that they are bound to; not run.";
+    TARGETS_UNREACHABLE = "targets_unreachable", Counter, "route", "Requests refused because neither this daemon nor another one reaches a target of the service; not run.";
     REFUSED_BY_TARGETS = "refused_by_targets", Counter, "route", "Requests that targets refused and that may not be retried further; not run.";
     STOPPING = "stopping", Counter, "route", "Requests that the daemon could not finish before it stopped; not run.";
     NO_ANSWER_IN_TIME = "no_answer_in_time", Counter, "route", "Requests whose target did not respond before their deadline.";
@@ -79,6 +80,8 @@
     WAIT_ACTUAL = "wait_actual", Durations, "route", "Time that requests which got a slot from the queue waited in it.";
     SENDS_AGAIN = "sends_again", Counter, "route", "Retries of requests.";
     UNREACHABLE = "unreachable", Counter, "service", "Connections to targets that could not be opened; nothing was sent over them.";
+    TUNNELS_OPENED = "tunnels_opened", Counter, "service", "Connections to targets that this daemon has opened through another daemon.";
+    TUNNELS_SERVED = "tunnels_served", Counter, "service", "Connections to targets that this daemon has opened for other daemons.";
     CUT_OFF = "cut_off", Counter, "service", "Sends whose target closed or reset the connection before its full response.";
     CRASHED = "crashed", Counter, "service", "Targets that ended while they had requests, as seen by this daemon.";
     SIGNALS = "signals", Counter, "signal", "Backpressure signals that changed this daemon's state of a target: limit, leaving, rest (retry delay).";
@@ -110,6 +113,8 @@
     POISON_SUSPECTED = "poison_suspected", Gauge, "daemon", "Requests that were at a target when it crashed, but not often enough to be rejected.";
     TARGETS = "targets", Gauge, "daemon", "Targets in this daemon's view.";
     TARGETS_KEPT = "targets_kept", Gauge, "daemon", "Targets that are retained although their entries are gone, because the entries may have expired while the store was unavailable.";
+    SERVICES_CUT_OFF = "services_cut_off", Gauge, "daemon", "Services of which this daemon reaches no target by itself.";
+    PATHS_FAILED = "paths_failed", Gauge, "daemon", "Targets that this daemon does not reach by itself.";
     TARGETS_SUSPECT = "targets_suspect", Gauge, "daemon", "Targets that this daemon avoids because it could not reach them or they did not respond.";
     TARGETS_SLOW = "targets_slow", Gauge, "daemon", "Targets that the planner has announced as slow (1.1 times the typical time) or failing (2 in 100 requests); 0 unless `scheduling.target_choice` is `expected_time`.";
     LIST_VERSION = "list_version", Gauge, "daemon", "The newest version of the store in this daemon's view of the list of targets.";
--- a/crates/tansyknot-fleet/src/dissemination/peers.rs
+++ b/crates/tansyknot-fleet/src/dissemination/peers.rs
@@ -43,6 +43,11 @@
         self.local_address = Some(address);
     }
 
+    /// Returns this daemon's own address.
+    pub fn local_address(&self) -> Option<SocketAddr> {
+        self.local_address
+    }
+
     /// Returns whether this daemon is the one of all known daemons that ranks highest for `hash`.
     pub fn is_assigned_to_me(&self, hash: u64, now: Time) -> bool {
         let Some(me) = self.local_address else { return true };
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -298,6 +298,12 @@
         self.members.values().map(|m| &m.target)
     }
 
+    /// Returns the names of the targets of a service that accept requests, in their order.
+    pub fn target_names(&self, service: &ServiceName) -> Vec<TargetName> {
+        let of_service = self.members.values().filter(|m| m.target.service == *service);
+        of_service.filter(|m| m.target.is_ready()).map(|m| m.target.name.clone()).collect()
+    }
+
     /// Returns whether `target` is avoided after a failure.
     pub fn is_suspect(&self, target: &TargetName, now: Time) -> bool {
         self.members.get(target).is_some_and(|m| now < m.suspect_until)
--- a/crates/tansyknot-fleet/src/fleet/health.rs
+++ b/crates/tansyknot-fleet/src/fleet/health.rs
@@ -54,6 +54,14 @@
         m.suspect_count += 1;
     }
 
+    /// Ends the time for which the targets of a service are avoided after failures to reach them.
+    pub fn clear_suspicion(&mut self, service: &ServiceName) {
+        for m in self.members.values_mut().filter(|m| m.target.service == *service) {
+            m.suspect_count = 0;
+            m.suspect_until = Time::default();
+        }
+    }
+
     /// Records that a target refused a request because it is full.
     pub fn record_full(&mut self, target: &TargetName, now: Time) {
         if let Some(m) = self.members.get_mut(target) {
--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -248,6 +248,10 @@
 /// rounds take up to 171 ms instead of 18 ms.
 const RELUCTANT_DELAY: Duration = Duration::from_millis(2000);
 
+/// A daemon that has reached no engine by itself for this long, while another one does, is not the
+/// planner: the next one may send orders after about 1 s, and to most targets after their cooldown.
+const YIELD_AFTER: Duration = Duration::from_millis(1000);
+
 /// Maintains the lease for one daemon.
 pub struct LeaseKeeper {
     state: Arc<State>,
@@ -302,6 +306,11 @@
         {
             return left.min(PLANNER_CHECK_INTERVAL);
         }
+        let is_cut_off = self.is_cut_off(now);
+        if is_cut_off && self.shared.is_mine() && !self.shared.is_extended(now) {
+            self.yield_lease();
+            return ROW_POLL_INTERVAL;
+        }
         let _row_access = self.row_access();
         if self.shared.is_mine() {
             let renewed = self.claim();
@@ -312,7 +321,7 @@
         if !has_responded {
             return pause;
         }
-        if self.is_willing_to_take_over() {
+        if !is_cut_off && self.is_willing_to_take_over() {
             self.claim();
         }
         if self.shared.is_mine() { RENEW_INTERVAL } else { pause }
@@ -472,8 +481,26 @@
         }
     }
 
+    /// Returns whether this daemon has reached no engine for [`YIELD_AFTER`] while another daemon
+    /// reaches targets.
+    fn is_cut_off(&self, now: Time) -> bool {
+        let Some(catalog) = self.state.catalog() else { return false };
+        let mut engines = catalog.services.values().filter(|s| s.engine.is_some()).peekable();
+        engines.peek().is_some()
+            && self.state.reachability().is_cut_off_for(engines.map(|s| &s.name), YIELD_AFTER, now)
+            && self.state.tunnel_peers().proven(now).is_some()
+    }
+
+    /// Leaves the lease to another daemon, and may take it over again later.
+    fn yield_lease(&self) {
+        event::FLEET_LEASE_YIELDED.emit(&[("fence", &self.shared.fence())]);
+        let _row_access = self.row_access();
+        let released = self.shared.lease().release(&self.me, self.state.now());
+        self.write_released(released);
+    }
+
     /// Releases the lease if this daemon holds it, so that another daemon need not wait until it
-    /// expires.
+    /// expires. This daemon takes it over no more if planners extend their lease.
     pub fn release(&self) {
         let _row_access = self.row_access();
         let now = self.state.now();
@@ -484,6 +511,10 @@
             }
             lease.release(&self.me, now)
         };
+        self.write_released(released);
+    }
+
+    fn write_released(&self, released: Option<(u64, LeaseHolder)>) {
         let Some((version, holder)) = released else { return };
         match self.store.write_row(RowName::Planner, version, &encode(&holder)) {
             Ok(_) => {}
--- /dev/null
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -0,0 +1,266 @@
+//! Opens connections to targets: by this daemon itself, or through another daemon that reaches them.
+
+use std::{
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    time::Duration,
+};
+
+use tansyknot_core::{clock::BootInstant, metric, telemetry::Recorder};
+
+use crate::{
+    dissemination::message,
+    exchange::{self, CONNECT_TIMEOUT, Failure, PROBE_TIMEOUT, TargetStream},
+    poison::Presence,
+    reachability::{PROBE_INTERVAL, Path},
+    state::State,
+    target::Target,
+    tunnel::{TunnelReply, TunnelRequest, client, frame::Decoder, peers::Unhelpful},
+};
+
+/// Maximum time for opening a tunnel, over all daemons that are asked.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
+/// The longest time for which [`Paths::probe`] takes.
+pub const CRASH_PROBE_TIMEOUT: Duration = PROBE_TIMEOUT.saturating_add(TUNNEL_TIMEOUT);
+/// Maximum number of daemons that are asked for one tunnel.
+const MAX_PEERS_ASKED: usize = 4;
+/// Number of daemons whose failure to connect to a target shows that the target is down.
+const DOWN_VERDICTS: usize = 2;
+
+/// The paths from a daemon to the targets.
+#[derive(Clone)]
+pub struct Paths {
+    state: Arc<State>,
+    recorder: Arc<dyn Recorder>,
+}
+
+/// A tunnel in use; it is no longer counted when this value is dropped.
+pub struct Tunnel {
+    state: Arc<State>,
+    /// The daemon through which it leads.
+    pub peer: SocketAddr,
+    /// Removes the framing of what the target sends.
+    pub decoder: Decoder,
+}
+
+impl Tunnel {
+    /// Records that the daemon through which the tunnel leads has failed.
+    pub fn record_lost(&self) {
+        let now = self.state.now();
+        self.state.tunnel_peers().record_unhelpful(self.peer, Unhelpful::Unreachable, now);
+    }
+}
+
+impl Drop for Tunnel {
+    fn drop(&mut self) {
+        self.state.tunnel_peers().record_closed(self.peer);
+    }
+}
+
+/// Why no tunnel to a target could be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TunnelFailure {
+    /// Other daemons, which reach other targets, can't connect to this one.
+    TargetDown,
+    /// No daemon that was asked reaches any target.
+    Isolated,
+    /// No daemon could be asked, or none had room.
+    NoPeer,
+}
+
+impl Paths {
+    /// Creates the paths of the daemon with this state.
+    pub fn new(state: Arc<State>, recorder: Arc<dyn Recorder>) -> Self {
+        Self { state, recorder }
+    }
+
+    /// Connects to a target until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if neither this daemon nor another one connects to it. Nothing was sent then.
+    pub fn connect(&self, target: &Target, deadline: BootInstant) -> Result<TargetStream, Failure> {
+        let left = deadline.duration_since(BootInstant::now());
+        if left.is_zero() {
+            return Err(Failure::NotConnected);
+        }
+        let path = self.state.reachability().path(target);
+        let direct_failure = match path {
+            Path::Direct => match self.connect_directly(target, left) {
+                Err(f @ (Failure::NotConnected | Failure::Refused)) => f,
+                result => return result,
+            },
+            Path::Tunnel => Failure::NotConnected,
+        };
+        match self.open_tunnel(target, false, deadline) {
+            Ok((stream, tunnel)) => {
+                self.recorder.count(metric::TUNNELS_OPENED.name, &target.service, 1);
+                Ok(TargetStream::tunnelled(stream, tunnel))
+            }
+            Err(TunnelFailure::NoPeer) if path == Path::Tunnel && !self.is_cut_off(target) => {
+                self.connect_directly(target, deadline.duration_since(BootInstant::now()))
+            }
+            Err(_) => Err(direct_failure),
+        }
+    }
+
+    fn connect_directly(&self, target: &Target, left: Duration) -> Result<TargetStream, Failure> {
+        if left.is_zero() {
+            return Err(Failure::NotConnected);
+        }
+        match exchange::connect(target.address, CONNECT_TIMEOUT.min(left)) {
+            Ok(stream) => {
+                self.state.record_connected(target);
+                Ok(TargetStream::direct(stream))
+            }
+            Err(f) => {
+                if f != Failure::NoSocket {
+                    self.recorder.count(metric::UNREACHABLE.name, &target.service, 1);
+                    self.state.record_connect_failure(target);
+                }
+                Err(f)
+            }
+        }
+    }
+
+    /// Probes whether a process listens at a target's address.
+    pub fn probe(&self, target: &Target) -> Presence {
+        let presence = match self.state.reachability().path(target) {
+            Path::Direct => exchange::probe(target.address, PROBE_TIMEOUT),
+            Path::Tunnel => Presence::Unknown,
+        };
+        match presence {
+            Presence::Listening => return presence,
+            _ if self.state.reachability().path(target) == Path::Direct => {
+                self.state.record_connect_failure(target);
+            }
+            _ => {}
+        }
+        // A link that refuses connections looks like a target that has ended.
+        let deadline = BootInstant::now() + TUNNEL_TIMEOUT;
+        match self.open_tunnel(target, true, deadline) {
+            Ok(_) => Presence::Listening,
+            Err(TunnelFailure::TargetDown) => presence,
+            Err(TunnelFailure::NoPeer) if !self.is_cut_off(target) => presence,
+            Err(TunnelFailure::Isolated | TunnelFailure::NoPeer) => Presence::Unknown,
+        }
+    }
+
+    /// Asks other daemons for a tunnel to a target.
+    fn open_tunnel(
+        &self,
+        target: &Target,
+        is_probe: bool,
+        deadline: BootInstant,
+    ) -> Result<(TcpStream, Tunnel), TunnelFailure> {
+        let until = deadline.min(BootInstant::now() + TUNNEL_TIMEOUT);
+        let mut tried = Vec::new();
+        let mut down_verdicts = 0;
+        let mut is_any_cut_off = false;
+        while tried.len() < MAX_PEERS_ASKED && BootInstant::now() < until {
+            let Some(peer) = self.choose_peer(&tried) else { break };
+            tried.push(peer);
+            let time_left_ms = message::millis(deadline.duration_since(BootInstant::now()));
+            let request = TunnelRequest { target: target.name.clone(), is_probe, time_left_ms };
+            let reply = client::open(peer, &request);
+            let now = self.state.now();
+            let mut peers = self.state.tunnel_peers();
+            match reply {
+                Ok((stream, TunnelReply::Connected)) => {
+                    peers.record_opened(peer, now);
+                    drop(peers);
+                    self.state.reachability().record_tunnelled(target);
+                    let state = Arc::clone(&self.state);
+                    return Ok((stream, Tunnel { state, peer, decoder: Decoder::default() }));
+                }
+                Ok((_, TunnelReply::TargetUnreachable)) => down_verdicts += 1,
+                Ok((_, TunnelReply::UnknownTarget)) => {}
+                Ok((_, TunnelReply::Busy)) => {
+                    peers.record_unhelpful(peer, Unhelpful::Busy, now);
+                }
+                Ok((_, TunnelReply::CutOff(hint))) => {
+                    is_any_cut_off = true;
+                    peers.record_unhelpful(peer, Unhelpful::Unreachable, now);
+                    hint.into_iter().for_each(|hint| peers.record_hint(hint, now));
+                }
+                Err(e) => {
+                    log::debug!("no tunnel through {peer}: {e}");
+                    peers.record_unhelpful(peer, Unhelpful::Unreachable, now);
+                }
+            }
+            if down_verdicts >= DOWN_VERDICTS {
+                break;
+            }
+        }
+        Err(self.tunnel_failure(target, down_verdicts, is_any_cut_off))
+    }
+
+    fn tunnel_failure(
+        &self,
+        target: &Target,
+        down_verdicts: usize,
+        is_any_cut_off: bool,
+    ) -> TunnelFailure {
+        if down_verdicts >= DOWN_VERDICTS || (down_verdicts > 0 && !is_any_cut_off) {
+            self.state.reachability().record_target_down(target);
+            return TunnelFailure::TargetDown;
+        }
+        if is_any_cut_off || self.is_cut_off(target) {
+            let now = self.state.now();
+            self.state.reachability().record_isolated(target, now);
+            return TunnelFailure::Isolated;
+        }
+        TunnelFailure::NoPeer
+    }
+
+    fn choose_peer(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let now = self.state.now();
+        let zone = self.state.fleet().zone().cloned();
+        let known = self.state.peers();
+        let me = known.local_address();
+        let candidates = known.all(now).filter(|peer| Some(peer.address) != me);
+        let chosen = self.state.tunnel_peers();
+        chosen.choose(candidates, zone.as_ref(), tried, now, &mut rand::rng())
+    }
+
+    fn is_cut_off(&self, target: &Target) -> bool {
+        self.state.reachability().is_cut_off(&target.service)
+    }
+
+    /// Probes the targets that could not be reached, until the process ends.
+    pub fn run_probes(&self) {
+        let mut seen = 0;
+        loop {
+            if !self.state.reachability().has_failed_paths() {
+                seen = self.state.paths_failed.wait(seen, Duration::MAX);
+            }
+            self.probe_due_targets();
+            self.state.clock.sleep(PROBE_INTERVAL);
+        }
+    }
+
+    /// Probes the targets that are due.
+    pub fn probe_due_targets(&self) {
+        let now = self.state.now();
+        let known = |service: &_| self.state.fleet().target_names(service);
+        let due = self.state.reachability().due_probes(known, now);
+        for name in due {
+            let target = self.state.fleet().target(&name).cloned();
+            let Some(target) = target else { continue };
+            match exchange::connect(target.address, PROBE_TIMEOUT) {
+                Ok(_) => self.state.record_connected(&target),
+                Err(_) => self.probe_tunnel(&target),
+            }
+        }
+    }
+
+    /// Looks for another daemon that reaches a target of a service from which this one is cut off,
+    /// unless one is known.
+    fn probe_tunnel(&self, target: &Target) {
+        let is_proven = self.state.tunnel_peers().proven(self.state.now()).is_some();
+        if self.is_cut_off(target) && !is_proven {
+            // The reachability has the result.
+            let _ = self.open_tunnel(target, true, BootInstant::now() + TUNNEL_TIMEOUT);
+        }
+    }
+}
--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -39,6 +39,7 @@
     fleet::UpdateId,
     follow, lease,
     lease_keeper::{self, SharedLease},
+    paths::Paths,
     plan::Planner,
     platform_api::DatagramSender,
     state::State,
@@ -63,6 +64,7 @@
     announced_loads: Mutex<AnnouncedLoads>,
     waiting_totals: Mutex<WaitingTotals>,
     peers: Arc<dyn DatagramSender>,
+    paths: Paths,
     me: DaemonIdentity,
 }
 
@@ -91,6 +93,7 @@
     ) -> Self {
         let lease = Arc::clone(&task_runner.lease);
         state.peers().set_local_address(me.address);
+        let paths = Paths::new(Arc::clone(&state), Arc::clone(&task_runner.recorder));
         Self {
             state,
             lease,
@@ -104,6 +107,7 @@
             announced_loads: Mutex::default(),
             waiting_totals: Mutex::default(),
             peers,
+            paths,
             me,
         }
     }
--- a/crates/tansyknot-fleet/src/peering/crashes.rs
+++ b/crates/tansyknot-fleet/src/peering/crashes.rs
@@ -14,10 +14,9 @@
 use super::PeerNode;
 use crate::{
     dissemination::message::Message,
-    exchange::{self, PROBE_TIMEOUT},
     fleet::list::ListStatus,
     poison::{
-        self, Presence, SuspectTarget,
+        self, Presence, SuspectTarget, TargetIdentity,
         evidence::{Digest, Evidence},
     },
 };
@@ -77,9 +76,7 @@
                     continue;
                 }
                 ListStatus::Removed => Presence::Gone,
-                ListStatus::Listed if is_check_due => {
-                    exchange::probe(identity.address, PROBE_TIMEOUT)
-                }
+                ListStatus::Listed if is_check_due => self.probe(&identity),
                 ListStatus::Listed => continue,
             };
             let suspected = self.state.poison().record_check(run, presence, self.state.now());
@@ -87,6 +84,11 @@
         }
     }
 
+    fn probe(&self, identity: &TargetIdentity) -> Presence {
+        let target = self.state.fleet().target(&identity.name).cloned();
+        target.map_or(Presence::Unknown, |target| self.paths.probe(&target))
+    }
+
     /// Sends all other daemons the evidence that has not been sent yet.
     pub fn publish_evidence(&self) {
         let evidence_to_send = self.state.poison().take_unsent();
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -33,6 +33,7 @@
     catalog::{Catalog, Route},
     exchange::Failure,
     fleet::CacheNeed,
+    paths::Paths,
     platform_api::{Dialect, RequestParams},
     poison::key::RequestKey,
     residency::ZoneSet,
@@ -60,6 +61,7 @@
     permits: Arc<dyn Permits>,
     recorder: Arc<dyn Recorder>,
     lifecycle: Arc<Lifecycle>,
+    paths: Paths,
     refusal_logs: LogRateLimit,
     malformed_logs: LogRateLimit,
     buffers: Arc<ResponseBuffers>,
@@ -77,6 +79,7 @@
     ) -> Self {
         let (refusal_logs, malformed_logs) = (LogRateLimit::default(), LogRateLimit::default());
         let buffers = Arc::default();
+        let paths = Paths::new(Arc::clone(&state), Arc::clone(&recorder));
         Self {
             state,
             dialect,
@@ -84,6 +87,7 @@
             permits,
             recorder,
             lifecycle,
+            paths,
             refusal_logs,
             malformed_logs,
             buffers,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -17,8 +17,9 @@
 use crate::{
     condition::interval::MIN_INTERVALS,
     dissemination::scheduling::ObservedOutcome,
-    exchange::{Exchange, Failure, ResponseHead},
+    exchange::{Exchange, Failure, ResponseHead, TargetStream},
     platform_api::{ForwardParams, ResponseClass},
+    reachability::Path,
     response_relay::{self, EventObserver, ResponseTimeouts, StreamSink},
     target::Target,
 };
@@ -45,10 +46,16 @@
         // A conviction or a signal may have arrived since the target was selected.
         let may_send = || !self.is_rejected(request) && self.is_send_allowed(request, target);
         let caller = Some(request.caller.stream);
-        let opened = Exchange::open(target.address, &bytes, caller, deadline, &may_send);
+        let connected = self.paths.connect(target, deadline);
+        let via = connected.as_ref().ok().and_then(TargetStream::via);
+        let opened = connected
+            .and_then(|stream| Exchange::open(stream, &bytes, caller, deadline, &may_send));
         let outcome = match opened {
             Ok(exchange) => {
-                request.note(format_args!("{} sent", target.name));
+                match via {
+                    Some(peer) => request.note(format_args!("{} sent via {peer}", target.name)),
+                    None => request.note(format_args!("{} sent", target.name)),
+                }
                 request.transmissions += 1;
                 self.receive_or_hand_over(request, target, exchange, began)
             }
@@ -58,7 +65,6 @@
             }
             Err(Failure::NotAllowed) => SendOutcome::NotRun(NotRun::Withheld),
             Err(f) if f.nothing_sent() => {
-                self.recorder.count(metric::UNREACHABLE.name, &target.service, 1);
                 request.note(format_args!("{} {f}", target.name));
                 SendOutcome::NotRun(NotRun::Unreachable)
             }
@@ -69,8 +75,9 @@
                 SendOutcome::MayHaveRun(f)
             }
         };
-        self.update_target_health(request, target, began, &outcome);
+        // A probe of the target shows first whether the fault is its own.
         self.record_poison_evidence(request, target, began, &outcome);
+        self.update_target_health(request, target, began, &outcome);
         outcome
     }
 
@@ -270,8 +277,12 @@
             self.recorder.count(metric::CUT_OFF.name, &target.service, 1);
         }
         let now = self.state.now();
+        // A daemon that does not reach the target by itself is no witness of its failures.
+        let is_witness = self.state.reachability().path(target) == Path::Direct;
+        let observed = observed_outcome(request, outcome)
+            .filter(|observed| is_witness || *observed != ObservedOutcome::Failed);
         let mut fleet = self.state.fleet();
-        if let Some(observed) = observed_outcome(request, outcome) {
+        if let Some(observed) = observed {
             fleet.observe(&target.name, request.params.model.as_ref(), observed, now);
         }
         match outcome {
@@ -281,7 +292,10 @@
             }
             SendOutcome::ServerError(_) => fleet.record_failure(&target.name),
             SendOutcome::MayHaveRun(
-                Failure::CallerLeft | Failure::CallerStalled | Failure::NoBuffer,
+                Failure::CallerLeft
+                | Failure::CallerStalled
+                | Failure::NoBuffer
+                | Failure::PathLost,
             ) => {}
             SendOutcome::MayHaveRun(Failure::TimedOut) => {
                 fleet.record_failure(&target.name);
@@ -302,7 +316,7 @@
         // The intervals of its events have been observed.
         SendOutcome::Relayed(_) if request.relay.events > MIN_INTERVALS as u64 => None,
         SendOutcome::Relayed(_) => Some(ObservedOutcome::Answered),
-        SendOutcome::MayHaveRun(Failure::CallerLeft) => None,
+        SendOutcome::MayHaveRun(Failure::CallerLeft | Failure::PathLost) => None,
         SendOutcome::ServerError(_)
         | SendOutcome::MayHaveRun(_)
         | SendOutcome::NotRun(NotRun::Unreachable) => Some(ObservedOutcome::Failed),
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -7,7 +7,8 @@
     request::{ActiveRequest, SendOutcome},
 };
 use crate::{
-    exchange::{self, Failure, PROBE_TIMEOUT},
+    exchange::Failure,
+    paths::CRASH_PROBE_TIMEOUT,
     poison::{self, CheckState, Presence, TargetIdentity, key::RunKey},
     target::Target,
 };
@@ -51,7 +52,7 @@
         let check = self.state.poison().record_early_close(request.key, run_key, opened, now);
         match check {
             CheckState::Due => {
-                let presence = exchange::probe(target.address, PROBE_TIMEOUT);
+                let presence = self.paths.probe(target);
                 self.record_crash_check(target, run_key, presence);
             }
             CheckState::InProgress => self.await_crash_check(run_key),
@@ -84,7 +85,7 @@
     }
 
     fn await_crash_check(&self, run_key: RunKey) {
-        let until = BootInstant::now() + PROBE_TIMEOUT;
+        let until = BootInstant::now() + CRASH_PROBE_TIMEOUT;
         loop {
             let seen = self.state.poison_changed.count();
             let left = until.duration_since(BootInstant::now());
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -41,6 +41,9 @@
 const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(100);
 /// `Retry-After` if no target was available in time.
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(500);
+/// `Retry-After` if no daemon reaches the targets, in milliseconds. Such outages last seconds, and the
+/// random delay spreads the retries.
+const RETRY_AFTER_UNREACHABLE_MS: RangeInclusive<u64> = 500..=1500;
 /// `Retry-After` if the daemon lacks what it needs to decide: its configuration, current keys or
 /// quota accounts.
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
@@ -73,6 +76,8 @@
     RegionUnavailable,
     /// No target of the service can hold the request in its cache.
     TooLarge,
+    /// Neither this daemon nor another one reaches a target of the service.
+    TargetsUnreachable,
     /// The time limit passed before a target could accept the request.
     NoTargetInTime,
     /// Targets refused the request and no further send is allowed.
@@ -106,6 +111,7 @@
             Reason::ZonesDrained => metric::ZONES_DRAINED.name,
             Reason::RegionUnavailable => metric::REGION_UNAVAILABLE.name,
             Reason::TooLarge => "too_large",
+            Reason::TargetsUnreachable => metric::TARGETS_UNREACHABLE.name,
             Reason::NoTargetInTime => metric::NO_TARGET_IN_TIME.name,
             Reason::RefusedByTargets => metric::REFUSED_BY_TARGETS.name,
             Reason::NoAnswerInTime => metric::NO_ANSWER_IN_TIME.name,
@@ -138,6 +144,7 @@
             | Reason::ZonesDrained
             | Reason::RegionUnavailable
             | Reason::TooLarge
+            | Reason::TargetsUnreachable
             | Reason::NoTargetInTime
             | Reason::RefusedByTargets => 503,
             Reason::NoAnswerInTime => 504,
@@ -161,6 +168,9 @@
             Reason::NoConfiguration | Reason::StaleKeys | Reason::QuotaUnknown => {
                 Some(RETRY_AFTER_NOT_READY)
             }
+            Reason::TargetsUnreachable => {
+                Some(Duration::from_millis(rand::random_range(RETRY_AFTER_UNREACHABLE_MS)))
+            }
             Reason::Stopping => Some(Duration::ZERO),
             Reason::ZonesDrained
             | Reason::RegionUnavailable
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -129,6 +129,9 @@
             if self.is_rejected(request) {
                 return Err(Reason::PoisonRequest);
             }
+            if self.state.reachability().is_outage_confirmed(&request.service, now) {
+                return Err(Reason::TargetsUnreachable);
+            }
             let pick = if self.has_turn(request, place, now)? {
                 self.state.fleet().pick(&request.want(), &request.tried, now, &mut rand::rng())
             } else {
--- a/crates/tansyknot-fleet/src/snapshot/tcp.rs
+++ b/crates/tansyknot-fleet/src/snapshot/tcp.rs
@@ -2,18 +2,18 @@
 
 use std::{
     io::{self, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    thread,
     time::Duration,
 };
 
 use tansyknot_core::{Error, Result, clock::BootInstant};
 
 use super::{EncodedSnapshot, Snapshot, SnapshotClient, SnapshotProvider, SnapshotRequest};
+use crate::tunnel::frame;
 
 const SERVICE: &str = "peer";
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -63,51 +63,49 @@
     Ok((reply.len() >= size_of::<u32>()).then_some(reply))
 }
 
-/// Serves the snapshots of a daemon until the listener fails.
-///
-/// # Errors
-///
-/// Returns an error if the listener fails.
-pub fn serve(listener: &TcpListener, provider: &Arc<SnapshotProvider>) -> io::Result<()> {
-    let connections = Arc::new(AtomicUsize::new(0));
-    loop {
-        let (mut stream, from) = match listener.accept() {
-            Ok(accepted) => accepted,
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
-            Err(e) => return Err(e),
+/// Hands the snapshots of a daemon to others.
+pub struct SnapshotServer {
+    provider: Arc<SnapshotProvider>,
+    connections: AtomicUsize,
+}
+
+impl SnapshotServer {
+    /// The longest time for which a request may take to arrive.
+    pub const READ_TIMEOUT: Duration = READ_TIMEOUT;
+
+    /// Creates a server of the snapshots of `provider`.
+    pub fn new(provider: Arc<SnapshotProvider>) -> Self {
+        Self { provider, connections: AtomicUsize::new(0) }
+    }
+
+    /// Replies to the request of a connection, whose first word is the request's length.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request is malformed or the connection breaks.
+    pub fn serve(&self, stream: &mut TcpStream, length: u32) -> io::Result<()> {
+        let connections = self.connections.fetch_add(1, Ordering::SeqCst);
+        let result = if connections < MAX_CONNECTIONS {
+            self.reply(stream, length)
+        } else {
+            Err(io::Error::other("too many daemons ask for snapshots"))
         };
-        if connections.fetch_add(1, Ordering::SeqCst) >= MAX_CONNECTIONS {
-            connections.fetch_sub(1, Ordering::SeqCst);
-            continue;
-        }
-        let (provider, counted) = (Arc::clone(provider), Arc::clone(&connections));
-        let spawned = thread::Builder::new().name("snapshot".to_owned()).spawn(move || {
-            if let Err(e) = reply(&mut stream, &provider) {
-                log::debug!("a snapshot for {from} was not sent: {e}");
-            }
-            counted.fetch_sub(1, Ordering::SeqCst);
-        });
-        if let Err(e) = spawned {
-            connections.fetch_sub(1, Ordering::SeqCst);
-            log::warn!("could not spawn a thread for a snapshot: {e}");
-        }
+        self.connections.fetch_sub(1, Ordering::SeqCst);
+        result
     }
-}
 
-fn reply(stream: &mut TcpStream, provider: &SnapshotProvider) -> io::Result<()> {
-    stream.set_read_timeout(Some(READ_TIMEOUT))?;
-    stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
-    let deadline = BootInstant::now() + READ_TIMEOUT;
-    let request = read_frame(stream, MAX_REQUEST_BYTES, deadline)?;
-    let request: SnapshotRequest = postcard::from_bytes(&request).map_err(io::Error::other)?;
-    match provider.answer(request) {
-        Some(EncodedSnapshot { bytes, made_at }) => {
-            let age = provider.state.now().since(made_at).as_millis();
-            let age = u32::try_from(age).unwrap_or(u32::MAX).to_le_bytes();
-            write_frame(stream, &[&age, &bytes])
+    fn reply(&self, stream: &mut TcpStream, length: u32) -> io::Result<()> {
+        stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+        let request = frame::read_body(stream, length, MAX_REQUEST_BYTES)?;
+        let request: SnapshotRequest = postcard::from_bytes(&request).map_err(io::Error::other)?;
+        match self.provider.answer(request) {
+            Some(EncodedSnapshot { bytes, made_at }) => {
+                let age = self.provider.state.now().since(made_at).as_millis();
+                let age = u32::try_from(age).unwrap_or(u32::MAX).to_le_bytes();
+                write_frame(stream, &[&age, &bytes])
+            }
+            None => write_frame(stream, &[]),
         }
-        None => write_frame(stream, &[]),
     }
 }
 
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -4,6 +4,7 @@
 mod contacts;
 mod notifier;
 mod operators;
+mod paths;
 
 use std::{
     collections::HashMap,
@@ -27,8 +28,10 @@
     fleet::{Fleet, TargetRequirements},
     freshness::FreshnessLimits,
     poison::{Merged, Poison, evidence::Evidence, key::RequestKey},
+    reachability::Reachability,
     residency::Regions,
     scheduling::SchedulingOptions,
+    tunnel::peers::TunnelPeers,
 };
 
 pub use contacts::{ConfigRead, Contacts};
@@ -77,6 +80,8 @@
     pub quota_reply_received: Notifier,
     /// Raised at the daemon that grants permits when it receives a permit query.
     pub permits_changed: Notifier,
+    /// Raised when a direct path to a target has failed.
+    pub paths_failed: Notifier,
     /// Raised when a call to the store may be due: after an update from the planner, or when the
     /// store responds again.
     pub store_call_due: Notifier,
@@ -84,6 +89,8 @@
     admission: Mutex<Admission>,
     planner_view: Mutex<PlannerView>,
     peers: Mutex<Peers>,
+    reachability: Mutex<Reachability>,
+    tunnel_peers: Mutex<TunnelPeers>,
     poison: Mutex<Poison>,
     key_view: Mutex<KeyView>,
     pending_quotas: Mutex<PendingQuotas>,
@@ -127,11 +134,14 @@
             poison_changed: Notifier::default(),
             quota_reply_received: Notifier::default(),
             permits_changed: Notifier::default(),
+            paths_failed: Notifier::default(),
             store_call_due: Notifier::default(),
             fleet: Mutex::new(Fleet::new(zone, freshness)),
             admission: Mutex::default(),
             planner_view: Mutex::new(PlannerView::new(freshness)),
             peers: Mutex::default(),
+            reachability: Mutex::default(),
+            tunnel_peers: Mutex::default(),
             poison: Mutex::new(Poison::new(started)),
             key_view: Mutex::default(),
             pending_quotas: Mutex::new(PendingQuotas::of_run(rand::random())),
@@ -211,6 +221,25 @@
         self.peers.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns which targets this daemon can connect to by itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the lock is poisoned.
+    pub fn reachability(&self) -> MutexGuard<'_, Reachability> {
+        self.reachability.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the daemons through which this one connects to targets. No other lock but that of the
+    /// peers may be held meanwhile.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the lock is poisoned.
+    pub fn tunnel_peers(&self) -> MutexGuard<'_, TunnelPeers> {
+        self.tunnel_peers.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the evidence about requests under which targets have crashed.
     ///
     /// # Panics
--- a/crates/tansyknot-fleet/tests/snapshot.rs
+++ b/crates/tansyknot-fleet/tests/snapshot.rs
@@ -18,6 +18,7 @@
     clock::{Clock, ManualClock, SystemClock},
     key::KeyDigest,
     name::ZoneName,
+    telemetry::NoRecorder,
 };
 use tansyknot_fleet::{
     access::{
@@ -32,12 +33,14 @@
     },
     follow::{ConfigFollower, TargetFollower},
     freshness::FreshnessLimits,
+    peer_listener::PeerListener,
     snapshot::{
         ConfigSnapshot, ListSnapshot, Snapshot, SnapshotClient, SnapshotProvider, SnapshotRequest,
-        tcp::{self, TcpSnapshots},
+        tcp::{SnapshotServer, TcpSnapshots},
     },
     state::{ConfigRead, State, StateOptions},
     target::Target,
+    tunnel::server::TunnelServer,
 };
 use yare::parameterized;
 
@@ -301,7 +304,9 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a loopback port is free");
     let address = listener.local_addr().expect("a listener has an address");
     let provider = Arc::new(SnapshotProvider::new(Arc::clone(state)));
-    thread::spawn(move || tcp::serve(&listener, &provider));
+    let tunnels = TunnelServer::new(Arc::clone(state), Arc::default(), Arc::new(NoRecorder));
+    let peers = Arc::new(PeerListener::new(SnapshotServer::new(provider), tunnels));
+    thread::spawn(move || peers.serve(&listener));
     address
 }
 
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -135,6 +135,11 @@
         self.connections.load(Ordering::SeqCst)
     }
 
+    /// Counts work for another daemon as a request until the guard is dropped.
+    pub fn count_request(lifecycle: &Arc<Self>) -> CountGuard {
+        CountGuard::request(lifecycle)
+    }
+
     /// Returns the number of requests being received or processed.
     pub fn requests_in_flight(&self) -> u32 {
         self.busy.load(Ordering::SeqCst)
@@ -225,7 +230,7 @@
 }
 
 /// Decrements the count of connections or requests when dropped.
-struct CountGuard {
+pub struct CountGuard {
     lifecycle: Arc<Lifecycle>,
     count: fn(&Lifecycle) -> &AtomicU32,
 }
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -30,6 +30,8 @@
     instrumented_store::InstrumentedStore,
     lease::{LeaseHolder, LeaseOptions},
     lease_keeper::{LeaseKeeper, Reluctance, SharedLease},
+    paths::Paths,
+    peer_listener::PeerListener,
     peering::{DaemonIdentity, PeerNode},
     platform_api::Store,
     poison::keeper::PoisonKeeper,
@@ -39,10 +41,11 @@
     shutdown::ShutdownPlan,
     snapshot::{
         SnapshotClient, SnapshotProvider,
-        tcp::{self, TcpSnapshots},
+        tcp::{SnapshotServer, TcpSnapshots},
     },
     state::{State, StateOptions},
     task::TaskRunner,
+    tunnel::server::TunnelServer,
 };
 use tansyknot_http::server::{self, DrainBehaviour, Handler, Lifecycle, ServerOptions};
 
@@ -161,6 +164,7 @@
         let metrics = match settings.listen.metrics_port {
             Some(port) => {
                 let (state, lease) = (Arc::clone(&state), Arc::clone(&lease));
+                let recorder = Arc::clone(&recorder);
                 let peer_node = Arc::clone(&peer_node);
                 let page = Arc::new(MetricsPage { recorder, state, lease, peer_node });
                 let address = SocketAddr::new(host, port);
@@ -178,7 +182,14 @@
         let follower = TargetFollower::new(Arc::clone(&state), store, targets_known);
         let follower = follower.with_peers(snapshots);
         store_polling::follow_targets(follower, &state, &peer_node);
-        serve_snapshots(peers, &state);
+        let tunnels = TunnelServer::new(
+            Arc::clone(&state),
+            Arc::clone(&lifecycle),
+            Arc::clone(&recorder) as _,
+        );
+        serve_peers(peers, &state, tunnels);
+        let paths = Paths::new(Arc::clone(&state), Arc::clone(&recorder) as _);
+        spawn("paths", move || paths.run_probes());
         run_lease_keeper(&keeper);
         start_peer_threads(&peer_node, socket);
         event::STARTED.emit(&[
@@ -286,16 +297,18 @@
     Ok(address)
 }
 
-/// Hands snapshots to other daemons. Without a free port they read the store.
-fn serve_snapshots(address: SocketAddr, state: &Arc<State>) {
+/// Serves snapshots and tunnels to other daemons. Without a free port they read the store, and ask
+/// others for tunnels.
+fn serve_peers(address: SocketAddr, state: &Arc<State>, tunnels: TunnelServer) {
     let listener = match TcpListener::bind(address) {
         Ok(listener) => listener,
-        Err(e) => return log::error!("no snapshots at {address}: {e}"),
+        Err(e) => return log::error!("no connections of other daemons at {address}: {e}"),
     };
     let provider = Arc::new(SnapshotProvider::new(Arc::clone(state)));
-    spawn("snapshots", move || {
-        if let Err(e) = tcp::serve(&listener, &provider) {
-            log::error!("the listener for snapshots failed: {e}");
+    let peers = Arc::new(PeerListener::new(SnapshotServer::new(provider), tunnels));
+    spawn("listener", move || {
+        if let Err(e) = peers.serve(&listener) {
+            log::error!("the listener for other daemons failed: {e}");
         }
     });
 }
