--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -44,6 +44,11 @@
 }
 
 impl Tunnel {
+    /// Wraps a tunnel that the daemon at `peer` has opened.
+    pub fn new(state: Arc<State>, peer: SocketAddr) -> Self {
+        Self { state, peer, decoder: Decoder::default() }
+    }
+
     /// Records that the daemon through which the tunnel leads has failed.
     pub fn record_lost(&self) {
         let now = self.state.now();
@@ -170,8 +175,7 @@
                     peers.record_opened(peer, now);
                     drop(peers);
                     self.state.reachability().record_tunnelled(target);
-                    let state = Arc::clone(&self.state);
-                    return Ok((stream, Tunnel { state, peer, decoder: Decoder::default() }));
+                    return Ok((stream, Tunnel::new(Arc::clone(&self.state), peer)));
                 }
                 Ok((_, TunnelReply::TargetUnreachable)) => down_verdicts += 1,
                 Ok((_, TunnelReply::UnknownTarget)) => {}
