Backpressure: brittle targets get no more requests than they surely take

Targets may name themselves brittle (Server-Brittle): they let fewer requests wait from then on, and one that has to refuse too many within a second crashes and leaves its load to the others. Daemons filled the queues of targets beyond their slots, by views of each other's requests that are up to a heartbeat old, so brittle targets crashed in turn.

The signal is kept by run beside limit, leaving and retry delay, and shared with all daemons. A service is brittle while one of its targets is. Each slot of a brittle target belongs to one daemon, so that no daemon depends on what it knows of the others' requests; after a refusal no daemon sends there for 1 s. Ends of brittle targets count against no request that they had. 0 and very high numbers are obeyed alike; what is not a number is ignored and counted.

The format of datagrams changes, so daemons of another build are not understood.

--- a/crates/tansyknot-fleet/src/backpressure.rs
+++ b/crates/tansyknot-fleet/src/backpressure.rs
@@ -1,9 +1,10 @@
-//! Backpressure signals of targets: rate limits, connection draining and retry delays, as their
-//! responses carry them.
+//! Backpressure signals of targets: rate limits, connection draining, retry delays and brittleness,
+//! as their responses carry them.
 //!
 //! Has no threads or sockets. `serve` records and obeys the signals, and `peering` shares them
 //! between daemons.
 
+mod brittle;
 pub mod message;
 pub mod pending;
 pub mod registry;
@@ -17,6 +18,7 @@
 use xxhash_rust::xxh3;
 
 use crate::poison::key::RunKey;
+pub(crate) use brittle::BRITTLE_TTL;
 
 /// The lowest rate limit that is obeyed, in requests a second: a target that names a lower one
 /// still gets a request now and then, because only its responses can end the limit.
@@ -68,6 +70,8 @@
     Leaving,
     /// A retry delay for this daemon.
     RetryDelay,
+    /// The target crashes if it has to refuse too many requests.
+    Brittle,
 }
 
 impl Signal {
@@ -77,6 +81,7 @@
             Signal::Limit => "limit",
             Signal::Leaving => "leaving",
             Signal::RetryDelay => "rest",
+            Signal::Brittle => "brittle",
         }
     }
 }
@@ -90,6 +95,8 @@
     pub leaving: SignalField<()>,
     /// How long this daemon is to send no requests to the target.
     pub retry_delay: SignalField<Duration>,
+    /// The target crashes if it has to refuse more than this many requests within a second.
+    pub brittle: SignalField<u32>,
 }
 
 impl Signals {
@@ -98,7 +105,8 @@
         let limit = matches!(self.limit, SignalField::Malformed).then_some(Signal::Limit);
         let leaving = matches!(self.leaving, SignalField::Malformed).then_some(Signal::Leaving);
         let rest = matches!(self.retry_delay, SignalField::Malformed).then_some(Signal::RetryDelay);
-        [limit, leaving, rest].into_iter().flatten()
+        let brittle = matches!(self.brittle, SignalField::Malformed).then_some(Signal::Brittle);
+        [limit, leaving, rest, brittle].into_iter().flatten()
     }
 }
 
@@ -107,7 +115,9 @@
 pub enum RunOutcome {
     /// The target ran the request.
     Ran,
-    /// The target did not run the request.
+    /// The target refused the request, for lack of room, and did not run it.
+    Refused,
+    /// The target did not run the request for another reason.
     NotRun,
 }
 
--- a/crates/tansyknot-fleet/src/backpressure/message.rs
+++ b/crates/tansyknot-fleet/src/backpressure/message.rs
@@ -53,6 +53,25 @@
     Ended(ResponseAges),
 }
 
+/// The brittleness of one run of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BrittleSummary {
+    /// None is known.
+    #[default]
+    Unknown,
+    /// The run is brittle.
+    Named {
+        /// The refusals within a second that it survives.
+        max_refusals: u32,
+        /// The newest response that names it.
+        at: ResponseAges,
+        /// The time since it last refused a request, in milliseconds.
+        refused_ms: Option<u32>,
+    },
+    /// This response ended it.
+    Ended(ResponseAges),
+}
+
 /// The signals of one run of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunSummary {
@@ -62,6 +81,17 @@
     pub limit: LimitSummary,
     /// Whether the run is draining.
     pub is_leaving: bool,
+    /// Its brittleness.
+    pub brittle: BrittleSummary,
+}
+
+impl RunSummary {
+    /// Returns whether the summary has any signal.
+    pub fn has_signal(&self) -> bool {
+        self.limit != LimitSummary::Unknown
+            || self.is_leaving
+            || self.brittle != BrittleSummary::Unknown
+    }
 }
 
 /// Asks for a permit to send a request to a target that names a limit. It is sent again until it is
--- a/crates/tansyknot-fleet/src/backpressure/registry.rs
+++ b/crates/tansyknot-fleet/src/backpressure/registry.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Interval, Rate, RunOutcome, Signals,
-    message::{LimitSummary, RunSummary},
+    message::RunSummary,
     run_state::{Availability, RunState, SignalChange},
 };
 use crate::poison::key::RunKey;
@@ -69,7 +69,9 @@
         }
         let record = self.record(run, at.received);
         let changes = record.state.apply(signals, outcome, at);
-        if !changes.is_empty() {
+        // Others drop a brittleness that is not named again.
+        let is_renewal_due = record.state.is_brittle(at.received) && !record.is_recent(at.received);
+        if !changes.is_empty() || is_renewal_due {
             record.changed = at.received;
             record.changed_here = Some(at.received);
             self.unsent.insert(run, DIRECT_SENDS);
@@ -80,7 +82,7 @@
 
     /// Merges the state that another daemon has sent; returns whether it changes anything.
     pub fn merge(&mut self, summary: &RunSummary, now: Time) -> bool {
-        if summary.limit == LimitSummary::Unknown && !summary.is_leaving {
+        if !summary.has_signal() {
             return false;
         }
         let record = self.record(summary.run, now);
@@ -129,6 +131,16 @@
         self.by_run.get(&run)?.state.limit().map(|limit| limit.rate)
     }
 
+    /// Returns whether a run is brittle.
+    pub fn is_brittle(&self, run: RunKey, now: Time) -> bool {
+        self.by_run.get(&run).is_some_and(|record| record.state.is_brittle(now))
+    }
+
+    /// Returns when a run last refused a request while it was brittle.
+    pub fn last_refusal(&self, run: RunKey) -> Option<Time> {
+        self.by_run.get(&run)?.state.last_refusal()
+    }
+
     /// Returns whether a run is draining.
     pub fn is_leaving(&self, run: RunKey) -> bool {
         self.by_run.get(&run).is_some_and(|record| record.state.is_leaving())
@@ -190,5 +202,5 @@
     records.sort_by_key(|(run, record)| (Reverse(record.changed), **run));
     records.truncate(MAX_SUMMARIES);
     let summaries = records.into_iter().map(|(run, record)| record.state.summary(*run, now));
-    summaries.filter(|s| s.limit != LimitSummary::Unknown || s.is_leaving).collect()
+    summaries.filter(RunSummary::has_signal).collect()
 }
--- a/crates/tansyknot-fleet/src/backpressure/run_state.rs
+++ b/crates/tansyknot-fleet/src/backpressure/run_state.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Interval, MAX_RETRY_DELAY, Rate, ResponseId, RunOutcome, Signal, SignalField, Signals,
+    brittle::Brittleness,
     message::{LimitSummary, ResponseAges, RunSummary},
 };
 use crate::poison::key::RunKey;
@@ -48,6 +49,11 @@
     Leaves,
     /// The target accepts no requests for this long.
     BacksOff(Duration),
+    /// The target crashes if it has to refuse more than this many requests within a second, or has
+    /// refused one while that holds.
+    Brittle(u32),
+    /// The target is no longer brittle.
+    Sound,
 }
 
 /// Whether the signals of a target allow a request of this daemon.
@@ -83,6 +89,7 @@
     ended: Option<ResponseId>,
     is_leaving: bool,
     retry_delay: Option<RetryDelay>,
+    brittleness: Brittleness,
 }
 
 impl RunState {
@@ -97,11 +104,13 @@
         changes.extend(match (signals.limit, outcome) {
             (SignalField::Value(rate), _) => self.apply_limit(rate, at.into()),
             (SignalField::Absent, RunOutcome::Ran) => self.apply_no_limit(at.into()),
-            (SignalField::Absent, RunOutcome::NotRun) | (SignalField::Malformed, _) => None,
+            (SignalField::Absent, RunOutcome::Refused | RunOutcome::NotRun)
+            | (SignalField::Malformed, _) => None,
         });
         changes.extend(
             matches!(signals.leaving, SignalField::Value(())).then(|| self.set_leaving()).flatten(),
         );
+        changes.extend(self.apply_brittle(signals.brittle, outcome, at));
         match signals.retry_delay {
             SignalField::Value(duration) => {
                 changes.extend(self.set_retry_delay(duration, at.received));
@@ -111,6 +120,36 @@
         changes
     }
 
+    fn apply_brittle(
+        &mut self,
+        brittle: SignalField<u32>,
+        outcome: RunOutcome,
+        at: Interval,
+    ) -> Option<SignalChange> {
+        match (brittle, outcome) {
+            (SignalField::Value(max_refusals), _) => {
+                let refused = (outcome == RunOutcome::Refused).then_some(at.received);
+                let is_new = self.brittleness.apply_named(max_refusals, at.into(), refused);
+                is_new.then_some(SignalChange::Brittle(max_refusals))
+            }
+            (SignalField::Absent, RunOutcome::Ran) => {
+                self.brittleness.apply_absent(at.into()).then_some(SignalChange::Sound)
+            }
+            (SignalField::Absent, RunOutcome::Refused | RunOutcome::NotRun)
+            | (SignalField::Malformed, _) => None,
+        }
+    }
+
+    /// Returns whether the target is brittle.
+    pub fn is_brittle(&self, now: Time) -> bool {
+        self.brittleness.is_brittle(now)
+    }
+
+    /// Returns when the target last refused a request while it was brittle.
+    pub fn last_refusal(&self) -> Option<Time> {
+        self.brittleness.last_refusal()
+    }
+
     /// Applies a limit, unless its response is certainly older than the newest one known. A higher
     /// limit counts only if its response is certainly newer.
     fn apply_limit(&mut self, rate: Rate, answer: ResponseId) -> Option<SignalChange> {
@@ -160,7 +199,8 @@
             }
         };
         let draining = if summary.is_leaving { self.set_leaving() } else { None };
-        limit.is_some() || draining.is_some()
+        let is_brittleness_changed = self.brittleness.merge(summary.brittle, now);
+        limit.is_some() || draining.is_some() || is_brittleness_changed
     }
 
     /// Returns the signals for other daemons.
@@ -173,7 +213,8 @@
         let ended =
             self.ended().filter(is_recent).map(|at| LimitSummary::Ended(ResponseAges::of(at, now)));
         let limit = named.or(ended).unwrap_or(LimitSummary::Unknown);
-        RunSummary { run, limit, is_leaving: self.is_leaving }
+        let brittle = self.brittleness.summary(now);
+        RunSummary { run, limit, is_leaving: self.is_leaving, brittle }
     }
 
     /// Records that the target is draining, which is final.
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The daemon's view of the targets, and the selection of a target for each request.
 
+mod brittle;
 mod health;
 pub mod list;
 mod member;
@@ -37,6 +38,7 @@
     zone_drain::ZoneDrains,
 };
 
+use brittle::BrittleServices;
 pub use list::EXPIRY_GRACE;
 use list::{ListState, RemovedTarget};
 use member::{Held, Member};
@@ -157,6 +159,7 @@
     backpressure: Registry,
     /// Whether a planner has shared the signals that other daemons have received.
     has_synced_signals: bool,
+    brittle: BrittleServices,
     warm_ups: WarmUps,
     zone_drains: ZoneDrains,
     target_choice: TargetChoice,
--- /dev/null
+++ b/crates/tansyknot-fleet/src/fleet/brittle.rs
@@ -0,0 +1,92 @@
+//! Allowances of this daemon at the targets of a brittle service.
+//!
+//! Brittle targets crash if they have to refuse requests, and a target that has crashed leaves its
+//! load to the others. All daemons together therefore send such a target no more requests than it
+//! has slots: each slot of a target belongs to one daemon, so that no daemon depends on what it
+//! knows of the others' requests. A service counts as brittle if one of its targets does, so that a
+//! target which has just started is treated like the others before its first response.
+
+use std::{collections::HashMap, time::Duration};
+
+use tansyknot_core::{
+    clock::Time,
+    name::{ServiceName, TargetName},
+};
+
+use super::{Fleet, member::Member};
+use crate::{backpressure::BRITTLE_TTL, poison::key::RunKey};
+
+/// How long no daemon sends requests to a brittle target after it has refused one.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+
+/// The brittle services, and this daemon's allowances at their targets.
+#[derive(Debug, Default)]
+pub(super) struct BrittleServices {
+    /// Until when each service counts as brittle.
+    until: HashMap<ServiceName, Time>,
+    /// The requests that this daemon may have at each target at once.
+    allowances: HashMap<TargetName, u32>,
+}
+
+impl Fleet {
+    /// Returns whether targets of a service have named themselves brittle.
+    pub fn is_brittle(&self, service: &ServiceName, now: Time) -> bool {
+        self.brittle.until.get(service).is_some_and(|until| now < *until)
+    }
+
+    /// Updates what is known of a run's service after a signal of the run.
+    pub(super) fn update_brittleness(&mut self, run: RunKey, now: Time) {
+        let Some(m) = self.members.values_mut().find(|m| m.run == run) else { return };
+        if let Some(refused) = self.backpressure.last_refusal(run) {
+            m.full_until = m.full_until.max(refused + REFUSAL_PAUSE);
+        }
+        let service = m.target.service.clone();
+        if self.backpressure.is_brittle(run, now) {
+            self.brittle.until.insert(service, now + BRITTLE_TTL);
+            return;
+        }
+        let mut of_service = self.members.values().filter(|m| m.target.service == service);
+        if !of_service.any(|m| self.backpressure.is_brittle(m.run, now)) {
+            self.brittle.until.remove(&service);
+        }
+    }
+
+    /// Drops the services that are no longer brittle; returns whether others are.
+    pub fn expire_brittleness(&mut self, now: Time) -> bool {
+        self.brittle.until.retain(|_, until| now < *until);
+        if self.brittle.until.is_empty() {
+            self.brittle.allowances.clear();
+        }
+        !self.brittle.until.is_empty()
+    }
+
+    /// Sets this daemon's allowances at the targets of brittle services; `rank` returns how many of
+    /// the `daemons` come before this one at a target.
+    pub fn set_allowances(&mut self, daemons: usize, rank: impl Fn(&TargetName) -> usize) {
+        let is_brittle = |m: &&Member| self.brittle.until.contains_key(&m.target.service);
+        let allowance = |m: &Member| {
+            let name = &m.target.name;
+            (name.clone(), share_of_slots(m.target.slots, daemons, rank(name)))
+        };
+        let allowances = self.members.values().filter(is_brittle).map(allowance).collect();
+        self.brittle.allowances = allowances;
+    }
+
+    /// Returns how many more requests this daemon may send to a target of a brittle service; `None`
+    /// if its service is not brittle.
+    pub(super) fn brittle_places(&self, m: &Member, now: Time) -> Option<u32> {
+        if self.brittle.until.is_empty() || !self.is_brittle(&m.target.service, now) {
+            return None;
+        }
+        let default = || share_of_slots(m.target.slots, self.daemon_count, self.daemon_count);
+        let allowance = self.brittle.allowances.get(&m.target.name).copied();
+        Some(allowance.unwrap_or_else(default).saturating_sub(m.own_requests()))
+    }
+}
+
+/// Returns the slots that belong to the daemon with this rank among `daemons`.
+fn share_of_slots(slots: u32, daemons: usize, rank: usize) -> u32 {
+    let daemons = u32::try_from(daemons).unwrap_or(u32::MAX).max(1);
+    let has_extra_slot = rank < (slots % daemons) as usize;
+    slots / daemons + u32::from(has_extra_slot)
+}
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -57,7 +57,7 @@
         let service_time = self.bounding_service_time(want);
         let is_free = |m: &&Member| {
             now >= m.full_until
-                && self.has_place(m, service_time)
+                && self.has_place(m, service_time, now)
                 && self.is_past_first_contact(m)
                 && self.has_room(m, want, now)
         };
@@ -97,7 +97,11 @@
             now >= m.suspect_until && now >= m.full_until && self.is_past_first_contact(m)
         };
         let is_open = |m: &Member| self.availability(m.run, now) == Availability::Open;
-        let has_slot = |m: &Member| m.load() < 1.0 && self.has_room(m, want, now);
+        let has_slot = |m: &Member| {
+            m.load() < 1.0
+                && self.brittle_places(m, now).is_none_or(|places| places > 0)
+                && self.has_room(m, want, now)
+        };
         let is_free = |m: &&Member| is_healthy(m) && has_slot(m) && is_open(m);
         let free: Vec<&Member> = self.holding(want, now).filter(is_free).collect();
         let free = self.prefer_ample_room(free, want, now);
--- a/crates/tansyknot-fleet/src/fleet/places.rs
+++ b/crates/tansyknot-fleet/src/fleet/places.rs
@@ -80,6 +80,11 @@
         let service_time = self.service_times.mean(want);
         let mut free = FreePlaces::default();
         for m in self.holding(want, now).filter(|m| now >= m.full_until) {
+            if let Some(places) = self.brittle_places(m, now) {
+                free.slots += places;
+                free.total += places;
+                continue;
+            }
             let requests = m.own_requests() + m.other_requests;
             let slots = m.target.slots;
             let places = self.max_requests(m, service_time).ceil() as u32;
@@ -90,7 +95,10 @@
     }
 
     /// Returns whether a target may get another request, by the number of those that it has.
-    pub(super) fn has_place(&self, m: &Member, service_time: Option<Duration>) -> bool {
+    pub(super) fn has_place(&self, m: &Member, service_time: Option<Duration>, now: Time) -> bool {
+        if let Some(places) = self.brittle_places(m, now) {
+            return places > 0;
+        }
         f64::from(m.own_requests() + m.other_requests) < self.max_requests(m, service_time)
     }
 
--- a/crates/tansyknot-fleet/src/fleet/signal.rs
+++ b/crates/tansyknot-fleet/src/fleet/signal.rs
@@ -6,7 +6,7 @@
 use crate::{
     backpressure::{
         Interval, RunOutcome, Signal, SignalField, Signals,
-        message::{LimitSummary, RunSummary},
+        message::{BrittleSummary, LimitSummary, RunSummary},
         pending::Permit,
         run_state::{Availability, SignalChange},
     },
@@ -36,6 +36,9 @@
         if changes.contains(&SignalChange::Leaves) {
             self.mark_draining(run);
         }
+        if signals.brittle != SignalField::Absent || changes.contains(&SignalChange::Sound) {
+            self.update_brittleness(run, at.received);
+        }
         changes
     }
 
@@ -49,6 +52,9 @@
         if is_changed && summary.is_leaving {
             self.mark_draining(summary.run);
         }
+        if summary.brittle != BrittleSummary::Unknown {
+            self.update_brittleness(summary.run, now);
+        }
         if is_changed && matches!(summary.limit, LimitSummary::Named { .. }) {
             // A response that this daemon received before it had the limit may already have ended
             // it.
@@ -106,6 +112,7 @@
             run,
             limit: LimitSummary::Unknown,
             is_leaving: false,
+            brittle: BrittleSummary::Unknown,
         })
     }
 
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -49,6 +49,10 @@
         if !self.state.fleet().accepts_work(&target.name, now) {
             return;
         }
+        // A brittle target ends because of the number of its requests.
+        if self.state.fleet().is_brittle(&target.service, now) {
+            return;
+        }
         let check = self.state.poison().record_early_close(request.key, run_key, opened, now);
         match check {
             CheckState::Due => {
--- a/crates/tansyknot-fleet/src/serve/signal.rs
+++ b/crates/tansyknot-fleet/src/serve/signal.rs
@@ -31,9 +31,8 @@
         self.record_malformed(&target.name, &signals);
         let outcome = match class {
             ResponseClass::Ran => RunOutcome::Ran,
-            ResponseClass::NotRun
-            | ResponseClass::Misdirected { .. }
-            | ResponseClass::Unverified => RunOutcome::NotRun,
+            ResponseClass::NotRun => RunOutcome::Refused,
+            ResponseClass::Misdirected { .. } | ResponseClass::Unverified => RunOutcome::NotRun,
         };
         let at = Interval { sent, received: self.state.now() };
         let changes = self.state.fleet().record_signals(target, &signals, outcome, at);
@@ -52,6 +51,8 @@
             SignalChange::BacksOff(delay) => {
                 (Signal::RetryDelay, format!("{} ms", delay.as_millis()))
             }
+            SignalChange::Brittle(max) => (Signal::Brittle, format!("{max} refusals a second")),
+            SignalChange::Sound => (Signal::Brittle, "none".to_owned()),
         };
         self.recorder.count(metric::SIGNALS.name, &ServiceName::from(signal.name()), 1);
         event::TARGET_SIGNAL.emit(&[
--- a/crates/tansyknot-fleet/src/state/paths.rs
+++ b/crates/tansyknot-fleet/src/state/paths.rs
@@ -1,6 +1,7 @@
-//! Changes of the paths to targets.
+//! Changes of the paths to targets, and this daemon's share of the targets that are brittle.
 
-use tansyknot_core::event;
+use tansyknot_core::{clock::Time, event, name::TargetName};
+use xxhash_rust::xxh3;
 
 use super::State;
 use crate::{reachability::Transition, target::Target};
@@ -17,6 +18,19 @@
         self.targets_changed.notify();
     }
 
+    /// Updates this daemon's allowances at the targets of brittle services.
+    pub fn update_allowances(&self, now: Time) {
+        let has_brittle_services = self.fleet().expire_brittleness(now);
+        if !has_brittle_services {
+            return;
+        }
+        let peers = self.peers().clone();
+        let hash = |target: &TargetName| xxh3::xxh3_64(target.as_str().as_bytes());
+        let rank = |target: &TargetName| peers.rank_among(hash(target), now).1;
+        let (daemons, _) = peers.rank_among(0, now);
+        self.fleet().set_allowances(daemons, rank);
+    }
+
     /// Records that this daemon could not connect to a target.
     pub fn record_connect_failure(&self, target: &Target) {
         let targets = self.fleet().target_names(&target.service).len();
--- a/crates/tansyknot-fleet/tests/obeyed.rs
+++ b/crates/tansyknot-fleet/tests/obeyed.rs
@@ -14,7 +14,7 @@
 use tansyknot_fleet::{
     backpressure::{
         Interval, Rate, RunOutcome, SignalField, Signals,
-        message::{LimitSummary, ResponseAges, RunSummary},
+        message::{BrittleSummary, LimitSummary, ResponseAges, RunSummary},
     },
     dissemination::message::TargetOverride,
     fleet::{CacheNeed, Fleet, Pick, TargetRequirements},
@@ -263,7 +263,9 @@
     let limit_interval = Interval { sent: at(100), received: at(200) };
     let limit =
         LimitSummary::Named { per_s: 1.0, at: ResponseAges::of(limit_interval.into(), at(1500)) };
-    let summary = RunSummary { run: RunKey::of(&entry("t1", 1)), limit, is_leaving: false };
+    let run = RunKey::of(&entry("t1", 1));
+    let brittle = BrittleSummary::Unknown;
+    let summary = RunSummary { run, limit, is_leaving: false, brittle };
     fleet.merge_signals(&[summary], at(1500));
     assert!(fleet.rate_limited(at(2)).is_empty());
     assert_eq!(fleet.recent_signals(at(1500)).len(), 1, "the response is reported to the planner");
--- a/crates/tansyknot-fleet/tests/run_state.rs
+++ b/crates/tansyknot-fleet/tests/run_state.rs
@@ -39,6 +39,7 @@
     limit: SignalField::Absent,
     leaving: SignalField::Absent,
     retry_delay: SignalField::Absent,
+    brittle: SignalField::Absent,
 };
 const LEAVING: Signals = Signals { leaving: SignalField::Value(()), ..NO_SIGNALS };
 
--- a/crates/tansyknot-fleet/tests/support/signals/target_run.rs
+++ b/crates/tansyknot-fleet/tests/support/signals/target_run.rs
@@ -89,7 +89,7 @@
         Signals {
             limit: limit.map_or(SignalField::Absent, SignalField::Value),
             leaving,
-            retry_delay: SignalField::Absent,
+            ..Signals::default()
         }
     }
 }
