--- a/crates/tansyknot-fleet/tests/brittle.rs
+++ b/crates/tansyknot-fleet/tests/brittle.rs
@@ -137,12 +137,13 @@
         }
         self.network.restart(n);
         self.waiting.retain(|(daemon, _)| *daemon != n);
+        self.flights.retain(|_, flight| flight.daemon != n);
+        // A target drops the requests of connections that have closed.
+        let flights = &self.flights;
         for target in &mut self.targets {
-            // The connections have closed, and a target drops its requests with them.
-            target.running.clear();
-            target.waiting.clear();
+            target.running.retain(|(_, number)| flights.contains_key(number));
+            target.waiting.retain(|number| flights.contains_key(number));
         }
-        self.flights.clear();
     }
 
     fn start_waiting(&mut self, now: Time) {
@@ -226,10 +227,11 @@
             target.running = running;
             for (end, number) in done {
                 respond(&mut self.flights, number, end + LINK_DELAY, RunOutcome::Ran);
-                if let Some(next) = target.waiting.pop_front() {
-                    let time = Duration::from_millis(self.rng.random_range(SERVICE_TIME_MS));
-                    target.running.push((now + time, next));
-                }
+            }
+            while target.running.len() < SLOTS {
+                let Some(next) = target.waiting.pop_front() else { break };
+                let time = Duration::from_millis(self.rng.random_range(SERVICE_TIME_MS));
+                target.running.push((now + time, next));
             }
         }
     }
