Paths: a service that no daemon reached is looked for again even if other services are reached through others

Where one service was down for all while another was served through tunnels, the first stayed refused after its targets were back, until the daemon's own links were. Found by reading. Tests of the lease of a planner that is cut off: it leaves the lease after 1 s if another daemon reaches engines, and may take it over again; else it keeps it.

--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -486,9 +486,12 @@
     fn is_cut_off(&self, now: Time) -> bool {
         let Some(catalog) = self.state.catalog() else { return false };
         let mut engines = catalog.services.values().filter(|s| s.engine.is_some()).peekable();
-        engines.peek().is_some()
-            && self.state.reachability().is_cut_off_for(engines.map(|s| &s.name), YIELD_AFTER, now)
-            && self.state.tunnel_peers().proven(now).is_some()
+        if engines.peek().is_none() {
+            return false;
+        }
+        let names = engines.map(|s| &s.name);
+        let is_cut_off = self.state.reachability().is_cut_off_for(names, YIELD_AFTER, now);
+        is_cut_off && self.state.tunnel_peers().proven(now).is_some()
     }
 
     /// Leaves the lease to another daemon, and may take it over again later.
--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -262,7 +262,9 @@
     /// unless one is known.
     fn probe_tunnel(&self, target: &Target) {
         let is_proven = self.state.tunnel_peers().proven(self.state.now()).is_some();
-        if self.is_cut_off(target) && !is_proven {
+        // Another daemon may reach one service and not the other.
+        let is_needed = !is_proven || self.state.reachability().is_isolated(&target.service);
+        if self.is_cut_off(target) && is_needed {
             // The reachability has the result.
             let _ = self.open_tunnel(target, true, BootInstant::now() + TUNNEL_TIMEOUT);
         }
--- a/crates/tansyknot-fleet/src/reachability.rs
+++ b/crates/tansyknot-fleet/src/reachability.rs
@@ -97,6 +97,11 @@
         services.all(|service| since(service).is_some_and(|at| now.since(at) >= duration))
     }
 
+    /// Returns whether no daemon that was asked last has reached a target of a service.
+    pub fn is_isolated(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|s| s.isolated_since.is_some())
+    }
+
     /// Returns whether neither this daemon nor another one has reached a target of a service for
     /// [`OUTAGE_CONFIRMATION`].
     pub fn is_outage_confirmed(&self, service: &ServiceName, now: Time) -> bool {
--- a/crates/tansyknot-fleet/tests/lease.rs
+++ b/crates/tansyknot-fleet/tests/lease.rs
@@ -5,8 +5,9 @@
 use std::{sync::Arc, time::Duration};
 
 use support::{
-    Daemon,
+    Daemon, catalog,
     store::{FakeStore, StoreFault},
+    target,
 };
 use tansyknot_core::{
     clock::{Clock, ManualClock, Time},
@@ -273,3 +274,48 @@
     let planner = b.lease.planner().map(|(daemon, _)| daemon);
     assert_eq!(planner, Some(Arc::from("a")));
 }
+
+/// Lets `d` find that it reaches no engine, and that the daemon at `helper` does.
+fn cut_off(d: &Daemon, helper: u8) {
+    d.state.set_catalog(catalog());
+    for name in ["t1", "t2", "t3"] {
+        d.state.reachability().record_failed(&target(name, &[], &[]), 9, d.clock.now());
+    }
+    d.state.tunnel_peers().record_opened(([10, 0, 0, helper], 7000).into(), d.clock.now());
+}
+
+#[test]
+fn planner_that_is_cut_off_from_all_engines_leaves_the_lease_to_another_daemon() {
+    let clock = ManualClock::new();
+    let store = FakeStore::new();
+    let (a, b) = (Daemon::new("a", &store, &clock), Daemon::new("b", &store, &clock));
+    run(&clock, &[&a, &b], 2_000);
+    assert!(may_order(&a));
+    cut_off(&a, b'b');
+    run(&clock, &[&a, &b], 900);
+    assert!(may_order(&a), "the cut may end at once");
+    // The tunnels of its callers' requests show that the other daemon reaches engines.
+    let last = a.last_order_time();
+    for _ in 0..10 {
+        a.state.tunnel_peers().record_opened(([10, 0, 0, b'b'], 7000).into(), clock.now());
+        run(&clock, &[&a, &b], 500);
+        assert!(!may_order(&a) || !may_order(&b));
+    }
+    assert!(may_order(&b) && !may_order(&a));
+    assert!(clock.now().since(last) >= HANDOVER_INTERVAL);
+    a.state.reachability().record_connected(&target("t1", &[], &[]), clock.now());
+    run(&clock, &[&a], 10_000);
+    assert!(may_order(&a), "it may take the lease over again");
+}
+
+#[test]
+fn planner_keeps_the_lease_while_no_other_daemon_is_known_to_reach_engines() {
+    let clock = ManualClock::new();
+    let store = FakeStore::new();
+    let (a, b) = (Daemon::new("a", &store, &clock), Daemon::new("b", &store, &clock));
+    run(&clock, &[&a, &b], 2_000);
+    cut_off(&a, b'b');
+    advance(&clock, 2_500);
+    run(&clock, &[&a, &b], 3_000);
+    assert!(may_order(&a) && !may_order(&b));
+}
