Brittle targets: a daemon that has just started takes no more than its share of the slots

A daemon that knew no others, or not all of them, took all slots of a brittle target, or too many, for its own. Until the daemon knows its place it has one request at a target, or the slots divided by the number of daemons that the planner counts.

--- a/crates/tansyknot-fleet/src/fleet/brittle.rs
+++ b/crates/tansyknot-fleet/src/fleet/brittle.rs
@@ -61,12 +61,18 @@
     }
 
     /// Sets this daemon's allowances at the targets of brittle services; `rank` returns how many of
-    /// the `daemons` come before this one at a target.
-    pub fn set_allowances(&mut self, daemons: usize, rank: impl Fn(&TargetName) -> usize) {
+    /// the `known` daemons come before this one at a target.
+    pub fn set_allowances(&mut self, known: usize, rank: impl Fn(&TargetName) -> usize) {
         let is_brittle = |m: &&Member| self.brittle.until.contains_key(&m.target.service);
         let allowance = |m: &Member| {
             let name = &m.target.name;
-            (name.clone(), share_of_slots(m.target.slots, daemons, rank(name)))
+            // A daemon that has just started does not know all others yet.
+            let allowance = if known < self.daemon_count || self.daemon_count == 0 {
+                self.default_allowance(m)
+            } else {
+                share_of_slots(m.target.slots, known, rank(name))
+            };
+            (name.clone(), allowance)
         };
         let allowances = self.members.values().filter(is_brittle).map(allowance).collect();
         self.brittle.allowances = allowances;
@@ -78,9 +84,18 @@
         if self.brittle.until.is_empty() || !self.is_brittle(&m.target.service, now) {
             return None;
         }
-        let default = || share_of_slots(m.target.slots, self.daemon_count, self.daemon_count);
         let allowance = self.brittle.allowances.get(&m.target.name).copied();
-        Some(allowance.unwrap_or_else(default).saturating_sub(m.own_requests()))
+        let allowance = allowance.unwrap_or_else(|| self.default_allowance(m));
+        Some(allowance.saturating_sub(m.own_requests()))
+    }
+
+    /// Returns the allowance at a target as long as the place of this daemon among the others is not
+    /// known.
+    fn default_allowance(&self, m: &Member) -> u32 {
+        match self.daemon_count {
+            0 => 1,
+            daemons => share_of_slots(m.target.slots, daemons, daemons),
+        }
     }
 }
 
