Paths: what stopped a reader

Tuples of two numbers became two methods each, and a tunnel's server hands on the target itself. No change of behaviour: the tests of paths, tunnels and brittle targets pass as before.

--- a/crates/tansyknot-fleet/src/dissemination/peers.rs
+++ b/crates/tansyknot-fleet/src/dissemination/peers.rs
@@ -65,14 +65,16 @@
         Some(if weight(&best) > weight(&me) { best } else { me })
     }
 
-    /// Returns the number of daemons, and how many of them rank higher than this one for `hash`.
-    pub fn rank_among(&self, hash: u64, now: Time) -> (usize, usize) {
-        let Some(me) = self.local_address else { return (1, 0) };
+    /// Returns the number of known daemons, including this one.
+    pub fn count(&self, now: Time) -> usize {
+        self.all(now).filter(|p| Some(p.address) != self.local_address).count() + 1
+    }
+
+    /// Returns how many of the known daemons rank higher than this one for `hash`.
+    pub fn count_above(&self, hash: u64, now: Time) -> usize {
+        let Some(me) = self.local_address else { return 0 };
         let weight = |address: SocketAddr| (relays::rank_for(address, hash), address);
-        let others = self.all(now).map(|p| p.address).filter(|address| *address != me);
-        let (higher, lower): (Vec<SocketAddr>, Vec<SocketAddr>) =
-            others.partition(|address| weight(*address) > weight(me));
-        (higher.len() + lower.len() + 1, higher.len())
+        self.all(now).filter(|p| p.address != me && weight(p.address) > weight(me)).count()
     }
 
     /// Records the announcement of a daemon.
--- a/crates/tansyknot-fleet/src/reachability.rs
+++ b/crates/tansyknot-fleet/src/reachability.rs
@@ -109,10 +109,14 @@
         since.is_some_and(|at| now.since(at) >= OUTAGE_CONFIRMATION)
     }
 
-    /// Returns the services that this daemon can't reach, and the targets without a direct path.
-    pub fn failed(&self) -> (usize, usize) {
-        let cut_off = self.services.values().filter(|s| s.cut_off_since.is_some()).count();
-        (cut_off, self.services.values().map(|s| s.failed.len()).sum())
+    /// Returns the number of services of which this daemon reaches no target by itself.
+    pub fn services_cut_off(&self) -> usize {
+        self.services.values().filter(|s| s.cut_off_since.is_some()).count()
+    }
+
+    /// Returns the number of targets without a direct path.
+    pub fn failed_paths(&self) -> usize {
+        self.services.values().map(|s| s.failed.len()).sum()
     }
 
     /// Returns whether a path has failed, so that targets are to be probed.
--- a/crates/tansyknot-fleet/src/state/paths.rs
+++ b/crates/tansyknot-fleet/src/state/paths.rs
@@ -26,9 +26,8 @@
         }
         let peers = self.peers().clone();
         let hash = |target: &TargetName| xxh3::xxh3_64(target.as_str().as_bytes());
-        let rank = |target: &TargetName| peers.rank_among(hash(target), now).1;
-        let (daemons, _) = peers.rank_among(0, now);
-        self.fleet().set_allowances(daemons, rank);
+        let rank = |target: &TargetName| peers.count_above(hash(target), now);
+        self.fleet().set_allowances(peers.count(now), rank);
     }
 
     /// Records that this daemon could not connect to a target.
--- a/crates/tansyknot-fleet/src/tunnel/server.rs
+++ b/crates/tansyknot-fleet/src/tunnel/server.rs
@@ -69,9 +69,9 @@
         let reply = postcard::to_allocvec(&reply).map_err(io::Error::other)?;
         frame::write_message(stream, 0, &reply)?;
         match connected {
-            Ok((target, service)) if !request.is_probe => {
-                self.recorder.count(metric::TUNNELS_SERVED.name, &service, 1);
-                forward(stream, &target, Duration::from_millis(request.time_left_ms.into()))
+            Ok((connection, target)) if !request.is_probe => {
+                self.recorder.count(metric::TUNNELS_SERVED.name, &target.service, 1);
+                forward(stream, &connection, Duration::from_millis(request.time_left_ms.into()))
             }
             _ => Ok(()),
         }
@@ -83,10 +83,8 @@
         self.state.peers().all(now).any(|peer| peer.address.ip() == ip)
     }
 
-    fn connect(
-        &self,
-        request: &TunnelRequest,
-    ) -> Result<(TcpStream, tansyknot_core::name::ServiceName), TunnelReply> {
+    /// Connects to the target of a request, unless there is a reason not to.
+    fn connect(&self, request: &TunnelRequest) -> Result<(TcpStream, Arc<Target>), TunnelReply> {
         let now = self.state.now();
         let has_room = self.open.load(Ordering::SeqCst) <= MAX_TUNNELS;
         if !has_room || self.lifecycle.is_draining() {
@@ -104,7 +102,7 @@
         match TcpStream::connect_timeout(&target.address, TARGET_CONNECT_TIMEOUT) {
             Ok(stream) => {
                 self.state.record_connected(&target);
-                Ok((stream, target.service.clone()))
+                Ok((stream, target))
             }
             Err(e) if exchange::is_out_of_sockets(&e) => Err(TunnelReply::Busy),
             Err(_) => {
--- a/crates/tansyknotd/src/fleet/pages.rs
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -104,7 +104,10 @@
             (metric::LIST_CALL_AGE, age(contacts.list)),
             (metric::CONFIG_CALL_AGE, age(contacts.config)),
         ];
-        let (cut_off, failed_paths) = self.state.reachability().failed();
+        let (cut_off, failed_paths) = {
+            let reachability = self.state.reachability();
+            (reachability.services_cut_off(), reachability.failed_paths())
+        };
         self.recorder.gauge(metric::SERVICES_CUT_OFF.name, &daemon, cut_off as f64);
         self.recorder.gauge(metric::PATHS_FAILED.name, &daemon, failed_paths as f64);
         for (gauge, value) in gauges {
