Comments: two constants without the story of their values

The reluctant daemon's delay: a read of the row and a claim took about 0.5 s each with a store 60 times slower than usual; with 0.9 s a host with 0.12 cores and a link of 20 Mbit/s became the planner of 295 daemons, with rounds of up to 171 ms in place of 18. The saving of a cached prefix: 1,000 tokens take about 26 ms to read, at 38.7 tokens a ms. No change of code.

--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -18,8 +18,8 @@
 /// The relative load that a target in another availability zone is charged, as traffic between
 /// zones costs money.
 const CROSS_ZONE_COST: f64 = 0.02;
-/// The relative load that a token of a cached prompt prefix saves. Reading 1,000 tokens takes about
-/// 26 ms (38.7 tokens per ms on this platform), during which all other requests at the target wait.
+/// The relative load that a token of a cached prompt prefix saves. All other requests at the target
+/// wait while a prompt is read.
 const PREFIX_SAVING_PER_TOKEN: f64 = 0.1e-3;
 /// Targets whose costs differ by at most this relative load are tied; one of them is drawn.
 const TIE_MARGIN: f64 = 0.005;
--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -242,10 +242,8 @@
     Reluctant,
 }
 
-/// How long a reluctant daemon leaves a free lease to others. A read of the row and a claim take
-/// about 0.5 s each when the store is 60 times slower than usual. With a delay of 0.9 s, a host
-/// with 0.12 cores and a link of 20 Mbit/s can then become the planner of 295 daemons, and its
-/// rounds take up to 171 ms instead of 18 ms.
+/// How long a reluctant daemon leaves a free lease to others: time for one of them to read the row and
+/// claim it, also while the store is slow.
 const RELUCTANT_DELAY: Duration = Duration::from_millis(2000);
 
 /// A daemon that has reached no engine by itself for this long, while another one does, is not the
