--- a/crates/tansyknot-fleet/src/peer_listener.rs
+++ b/crates/tansyknot-fleet/src/peer_listener.rs
@@ -10,6 +10,8 @@
     thread,
 };
 
+use tansyknot_http::server;
+
 use crate::{
     snapshot::tcp::SnapshotServer,
     tunnel::{frame, server::TunnelServer},
@@ -42,8 +44,7 @@
         loop {
             match listener.accept() {
                 Ok((stream, from)) => self.spawn(stream, from),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if server::is_transient(&e) => {}
                 Err(e) => return Err(e),
             }
         }
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -172,7 +172,9 @@
     Ok(())
 }
 
-fn is_transient(e: &io::Error) -> bool {
+/// Returns whether the next connection may be accepted after this failure; waits first if other
+/// connections must end before.
+pub fn is_transient(e: &io::Error) -> bool {
     matches!(
         e.kind(),
         io::ErrorKind::ConnectionAborted
