Brittle targets: no cost that grows with daemons times targets, or with all targets for each response

Shares were computed anew for each target and daemon with each step, with an address written out for each pair: some 2.3 million at 340 daemons and 6,900 targets. They are kept while the daemons are the same, computed for new targets only, and with heartbeats only. Each response of a brittle target searched all targets for its run; it is looked up by name.

--- a/crates/tansyknot-fleet/src/dissemination/peers.rs
+++ b/crates/tansyknot-fleet/src/dissemination/peers.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use tansyknot_core::{clock::Time, name::ZoneName};
+use xxhash_rust::xxh3;
 
 use super::{heartbeat::HEARTBEAT_INTERVAL, relays};
 
@@ -65,16 +66,13 @@
         Some(if weight(&best) > weight(&me) { best } else { me })
     }
 
-    /// Returns the number of known daemons, including this one.
-    pub fn count(&self, now: Time) -> usize {
-        self.all(now).filter(|p| Some(p.address) != self.local_address).count() + 1
-    }
-
-    /// Returns how many of the known daemons rank higher than this one for `hash`.
-    pub fn count_above(&self, hash: u64, now: Time) -> usize {
-        let Some(me) = self.local_address else { return 0 };
-        let weight = |address: SocketAddr| (relays::rank_for(address, hash), address);
-        self.all(now).filter(|p| p.address != me && weight(p.address) > weight(me)).count()
+    /// Returns the ranking of this daemon among those that are known now.
+    pub fn ranking(&self, now: Time) -> Ranking {
+        let others = self.all(now).map(|p| p.address).filter(|a| Some(*a) != self.local_address);
+        let others: Vec<String> = others.map(|address| address.to_string()).collect();
+        let me = self.local_address.map_or_else(String::new, |address| address.to_string());
+        let id = xxh3::xxh3_64_with_seed(others.concat().as_bytes(), relays::rank_text(&me, 0));
+        Ranking { id, me, others }
     }
 
     /// Records the announcement of a daemon.
@@ -113,6 +111,29 @@
     }
 }
 
+/// Ranks this daemon among the others, in another order for each hash.
+#[derive(Clone, Debug)]
+pub struct Ranking {
+    /// Identifies the daemons that are ranked.
+    pub id: u64,
+    me: String,
+    others: Vec<String>,
+}
+
+impl Ranking {
+    /// Returns the number of daemons, including this one.
+    pub fn daemons(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// Returns how many daemons come before this one for `hash`.
+    pub fn count_before(&self, hash: u64) -> usize {
+        let own = (relays::rank_text(&self.me, hash), &self.me);
+        let is_before = |other: &&String| (relays::rank_text(other, hash), *other) > own;
+        self.others.iter().filter(is_before).count()
+    }
+}
+
 /// Returns the part of `entries` that is announced with heartbeat number `heartbeat`.
 pub fn heartbeat_slice(entries: &[PeerEntry], heartbeat: u64) -> Vec<PeerEntry> {
     let heartbeats = (PEER_LIST_PERIOD.as_millis() / HEARTBEAT_INTERVAL.as_millis()) as usize;
--- a/crates/tansyknot-fleet/src/dissemination/relays.rs
+++ b/crates/tansyknot-fleet/src/dissemination/relays.rs
@@ -92,5 +92,10 @@
 /// Returns the rank of a daemon for `hash`, which is the same at every daemon. Each `hash` gives
 /// another order.
 pub fn rank_for(address: SocketAddr, hash: u64) -> u64 {
-    xxh3::xxh3_64_with_seed(address.to_string().as_bytes(), hash)
+    rank_text(&address.to_string(), hash)
+}
+
+/// Returns [`rank_for`] the daemon whose address is written as `address`.
+pub(super) fn rank_text(address: &str, hash: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(address.as_bytes(), hash)
 }
--- a/crates/tansyknot-fleet/src/fleet/brittle.rs
+++ b/crates/tansyknot-fleet/src/fleet/brittle.rs
@@ -13,8 +13,10 @@
     name::{ServiceName, TargetName},
 };
 
+use xxhash_rust::xxh3;
+
 use super::{Fleet, member::Member};
-use crate::{backpressure::BRITTLE_TTL, poison::key::RunKey};
+use crate::{backpressure::BRITTLE_TTL, dissemination::peers::Ranking, poison::key::RunKey};
 
 /// How long no daemon sends requests to a brittle target after it has refused one.
 const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
@@ -26,6 +28,8 @@
     until: HashMap<ServiceName, Time>,
     /// The requests that this daemon may have at each target at once.
     allowances: HashMap<TargetName, u32>,
+    /// The daemons for which the allowances hold: their ranking, and how many the planner counts.
+    basis: Option<(u64, usize)>,
 }
 
 impl Fleet {
@@ -34,9 +38,9 @@
         self.brittle.until.get(service).is_some_and(|until| now < *until)
     }
 
-    /// Updates what is known of a run's service after a signal of the run.
-    pub(super) fn update_brittleness(&mut self, run: RunKey, now: Time) {
-        let Some(m) = self.members.values_mut().find(|m| m.run == run) else { return };
+    /// Updates what is known of the service of a target after a signal of its run.
+    pub(super) fn update_brittleness(&mut self, target: &TargetName, run: RunKey, now: Time) {
+        let Some(m) = self.members.get_mut(target).filter(|m| m.run == run) else { return };
         if let Some(refused) = self.backpressure.last_refusal(run) {
             m.full_until = m.full_until.max(refused + REFUSAL_PAUSE);
         }
@@ -56,26 +60,35 @@
         self.brittle.until.retain(|_, until| now < *until);
         if self.brittle.until.is_empty() {
             self.brittle.allowances.clear();
+            self.brittle.basis = None;
         }
         !self.brittle.until.is_empty()
     }
 
-    /// Sets this daemon's allowances at the targets of brittle services; `rank` returns how many of
-    /// the `known` daemons come before this one at a target.
-    pub fn set_allowances(&mut self, known: usize, rank: impl Fn(&TargetName) -> usize) {
-        let is_brittle = |m: &&Member| self.brittle.until.contains_key(&m.target.service);
+    /// Sets this daemon's allowances at the targets of brittle services. They are computed again only
+    /// for targets that are new, or if the daemons have changed.
+    pub fn set_allowances(&mut self, ranking: &Ranking) {
+        let basis = Some((ranking.id, self.daemon_count));
+        let before = std::mem::take(&mut self.brittle.allowances);
+        let is_valid = self.brittle.basis == basis;
         let allowance = |m: &Member| {
-            let name = &m.target.name;
-            // A daemon that has just started does not know all others yet.
-            let allowance = if known < self.daemon_count || self.daemon_count == 0 {
-                self.default_allowance(m)
-            } else {
-                share_of_slots(m.target.slots, known, rank(name))
-            };
-            (name.clone(), allowance)
+            let known = before.get(&m.target.name).copied().filter(|_| is_valid);
+            known.unwrap_or_else(|| self.compute_allowance(m, ranking))
         };
-        let allowances = self.members.values().filter(is_brittle).map(allowance).collect();
+        let is_brittle = |m: &&Member| self.brittle.until.contains_key(&m.target.service);
+        let members = self.members.values().filter(is_brittle);
+        let allowances = members.map(|m| (m.target.name.clone(), allowance(m))).collect();
         self.brittle.allowances = allowances;
+        self.brittle.basis = basis;
+    }
+
+    fn compute_allowance(&self, m: &Member, ranking: &Ranking) -> u32 {
+        // A daemon that has just started does not know all others yet.
+        if ranking.daemons() < self.daemon_count || self.daemon_count == 0 {
+            return self.default_allowance(m);
+        }
+        let hash = xxh3::xxh3_64(m.target.name.as_str().as_bytes());
+        share_of_slots(m.target.slots, ranking.daemons(), ranking.count_before(hash))
     }
 
     /// Returns how many more requests this daemon may send to a target of a brittle service; `None`
--- a/crates/tansyknot-fleet/src/fleet/signal.rs
+++ b/crates/tansyknot-fleet/src/fleet/signal.rs
@@ -37,7 +37,7 @@
             self.mark_draining(run);
         }
         if signals.brittle != SignalField::Absent || changes.contains(&SignalChange::Sound) {
-            self.update_brittleness(run, at.received);
+            self.update_brittleness(&target.name, run, at.received);
         }
         changes
     }
@@ -53,7 +53,10 @@
             self.mark_draining(summary.run);
         }
         if summary.brittle != BrittleSummary::Unknown {
-            self.update_brittleness(summary.run, now);
+            let member = self.members.values().find(|m| m.run == summary.run);
+            if let Some(name) = member.map(|m| m.target.name.clone()) {
+                self.update_brittleness(&name, summary.run, now);
+            }
         }
         if is_changed && matches!(summary.limit, LimitSummary::Named { .. }) {
             // A response that this daemon received before it had the limit may already have ended
--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -343,7 +343,9 @@
     /// Runs one step: sends demand as a follower, or plans and publishes as the planner.
     pub fn step(self: &Arc<Self>, reason: StepReason) {
         let now = self.state.now();
-        self.state.update_allowances(now);
+        if reason == StepReason::Heartbeat {
+            self.state.update_allowances(now);
+        }
         let demand = self.current_demand(now);
         if reason == StepReason::Heartbeat {
             self.send_usage_report(now);
--- a/crates/tansyknot-fleet/src/state/paths.rs
+++ b/crates/tansyknot-fleet/src/state/paths.rs
@@ -1,7 +1,6 @@
 //! Changes of the paths to targets, and this daemon's share of the targets that are brittle.
 
-use tansyknot_core::{clock::Time, event, name::TargetName};
-use xxhash_rust::xxh3;
+use tansyknot_core::{clock::Time, event};
 
 use super::State;
 use crate::{reachability::Transition, target::Target};
@@ -24,10 +23,8 @@
         if !has_brittle_services {
             return;
         }
-        let peers = self.peers().clone();
-        let hash = |target: &TargetName| xxh3::xxh3_64(target.as_str().as_bytes());
-        let rank = |target: &TargetName| peers.count_above(hash(target), now);
-        self.fleet().set_allowances(peers.count(now), rank);
+        let ranking = self.peers().ranking(now);
+        self.fleet().set_allowances(&ranking);
     }
 
     /// Records that this daemon could not connect to a target.
