Paths: regions and drained zones bind the way round, and a daemon without a path is no witness

Found by reading the change once more: - A request bound to regions could go through a daemon elsewhere. The other daemon must be in a zone that may serve the request and in no drained one; where none is, other requests of the service are not taken for cut off from all. - A daemon that did not reach a target itself answered as if the target were down, and two of them made it so. It says that it has no path, which counts for nothing; a suspicion of its own is no answer either. - The first connection after a cut cleared all failed paths, so that a daemon which reaches one target of many tried the others with callers' requests, 300 ms each. They stay behind tunnels until their own probes succeed, the next ones at once while they do.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -1,13 +1,13 @@
 //! One request to one target over a connection of its own, and the head and body of the response.
 //!
-//! Each exchange opens a new connection: no byte of an earlier response can be taken for this one,
+//! Each exchange has a new connection: no byte of an earlier response can be taken for this one,
 //! and a failure to connect proves that nothing was sent. While an exchange waits for the target it
 //! watches the caller's connection, and it closes the target's at once when the caller leaves.
 
 use std::{
     cell::Cell,
-    io::{self, Read, Write},
-    net::{SocketAddr, TcpStream},
+    io::{self, Read},
+    net::TcpStream,
     rc::Rc,
     time::Duration,
 };
@@ -16,21 +16,13 @@
 use rustix::{
     event::{PollFd, PollFlags, Timespec},
     io::Errno,
-    net::sockopt,
 };
 use tansyknot_core::clock::BootInstant;
 use tansyknot_http::disconnect;
 use thiserror::Error;
 
-use crate::{
-    paths::Tunnel, poison::Presence, response_buffers::SOCKET_BUFFER_BYTES, tunnel::frame::End,
-};
+use crate::connection::TargetStream;
 
-/// Timeout for opening a connection to a target; a round trip takes a few ms.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for probing whether a process listens at a target's address. A refusal takes one round
-/// trip (2 ms). Requests whose connection closed early wait for the probe before they are retried.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum duration of one `poll` call. Its timeout does not count the time while the host is
 /// suspended, which would delay a deadline by as much; an idle target costs two wake-ups per
 /// second.
@@ -143,57 +135,6 @@
     fn on_timeout(&self) -> Option<BootInstant>;
 }
 
-/// A connection to a target, direct or through another daemon.
-pub struct TargetStream {
-    stream: TcpStream,
-    tunnel: Option<Tunnel>,
-}
-
-impl TargetStream {
-    /// Wraps a connection to a target itself.
-    pub fn direct(stream: TcpStream) -> Self {
-        Self { stream, tunnel: None }
-    }
-
-    /// Wraps a connection to another daemon that leads to a target.
-    pub fn tunnelled(stream: TcpStream, tunnel: Tunnel) -> Self {
-        Self { stream, tunnel: Some(tunnel) }
-    }
-
-    /// Returns the daemon through which the connection leads, if it is not direct.
-    pub fn via(&self) -> Option<SocketAddr> {
-        self.tunnel.as_ref().map(|tunnel| tunnel.peer)
-    }
-
-    /// Reads what the target has sent; returns the number of bytes, zero at the end of the stream.
-    /// `None` if only framing of a tunnel was received.
-    fn read(&mut self, out: &mut [u8]) -> Result<Option<usize>, Failure> {
-        let Some(tunnel) = &mut self.tunnel else {
-            return (&self.stream).read(out).map(Some).map_err(|_| Failure::ClosedEarly);
-        };
-        if let Some(end) = tunnel.decoder.end() {
-            return end_of_stream(end);
-        }
-        let received = (&self.stream).read(out).unwrap_or(0);
-        if received == 0 {
-            tunnel.record_lost();
-            return Err(Failure::PathLost);
-        }
-        let content = tunnel.decoder.decode(&mut out[..received]).map_err(|_| Failure::PathLost)?;
-        match tunnel.decoder.end() {
-            Some(end) if content == 0 => end_of_stream(end),
-            _ => Ok((content > 0).then_some(content)),
-        }
-    }
-}
-
-fn end_of_stream(end: End) -> Result<Option<usize>, Failure> {
-    match end {
-        End::Closed => Ok(Some(0)),
-        End::Reset => Err(Failure::ClosedEarly),
-    }
-}
-
 /// An open exchange, from which the response is read.
 pub struct Exchange<'a> {
     stream: TargetStream,
@@ -224,7 +165,7 @@
         if left.is_zero() {
             return Err(Failure::NotConnected);
         }
-        configure(&stream.stream, left).map_err(|_| Failure::NotConnected)?;
+        stream.configure(left).map_err(|_| Failure::NotConnected)?;
         if caller.is_some_and(disconnect::has_disconnected) {
             return Err(Failure::CallerLeft);
         }
@@ -241,7 +182,7 @@
             control,
             eof_is_failure: true,
         };
-        (&exchange.stream.stream).write_all(request).map_err(|_| Failure::ClosedEarly)?;
+        exchange.stream.send(request).map_err(|_| Failure::ClosedEarly)?;
         Ok(exchange)
     }
 
@@ -306,7 +247,7 @@
     /// Waits for bytes and reads them; returns their number, zero at the end of the stream.
     fn receive(&mut self, out: &mut [u8]) -> Result<usize, Failure> {
         loop {
-            let received = self.await_bytes().and_then(|()| self.stream.read(out));
+            let received = self.await_bytes().and_then(|()| self.stream.receive(out));
             if let Some(n) = received.inspect_err(|f| self.control.failure.set(Some(*f)))? {
                 return Ok(n);
             }
@@ -326,7 +267,7 @@
             }
             let timeout = timespec(left.min(MAX_POLL_WAIT));
             let mut fds = Vec::with_capacity(2);
-            fds.push(PollFd::new(&self.stream.stream, PollFlags::IN));
+            fds.push(PollFd::new(&self.stream, PollFlags::IN));
             fds.extend(self.caller.map(|caller| PollFd::new(caller, PollFlags::IN)));
             match rustix::event::poll(&mut fds, Some(&timeout)) {
                 Err(Errno::INTR) => continue,
@@ -350,55 +291,12 @@
     }
 }
 
-/// Bounds the duration of writes to a target, and the bytes that the kernel receives from it beyond
-/// those that are read.
-pub(crate) fn configure(stream: &TcpStream, write_timeout: Duration) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(write_timeout))?;
-    sockopt::set_socket_recv_buffer_size(stream, SOCKET_BUFFER_BYTES)?;
-    Ok(())
-}
-
-/// Connects to a target itself, with the timeout `within`.
-///
-/// # Errors
-///
-/// Fails if the connection cannot be opened.
-pub fn connect(address: SocketAddr, within: Duration) -> Result<TcpStream, Failure> {
-    TcpStream::connect_timeout(&address, within).map_err(|e| connect_failure(&e))
-}
-
-/// Probes whether a process listens at `address`, with the timeout `within`. An opened connection
-/// is closed at once.
-pub fn probe(address: SocketAddr, within: Duration) -> Presence {
-    match TcpStream::connect_timeout(&address, within) {
-        Ok(_) => Presence::Listening,
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Presence::Ended,
-        Err(_) => Presence::Unknown,
-    }
-}
-
+/// Converts a timeout of `poll`.
 pub(crate) fn timespec(duration: Duration) -> Timespec {
     let tv_sec = i64::try_from(duration.as_secs()).unwrap_or(i64::MAX);
     Timespec { tv_sec, tv_nsec: i64::from(duration.subsec_nanos()) }
 }
 
-/// Returns whether a connection failed because the daemon has no file descriptors left.
-pub(crate) fn is_out_of_sockets(e: &io::Error) -> bool {
-    const EMFILE: i32 = 24;
-    const ENFILE: i32 = 23;
-    matches!(e.raw_os_error(), Some(EMFILE | ENFILE))
-}
-
-fn connect_failure(e: &io::Error) -> Failure {
-    match e {
-        _ if is_out_of_sockets(e) => Failure::NoSocket,
-        _ if e.kind() == io::ErrorKind::ConnectionRefused => Failure::Refused,
-        _ if e.kind() == io::ErrorKind::ConnectionReset => Failure::Refused,
-        _ => Failure::NotConnected,
-    }
-}
-
 impl Read for Exchange<'_> {
     fn read(&mut self, out: &mut [u8]) -> io::Result<usize> {
         if out.is_empty() {
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod condition;
+pub mod connection;
 pub mod dissemination;
 pub mod estimate;
 pub mod exchange;
--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -9,10 +9,12 @@
 use tansyknot_core::{clock::BootInstant, metric, telemetry::Recorder};
 
 use crate::{
-    dissemination::message,
-    exchange::{self, CONNECT_TIMEOUT, Failure, PROBE_TIMEOUT, TargetStream},
+    connection::{self, CONNECT_TIMEOUT, PROBE_TIMEOUT, TargetStream},
+    dissemination::{message, peers::PeerEntry},
+    exchange::Failure,
     poison::Presence,
     reachability::{PROBE_INTERVAL, Path},
+    residency::ZoneSet,
     state::State,
     target::Target,
     tunnel::{TunnelReply, TunnelRequest, client, frame::Decoder, peers::Unhelpful},
@@ -62,6 +64,24 @@
     }
 }
 
+/// What a tunnel is opened for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TunnelUse<'a> {
+    /// A request, which may be served in these zones only; `None` stands for all.
+    Request { zones: Option<&'a ZoneSet> },
+    /// A test whether a target can be reached.
+    Probe,
+}
+
+impl<'a> TunnelUse<'a> {
+    fn zones(self) -> Option<&'a ZoneSet> {
+        match self {
+            TunnelUse::Request { zones } => zones,
+            TunnelUse::Probe => None,
+        }
+    }
+}
+
 /// Why no tunnel to a target could be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TunnelFailure {
@@ -79,12 +99,18 @@
         Self { state, recorder }
     }
 
-    /// Connects to a target until `deadline`.
+    /// Connects to a target until `deadline`, for a request that may be served in `zones` only; `None`
+    /// stands for all.
     ///
     /// # Errors
     ///
     /// Fails if neither this daemon nor another one connects to it. Nothing was sent then.
-    pub fn connect(&self, target: &Target, deadline: BootInstant) -> Result<TargetStream, Failure> {
+    pub fn connect(
+        &self,
+        target: &Target,
+        zones: Option<&ZoneSet>,
+        deadline: BootInstant,
+    ) -> Result<TargetStream, Failure> {
         let left = deadline.duration_since(BootInstant::now());
         if left.is_zero() {
             return Err(Failure::NotConnected);
@@ -97,7 +123,7 @@
             },
             Path::Tunnel => Failure::NotConnected,
         };
-        match self.open_tunnel(target, false, deadline) {
+        match self.open_tunnel(target, TunnelUse::Request { zones }, deadline) {
             Ok((stream, tunnel)) => {
                 self.recorder.count(metric::TUNNELS_OPENED.name, &target.service, 1);
                 Ok(TargetStream::tunnelled(stream, tunnel))
@@ -113,7 +139,7 @@
         if left.is_zero() {
             return Err(Failure::NotConnected);
         }
-        match exchange::connect(target.address, CONNECT_TIMEOUT.min(left)) {
+        match connection::connect(target.address, CONNECT_TIMEOUT.min(left)) {
             Ok(stream) => {
                 self.state.record_connected(target);
                 Ok(TargetStream::direct(stream))
@@ -131,19 +157,17 @@
     /// Probes whether a process listens at a target's address.
     pub fn probe(&self, target: &Target) -> Presence {
         let presence = match self.state.reachability().path(target) {
-            Path::Direct => exchange::probe(target.address, PROBE_TIMEOUT),
+            Path::Direct => connection::probe(target.address, PROBE_TIMEOUT),
             Path::Tunnel => Presence::Unknown,
         };
         match presence {
             Presence::Listening => return presence,
-            _ if self.state.reachability().path(target) == Path::Direct => {
-                self.state.record_connect_failure(target);
-            }
-            _ => {}
+            Presence::Ended => self.state.record_connect_failure(target),
+            Presence::Gone | Presence::Unknown => {}
         }
         // A link that refuses connections looks like a target that has ended.
         let deadline = BootInstant::now() + TUNNEL_TIMEOUT;
-        match self.open_tunnel(target, true, deadline) {
+        match self.open_tunnel(target, TunnelUse::Probe, deadline) {
             Ok(_) => Presence::Listening,
             Err(TunnelFailure::TargetDown) => presence,
             Err(TunnelFailure::NoPeer) if !self.is_cut_off(target) => presence,
@@ -155,7 +179,7 @@
     fn open_tunnel(
         &self,
         target: &Target,
-        is_probe: bool,
+        tunnel_use: TunnelUse<'_>,
         deadline: BootInstant,
     ) -> Result<(TcpStream, Tunnel), TunnelFailure> {
         let until = deadline.min(BootInstant::now() + TUNNEL_TIMEOUT);
@@ -163,9 +187,10 @@
         let mut down_verdicts = 0;
         let mut is_any_cut_off = false;
         while tried.len() < MAX_PEERS_ASKED && BootInstant::now() < until {
-            let Some(peer) = self.choose_peer(&tried) else { break };
+            let Some(peer) = self.choose_peer(tunnel_use.zones(), &tried) else { break };
             tried.push(peer);
             let time_left_ms = message::millis(deadline.duration_since(BootInstant::now()));
+            let is_probe = tunnel_use == TunnelUse::Probe;
             let request = TunnelRequest { target: target.name.clone(), is_probe, time_left_ms };
             let reply = client::open(peer, &request);
             let now = self.state.now();
@@ -178,7 +203,7 @@
                     return Ok((stream, Tunnel::new(Arc::clone(&self.state), peer)));
                 }
                 Ok((_, TunnelReply::TargetUnreachable)) => down_verdicts += 1,
-                Ok((_, TunnelReply::UnknownTarget)) => {}
+                Ok((_, TunnelReply::NoPath | TunnelReply::UnknownTarget)) => {}
                 Ok((_, TunnelReply::Busy)) => {
                     peers.record_unhelpful(peer, Unhelpful::Busy, now);
                 }
@@ -196,7 +221,12 @@
                 break;
             }
         }
-        Err(self.tunnel_failure(target, down_verdicts, is_any_cut_off))
+        let failure = self.tunnel_failure(target, down_verdicts, is_any_cut_off);
+        // Daemons in other zones may reach the service.
+        if failure == TunnelFailure::Isolated && tunnel_use.zones().is_none() {
+            self.state.reachability().record_isolated(target, self.state.now());
+        }
+        Err(failure)
     }
 
     fn tunnel_failure(
@@ -210,19 +240,26 @@
             return TunnelFailure::TargetDown;
         }
         if is_any_cut_off || self.is_cut_off(target) {
-            let now = self.state.now();
-            self.state.reachability().record_isolated(target, now);
             return TunnelFailure::Isolated;
         }
         TunnelFailure::NoPeer
     }
 
-    fn choose_peer(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    /// Chooses another daemon that is in one of `zones` and in no drained one.
+    fn choose_peer(&self, zones: Option<&ZoneSet>, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let now = self.state.now();
-        let zone = self.state.fleet().zone().cloned();
+        let (zone, drained) = {
+            let fleet = self.state.fleet();
+            (fleet.zone().cloned(), fleet.zone_drains().clone())
+        };
         let known = self.state.peers();
         let me = known.local_address();
-        let candidates = known.all(now).filter(|peer| Some(peer.address) != me);
+        let is_allowed = |peer: &&PeerEntry| {
+            Some(peer.address) != me
+                && zones.is_none_or(|zones| zones.contains(&peer.zone))
+                && !drained.contains(&peer.zone)
+        };
+        let candidates = known.all(now).filter(is_allowed);
         let chosen = self.state.tunnel_peers();
         chosen.choose(candidates, zone.as_ref(), tried, now, &mut rand::rng())
     }
@@ -238,24 +275,33 @@
             if !self.state.reachability().has_failed_paths() {
                 seen = self.state.paths_failed.wait(seen, Duration::MAX);
             }
-            self.probe_due_targets();
+            // The next targets are probed at once while probes succeed.
+            while self.probe_due_targets() {}
             self.state.clock.sleep(PROBE_INTERVAL);
         }
     }
 
-    /// Probes the targets that are due.
-    pub fn probe_due_targets(&self) {
+    /// Probes the targets that are due; returns whether all of them were reached.
+    fn probe_due_targets(&self) -> bool {
         let now = self.state.now();
         let known = |service: &_| self.state.fleet().target_names(service);
         let due = self.state.reachability().due_probes(known, now);
-        for name in due {
-            let target = self.state.fleet().target(&name).cloned();
+        let mut reached = 0;
+        for name in &due {
+            let target = self.state.fleet().target(name).cloned();
             let Some(target) = target else { continue };
-            match exchange::connect(target.address, PROBE_TIMEOUT) {
-                Ok(_) => self.state.record_connected(&target),
-                Err(_) => self.probe_tunnel(&target),
+            match connection::connect(target.address, PROBE_TIMEOUT) {
+                Ok(_) => {
+                    self.state.record_connected(&target);
+                    reached += 1;
+                }
+                Err(_) => {
+                    self.state.reachability().record_probe_failed(&target);
+                    self.probe_tunnel(&target);
+                }
             }
         }
+        !due.is_empty() && reached == due.len()
     }
 
     /// Looks for another daemon that reaches a target of a service from which this one is cut off,
@@ -266,7 +312,8 @@
         let is_needed = !is_proven || self.state.reachability().is_isolated(&target.service);
         if self.is_cut_off(target) && is_needed {
             // The reachability has the result.
-            let _ = self.open_tunnel(target, true, BootInstant::now() + TUNNEL_TIMEOUT);
+            let deadline = BootInstant::now() + TUNNEL_TIMEOUT;
+            let _ = self.open_tunnel(target, TunnelUse::Probe, deadline);
         }
     }
 }
--- a/crates/tansyknot-fleet/src/reachability.rs
+++ b/crates/tansyknot-fleet/src/reachability.rs
@@ -5,7 +5,7 @@
 //! its targets without a success in between, and until a connection succeeds.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -58,7 +58,7 @@
 #[derive(Clone, Debug, Default)]
 struct ServicePaths {
     /// Targets without a direct path.
-    failed: BTreeMap<TargetName, Time>,
+    failed: BTreeSet<TargetName>,
     /// Targets that could not be connected to since the last success with any target.
     failed_in_a_row: BTreeSet<TargetName>,
     /// Since when no target can be reached directly.
@@ -76,7 +76,7 @@
         let is_blocked = self
             .services
             .get(&target.service)
-            .is_some_and(|s| s.cut_off_since.is_some() || s.failed.contains_key(&target.name));
+            .is_some_and(|s| s.cut_off_since.is_some() || s.failed.contains(&target.name));
         if is_blocked { Path::Tunnel } else { Path::Direct }
     }
 
@@ -124,17 +124,15 @@
         !self.services.is_empty()
     }
 
-    /// Records that this daemon has connected to a target.
+    /// Records that this daemon has connected to a target. The next ones are probed at once, as links
+    /// that have failed together often come back together.
     pub fn record_connected(&mut self, target: &Target, now: Time) -> Option<Transition> {
         let paths = self.services.get_mut(&target.service)?;
         paths.failed.remove(&target.name);
         paths.failed_in_a_row.clear();
         paths.isolated_since = None;
+        paths.probed_at = Time::default();
         let cut_off_since = paths.cut_off_since.take();
-        if cut_off_since.is_some() {
-            // The links that have failed together have come back together.
-            paths.failed.clear();
-        }
         if paths.failed.is_empty() {
             self.services.remove(&target.service);
         }
@@ -149,7 +147,7 @@
         now: Time,
     ) -> Option<Transition> {
         let paths = self.services.entry(target.service.clone()).or_default();
-        paths.failed.entry(target.name.clone()).or_insert(now);
+        paths.failed.insert(target.name.clone());
         paths.failed_in_a_row.insert(target.name.clone());
         let failed = paths.failed_in_a_row.len();
         if paths.cut_off_since.is_some() || failed < targets.min(MIN_FAILED_TARGETS) {
@@ -159,6 +157,15 @@
         Some(Transition::CutOff { failed })
     }
 
+    /// Records that a probe could not connect to a target. It is no evidence of a cut: the targets
+    /// that are probed are those that have failed before.
+    pub fn record_probe_failed(&mut self, target: &Target) {
+        let paths = self.services.get_mut(&target.service);
+        if let Some(paths) = paths.filter(|s| s.cut_off_since.is_some()) {
+            paths.failed.insert(target.name.clone());
+        }
+    }
+
     /// Records that other daemons, which reach other targets, can't reach a target either: the
     /// target itself has failed.
     pub fn record_target_down(&mut self, target: &Target) {
@@ -198,7 +205,7 @@
         let mut due = Vec::new();
         self.services.retain(|service, paths| {
             let known = known(service);
-            paths.failed.retain(|name, _| known.contains(name));
+            paths.failed.retain(|name| known.contains(name));
             if known.is_empty() || (paths.failed.is_empty() && paths.cut_off_since.is_none()) {
                 return false;
             }
@@ -206,7 +213,7 @@
                 paths.probed_at = now;
                 let candidates = match paths.cut_off_since {
                     Some(_) => known,
-                    None => paths.failed.keys().cloned().collect(),
+                    None => paths.failed.iter().cloned().collect(),
                 };
                 due.extend(paths.rotate(candidates));
             }
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -16,8 +16,9 @@
 };
 use crate::{
     condition::interval::MIN_INTERVALS,
+    connection::TargetStream,
     dissemination::scheduling::ObservedOutcome,
-    exchange::{Exchange, Failure, ResponseHead, TargetStream},
+    exchange::{Exchange, Failure, ResponseHead},
     platform_api::{ForwardParams, ResponseClass},
     reachability::Path,
     response_relay::{self, EventObserver, ResponseTimeouts, StreamSink},
@@ -46,7 +47,7 @@
         // A conviction or a signal may have arrived since the target was selected.
         let may_send = || !self.is_rejected(request) && self.is_send_allowed(request, target);
         let caller = Some(request.caller.stream);
-        let connected = self.paths.connect(target, deadline);
+        let connected = self.paths.connect(target, request.zones.as_ref(), deadline);
         let via = connected.as_ref().ok().and_then(TargetStream::via);
         let opened = connected
             .and_then(|stream| Exchange::open(stream, &bytes, caller, deadline, &may_send));
--- a/crates/tansyknot-fleet/src/tunnel.rs
+++ b/crates/tansyknot-fleet/src/tunnel.rs
@@ -44,8 +44,10 @@
 pub enum TunnelReply {
     /// The target is connected.
     Connected,
-    /// The target could not be connected to, or is suspected of having failed.
+    /// The daemon reaches targets of the service and could not connect to this one.
     TargetUnreachable,
+    /// The daemon does not reach this target itself, which shows nothing about the target.
+    NoPath,
     /// The daemon reaches no target of the service itself; this other daemon has recently helped it.
     CutOff(Option<SocketAddr>),
     /// The daemon has no room for another tunnel, or is about to stop.
--- a/crates/tansyknot-fleet/src/tunnel/server.rs
+++ b/crates/tansyknot-fleet/src/tunnel/server.rs
@@ -22,7 +22,13 @@
     TunnelRequest,
     frame::{self, End, MAX_FRAME_BYTES},
 };
-use crate::{exchange, reachability::Path, state::State, target::Target};
+use crate::{
+    connection,
+    exchange::{self, Failure},
+    reachability::Path,
+    state::State,
+    target::Target,
+};
 
 /// Maximum number of tunnels at once, each with a thread and two connections.
 const MAX_TUNNELS: u32 = 400;
@@ -95,16 +101,15 @@
         if is_cut_off {
             return Err(TunnelReply::CutOff(self.state.tunnel_peers().proven(now)));
         }
-        let is_suspect = self.state.fleet().is_suspect(&target.name, now);
-        if is_suspect || self.state.reachability().path(&target) == Path::Tunnel {
-            return Err(TunnelReply::TargetUnreachable);
+        if self.state.reachability().path(&target) == Path::Tunnel {
+            return Err(TunnelReply::NoPath);
         }
-        match TcpStream::connect_timeout(&target.address, TARGET_CONNECT_TIMEOUT) {
+        match connection::connect(target.address, TARGET_CONNECT_TIMEOUT) {
             Ok(stream) => {
                 self.state.record_connected(&target);
                 Ok((stream, target))
             }
-            Err(e) if exchange::is_out_of_sockets(&e) => Err(TunnelReply::Busy),
+            Err(Failure::NoSocket) => Err(TunnelReply::Busy),
             Err(_) => {
                 self.state.record_connect_failure(&target);
                 let is_cut_off = self.state.reachability().is_cut_off(&target.service);
@@ -146,7 +151,7 @@
 /// Carries bytes in both directions until either side ends, for `max_duration` at most.
 fn forward(daemon: &TcpStream, target: &TcpStream, max_duration: Duration) -> io::Result<()> {
     let deadline = BootInstant::now() + max_duration;
-    exchange::configure(target, max_duration)?;
+    connection::configure(target, max_duration)?;
     daemon.set_write_timeout(Some(max_duration.max(REPLY_TIMEOUT)))?;
     let mut buf = vec![0; MAX_FRAME_BYTES];
     loop {
