Logs and metrics: versions of targets' software, and resumed streams

Cause: nothing in logs or metrics told the hypotheses of the incident apart: the version in a target's entry was not decoded, and a resumed stream looked like any other request.

--- a/crates/tansyknot-core/src/name.rs
+++ b/crates/tansyknot-core/src/name.rs
@@ -52,6 +52,8 @@
     TargetName;
     /// A model that engines load, as named by the operators.
     ModelName;
+    /// A version of the software that a target runs, which is not the version of its models.
+    SoftwareVersion;
     /// A caller (the holder of a key), as named by the operators.
     CallerName;
     /// A team, as named by the operators.
--- a/crates/tansyknot-fleet/examples/plan.rs
+++ b/crates/tansyknot-fleet/examples/plan.rs
@@ -113,6 +113,7 @@
         name: TargetName::new(format!("t{n}")),
         started_at: None,
         service: ServiceName::from("s"),
+        software: None,
         address: ([127, 0, 0, 1], 1).into(),
         zone: ZoneName::from("z"),
         state: TargetState::Ready,
--- a/crates/tansyknot-fleet/src/dissemination/changes.rs
+++ b/crates/tansyknot-fleet/src/dissemination/changes.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tansyknot_core::{
     clock::Time,
-    name::{ServiceName, TargetName, ZoneName},
+    name::{ServiceName, SoftwareVersion, TargetName, ZoneName},
 };
 
 use super::message::{self, TargetOverride};
@@ -36,6 +36,8 @@
     pub started_at: Option<StartTime>,
     /// The service that it serves.
     pub service: ServiceName,
+    /// The version of its software, if its entry names one.
+    pub software: Option<SoftwareVersion>,
     /// The address at which it listens.
     pub address: SocketAddr,
     /// Its availability zone.
@@ -59,6 +61,7 @@
             name: target.name.clone(),
             started_at: target.started_at,
             service: target.service.clone(),
+            software: target.software.clone(),
             address: target.address,
             zone: target.zone.clone(),
             state: target.state,
@@ -76,6 +79,7 @@
             name: self.name,
             started_at: self.started_at,
             service: self.service,
+            software: self.software,
             address: self.address,
             zone: self.zone,
             state: self.state,
--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -11,7 +11,7 @@
 use tansyknot_core::{
     clock::Time,
     event,
-    name::{ModelName, TargetName},
+    name::{ModelName, SoftwareVersion, TargetName},
 };
 
 use super::{
@@ -224,6 +224,7 @@
                 event::FLEET_TARGET.emit(&[
                     ("target", &entry.name),
                     ("service", &entry.service),
+                    ("software", &entry.software.as_ref().map_or("", SoftwareVersion::as_str)),
                     ("address", &entry.address),
                     ("state", &entry.state.name()),
                     ("version", &entry.version),
--- a/crates/tansyknot-fleet/src/platform_api.rs
+++ b/crates/tansyknot-fleet/src/platform_api.rs
@@ -228,6 +228,8 @@
     pub prompt_tokens: Option<u64>,
     /// The number of output tokens that the response is expected to have.
     pub expected_output: Option<u64>,
+    /// The stream that the request resumes, if it resumes one.
+    pub resumption: Option<Resumption>,
 }
 
 impl RequestParams {
@@ -238,6 +240,15 @@
     }
 }
 
+/// An earlier attempt's stream that a request resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The identifier of the attempt that brought the stream's first event, if the caller names it.
+    pub first_attempt: Option<String>,
+    /// The identifier of the last event that the caller has received.
+    pub last_event: String,
+}
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -311,6 +311,9 @@
         if !request.waited.is_zero() {
             self.recorder.time(metric::WAITED.name, &route, request.waited);
         }
+        if request.params.resumption.is_some() {
+            self.recorder.count(metric::STREAMS_RESUMED.name, &route, 1);
+        }
         if request.sends > 1 {
             self.recorder.count(metric::SENDS_AGAIN.name, &route, u64::from(request.sends - 1));
         }
@@ -333,6 +336,9 @@
         let first_ms = first.map_or_else(String::new, |ms| ms.to_string());
         let model = request.params.model.as_ref().map_or("", |m| m.as_str());
         let adapter = request.params.adapter.as_ref().map_or("", |a| a.as_str());
+        let resumption = request.params.resumption.as_ref();
+        let resumes = resumption.and_then(|r| r.first_attempt.as_deref()).unwrap_or("");
+        let resumes_after = resumption.map_or("", |r| r.last_event.as_str());
         kind.emit(&[
             ("request", &request.params.id),
             ("key", &request.key),
@@ -342,6 +348,8 @@
             ("service", &request.service),
             ("model", &model),
             ("adapter", &adapter),
+            ("resumes", &resumes),
+            ("resumes_after", &resumes_after),
             ("outcome", &outcome),
             ("sends", &request.sends),
             ("runs", &request.runs),
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -5,7 +5,7 @@
 use tansyknot_core::{
     clock::{BootInstant, Time},
     metric,
-    name::ModelName,
+    name::{ModelName, SoftwareVersion},
 };
 use tansyknot_http::respond::FullResponse;
 
@@ -53,9 +53,12 @@
             .and_then(|stream| Exchange::open(stream, &bytes, caller, deadline, &may_send));
         let outcome = match opened {
             Ok(exchange) => {
+                let software = target.software.as_ref().map_or("unknown", SoftwareVersion::as_str);
                 match via {
-                    Some(peer) => request.note(format_args!("{} sent via {peer}", target.name)),
-                    None => request.note(format_args!("{} sent", target.name)),
+                    Some(peer) => {
+                        request.note(format_args!("{} ({software}) sent via {peer}", target.name))
+                    }
+                    None => request.note(format_args!("{} ({software}) sent", target.name)),
                 }
                 request.transmissions += 1;
                 self.receive_or_hand_over(request, target, exchange, began)
--- a/crates/tansyknot-fleet/src/snapshot/tcp.rs
+++ b/crates/tansyknot-fleet/src/snapshot/tcp.rs
@@ -1,4 +1,5 @@
-//! Snapshots over TCP: a request and its reply, each a length and a `postcard` document.
+//! Snapshots over TCP: a request and its reply, each a length and a `postcard` document. A request
+//! begins with the format byte of datagrams, so that another build of the daemon does not reply.
 
 use std::{
     io::{self, Read, Write},
@@ -13,7 +14,7 @@
 use tansyknot_core::{Error, Result, clock::BootInstant};
 
 use super::{EncodedSnapshot, Snapshot, SnapshotClient, SnapshotProvider, SnapshotRequest};
-use crate::tunnel::frame;
+use crate::{dissemination::datagram, tunnel::frame};
 
 const SERVICE: &str = "peer";
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -58,7 +59,7 @@
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
     stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
     let request = postcard::to_allocvec(&request).map_err(io::Error::other)?;
-    write_frame(stream, &[&request])?;
+    write_frame(stream, &[&[datagram::FORMAT], &request])?;
     let reply = read_frame(stream, MAX_REPLY_BYTES, deadline)?;
     Ok((reply.len() >= size_of::<u32>()).then_some(reply))
 }
@@ -97,7 +98,10 @@
     fn reply(&self, stream: &mut TcpStream, length: u32) -> io::Result<()> {
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         let request = frame::read_body(stream, length, MAX_REQUEST_BYTES)?;
-        let request: SnapshotRequest = postcard::from_bytes(&request).map_err(io::Error::other)?;
+        let request = request.strip_prefix(&[datagram::FORMAT]).ok_or_else(|| {
+            io::Error::other("the request for a snapshot has the format of another build")
+        })?;
+        let request: SnapshotRequest = postcard::from_bytes(request).map_err(io::Error::other)?;
         match self.provider.answer(request) {
             Some(EncodedSnapshot { bytes, made_at }) => {
                 let age = self.provider.state.now().since(made_at).as_millis();
--- a/crates/tansyknot-fleet/src/target.rs
+++ b/crates/tansyknot-fleet/src/target.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tansyknot_core::name::{AdapterName, ModelName, ServiceName, TargetName, ZoneName};
+use tansyknot_core::name::{
+    AdapterName, ModelName, ServiceName, SoftwareVersion, TargetName, ZoneName,
+};
 
 /// Whether a target accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +56,8 @@
     pub started_at: Option<StartTime>,
     /// The service that it serves.
     pub service: ServiceName,
+    /// The version of its software, if its entry names one.
+    pub software: Option<SoftwareVersion>,
     /// The address on which it listens. Another incarnation may have the address later.
     pub address: SocketAddr,
     /// Its availability zone.
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -157,6 +157,7 @@
         name: TargetName::from(name),
         started_at: None,
         service: ServiceName::from("s"),
+        software: None,
         address: ([127, 0, 0, 1], 9).into(),
         zone: ZoneName::from("z1"),
         state: TargetState::Ready,
