Streams: all runs of a stream go to targets of the software version that began it

Callers saw streams that held events of two software versions of a service. Cause, within one response: a stream that broke off was continued at any target that held the model, as the choice of a target did not know versions.

Change: the version of the target that brings the first event becomes a requirement of the request, like its service and zones, and so holds for the next sends, the target found while the current one is silent, queues, and the loads that the planner orders for requests that wait. Where no target of the version is left, the stream ends at once and incomplete, without another send. A target whose entry names no version counts as a version of its own. A version that all targets of a service run binds nothing, so the planner's work is unchanged there.

--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -55,6 +55,7 @@
     NO_TARGET_IN_TIME = "no_target_in_time", Counter, "route", "Requests that no target could accept before their deadline; not run.";
     ZONES_DRAINED = "zones_drained", Counter, "route", "Requests whose service has targets only in drained availability zones; not run.";
     REGION_UNAVAILABLE = "region_unavailable", Counter, "route", "Requests whose service has no target in a region that they are bound to; not run.";
+    SOFTWARE_UNAVAILABLE = "software_unavailable", Counter, "route", "Requests refused because no target that can serve the rest of their stream runs the software that began it; not run.";
     TARGETS_UNREACHABLE = "targets_unreachable", Counter, "route", "Requests refused because neither this daemon nor another one reaches a target of the service; not run.";
     REFUSED_BY_TARGETS = "refused_by_targets", Counter, "route", "Requests that targets refused and that may not be retried further; not run.";
     STOPPING = "stopping", Counter, "route", "Requests that the daemon could not finish before it stopped; not run.";
--- a/crates/tansyknot-fleet/examples/plan.rs
+++ b/crates/tansyknot-fleet/examples/plan.rs
@@ -11,6 +11,7 @@
     name::{ModelName, ServiceName, TargetName, ZoneName},
 };
 use tansyknot_fleet::{
+    bounds::Bounds,
     catalog::{Catalog, Engine, Model, Repeatability, Route, Service},
     dissemination::{
         message::{Demand, DemandKey, InFlight, ModelUse},
@@ -134,7 +135,7 @@
             service: ServiceName::from("s"),
             model: model(n),
             adapter: None,
-            zones: None,
+            bounds: Bounds::default(),
         },
         waiting: u16::from(n.is_multiple_of(WAITING_MODEL_STEP)),
         arrived: 1,
--- a/crates/tansyknot-fleet/src/admission.rs
+++ b/crates/tansyknot-fleet/src/admission.rs
@@ -21,9 +21,9 @@
 use tansyknot_policy::queue::{QueueLimits, Rank, Ticket, WaitQueue, Waiter};
 
 use crate::{
+    bounds::Bounds,
     dissemination::{heartbeat::HEARTBEAT_INTERVAL, message, scheduling::WaitingRequests},
     fleet::{FreePlaces, TargetRequirements},
-    residency::ZoneSet,
     state::Notifier,
 };
 
@@ -43,7 +43,7 @@
     service: ServiceName,
     model: Option<ModelName>,
     adapter: Option<AdapterName>,
-    zones: Option<ZoneSet>,
+    bounds: Bounds,
 }
 
 impl QueueKey {
@@ -53,7 +53,7 @@
             service: want.service.clone(),
             model: want.model.cloned(),
             adapter: want.adapter.cloned(),
-            zones: want.zones.cloned(),
+            bounds: want.bounds(),
         }
     }
 
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -20,9 +20,9 @@
 use crate::{
     access,
     backpressure::{self, message::RunSummary},
+    bounds::Bounds,
     lease::promise::Promise,
     poison::evidence::{Digest, Evidence},
-    residency::ZoneSet,
     target::{LoadedModel, StartTime, TargetState},
     zone_drain::DrainedZones,
 };
@@ -36,8 +36,8 @@
     pub model: ModelName,
     /// The adapter; `None` stands for the model without one.
     pub adapter: Option<AdapterName>,
-    /// The only zones in which the requests may be served; `None` for all.
-    pub zones: Option<ZoneSet>,
+    /// The targets to which the requests are bound.
+    pub bounds: Bounds,
 }
 
 /// The demand of one daemon for a model.
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     backpressure::registry::Registry,
+    bounds::Bounds,
     condition::Conditions,
     dissemination::{
         changes::ChangeLog,
@@ -34,6 +35,7 @@
     freshness::FreshnessLimits,
     residency::ZoneSet,
     scheduling::{Admission, RoomAccounting, TargetChoice},
+    stream_origin::Origin,
     target::Target,
     zone_drain::ZoneDrains,
 };
@@ -70,13 +72,33 @@
     pub zones: Option<&'a ZoneSet>,
     /// The tokens that the request keeps in the target's cache.
     pub cache: CacheNeed,
+    /// The software that began the request's stream; `None` if no event of it has arrived.
+    pub origin: Option<&'a Origin>,
 }
 
 impl TargetRequirements<'_> {
+    /// Returns the targets to which the request is bound.
+    pub fn bounds(&self) -> Bounds {
+        let software = self.origin.map(|origin| origin.software.clone());
+        Bounds { zones: self.zones.cloned(), software }
+    }
+
     /// Returns whether the request may be served in `zone`.
-    pub fn allows(&self, zone: &ZoneName) -> bool {
+    pub fn allows_zone(&self, zone: &ZoneName) -> bool {
         self.zones.is_none_or(|zones| zones.contains(zone))
     }
+
+    /// Returns whether a target runs the software that began the request's stream, if it has begun.
+    pub fn runs_origin(&self, target: &Target) -> bool {
+        self.origin.is_none_or(|origin| origin.allows(target))
+    }
+
+    /// Returns whether a target of the service may serve the request.
+    pub fn allows(&self, target: &Target) -> bool {
+        target.service == *self.service
+            && self.allows_zone(&target.zone)
+            && self.runs_origin(target)
+    }
 }
 
 /// The start of a prompt that several requests share.
@@ -108,17 +130,19 @@
     NotLoaded,
     /// No target of the service accepts new work.
     NoTarget,
-    /// All targets of the service that accept new work are in zones that exclude the request.
+    /// All targets of the service that accept new work exclude the request.
     Excluded(Exclusion),
 }
 
-/// Why zones exclude a request.
+/// Why targets exclude a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exclusion {
     /// Operators have drained them.
     Drained,
     /// The request is bound to other regions.
     Region,
+    /// The request's stream was begun by software that no target runs.
+    Software,
 }
 
 /// Identifies a planner update, whose parts share one identifier. A newer update compares greater.
@@ -285,8 +309,8 @@
     /// for another copy of a loaded model.
     pub fn pending_load_due(&self, want: &TargetRequirements<'_>, now: Time) -> Option<Time> {
         let model = want.model?;
-        if want.zones.is_some() {
-            // The load may be in a zone that the request must not use.
+        if want.zones.is_some() || !self.all_run_origin(want) {
+            // The load may be at a target that the request must not use.
             return None;
         }
         let is_open = |m: &Member| self.rate_limit(m.run, now).is_none();
@@ -296,6 +320,12 @@
         self.pending_loads.get(&(want.service.clone(), model.clone())).copied()
     }
 
+    /// Returns whether every target of the service may serve the rest of a request's stream.
+    pub(super) fn all_run_origin(&self, want: &TargetRequirements<'_>) -> bool {
+        let of_service = self.members.values().filter(|m| m.target.service == *want.service);
+        want.origin.is_none() || of_service.into_iter().all(|m| want.runs_origin(&m.target))
+    }
+
     /// Returns the targets of all services.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.members.values().map(|m| &m.target)
@@ -388,7 +418,7 @@
         service: want.service.clone(),
         model: model.clone(),
         adapter: adapter.cloned(),
-        zones: want.zones.cloned(),
+        bounds: want.bounds(),
     };
     let mut keys = vec![key(None)];
     if want.adapter.is_some() {
--- a/crates/tansyknot-fleet/src/fleet/pick.rs
+++ b/crates/tansyknot-fleet/src/fleet/pick.rs
@@ -112,15 +112,14 @@
         Some(target)
     }
 
-    /// Returns the targets of a service that accept new work.
+    /// Returns the targets that accept new work and may serve a request.
     pub(super) fn ready(
         &self,
         want: &TargetRequirements<'_>,
         now: Time,
     ) -> impl Iterator<Item = &Member> {
-        let of_service =
-            |m: &&Member| m.target.service == *want.service && want.allows(&m.target.zone);
-        self.members.values().filter(of_service).filter(move |m| self.takes_requests(m, now))
+        let is_allowed = |m: &&Member| want.allows(&m.target);
+        self.members.values().filter(is_allowed).filter(move |m| self.takes_requests(m, now))
     }
 
     /// Returns the targets that accept new work and hold what a request needs, as far as this
--- a/crates/tansyknot-fleet/src/fleet/unplaced.rs
+++ b/crates/tansyknot-fleet/src/fleet/unplaced.rs
@@ -38,8 +38,9 @@
     /// it gets none now and no target holds it.
     pub fn room_expected_at(&self, want: &TargetRequirements<'_>, now: Time) -> Option<Time> {
         let model = want.model?;
-        // Announcements concern requests that may use all zones.
-        if want.zones.is_some() || self.ready(want, now).any(|m| m.target.holds(model, None)) {
+        // Announcements concern requests that may use all targets.
+        let is_bound = want.zones.is_some() || !self.all_run_origin(want);
+        if is_bound || self.ready(want, now).any(|m| m.target.holds(model, None)) {
             return None;
         }
         let announcement = self.unplaced.get(&(want.service.clone(), model.clone()))?;
--- a/crates/tansyknot-fleet/src/fleet/zone.rs
+++ b/crates/tansyknot-fleet/src/fleet/zone.rs
@@ -45,14 +45,18 @@
         drained.flat_map(|m| m.target.models.iter().map(|held| held.model.clone())).collect()
     }
 
-    /// Returns why a request that finds no target is excluded from the zones of the service's
-    /// targets; `None` if there are no targets anywhere.
+    /// Returns why a request that finds no target is excluded from the service's targets; `None` if
+    /// there are no targets anywhere.
     pub(super) fn exclusion(&self, want: &TargetRequirements<'_>, now: Time) -> Option<Exclusion> {
         let of_service = |m: &&Member| m.target.service == *want.service && m.takes_work(now);
-        let mut targets = self.members.values().filter(of_service).peekable();
-        targets.peek()?;
-        let is_allowed = targets.any(|m| want.allows(&m.target.zone));
-        Some(if is_allowed { Exclusion::Drained } else { Exclusion::Region })
+        let targets: Vec<&Member> = self.members.values().filter(of_service).collect();
+        if targets.iter().any(|m| want.allows(&m.target)) {
+            return Some(Exclusion::Drained);
+        }
+        if want.origin.is_some() && !targets.iter().any(|m| want.runs_origin(&m.target)) {
+            return Some(Exclusion::Software);
+        }
+        (!targets.is_empty()).then_some(Exclusion::Region)
     }
 
     /// Returns whether the target takes new requests and its zone is not drained.
--- a/crates/tansyknot-fleet/src/plan.rs
+++ b/crates/tansyknot-fleet/src/plan.rs
@@ -23,14 +23,14 @@
 
 use tansyknot_core::{
     clock::Time,
-    name::{ModelName, ServiceName, TargetName},
+    name::{ModelName, ServiceName, SoftwareVersion, TargetName},
 };
 
 use crate::{
+    bounds::Bounds,
     catalog::{Catalog, Engine},
     dissemination::message::{self, DemandKey, PendingLoad},
     platform_api::Action,
-    residency::ZoneSet,
     scheduling::CopyPolicy,
     target::Target,
     task::TaskOutcome,
@@ -254,19 +254,25 @@
             let Some(engine) = &service.engine else { continue };
             let objective = catalog.longest_objective(&service.name);
             let max_wait = catalog.longest_timeout(&service.name);
-            for zones in self.zone_sets(&service.name) {
-                let zones = zones.as_ref();
-                let scope =
-                    Scope { service: &service.name, engine, objective, max_wait, zones, now };
-                let in_scope = |t: &&Arc<Target>| {
-                    t.service == service.name && t.is_ready() && scope.allows(&t.zone)
+            let sole_software = sole_software(targets, &service.name);
+            for bounds in self.bounds_of_demand(&service.name, sole_software) {
+                let scope = Scope {
+                    service: &service.name,
+                    engine,
+                    objective,
+                    max_wait,
+                    bounds: &bounds,
+                    sole_software,
+                    now,
                 };
+                let in_scope =
+                    |t: &&Arc<Target>| t.service == service.name && t.is_ready() && scope.allows(t);
                 let reachable =
                     |target| Some(ReachableTarget { target, opens_at: opens_at(&target.name)? });
                 let reachable: Vec<ReachableTarget<'_>> =
                     targets.iter().filter(in_scope).filter_map(reachable).collect();
                 let round = Round::new(self, scope, &reachable);
-                if zones.is_none() {
+                if bounds.is_unbound() {
                     self.settling.retain(|(target, model), settling| {
                         let waiting = round.model(model).all_waiting();
                         settling.service != service.name
@@ -283,12 +289,17 @@
         tasks
     }
 
-    /// Returns the sets of zones to which demand for a service is bound: first the demand that is
-    /// bound to none, which sees all targets.
-    fn zone_sets(&self, service: &ServiceName) -> Vec<Option<ZoneSet>> {
+    /// Returns the bounds of demand for a service: first that of unbound demand, which sees all
+    /// targets.
+    fn bounds_of_demand(
+        &self,
+        service: &ServiceName,
+        sole_software: Option<&SoftwareVersion>,
+    ) -> Vec<Bounds> {
         let of_service = self.demand.keys().filter(|key| key.service == *service);
-        let bound: BTreeSet<&ZoneSet> = of_service.filter_map(|key| key.zones.as_ref()).collect();
-        iter::once(None).chain(bound.into_iter().cloned().map(Some)).collect()
+        let bounds = of_service.map(|key| key.bounds.among(sole_software));
+        let bound: BTreeSet<Bounds> = bounds.filter(|bounds| !bounds.is_unbound()).collect();
+        iter::once(Bounds::default()).chain(bound).collect()
     }
 
     /// Loads models that are requested and have too few copies, the most urgent first.
@@ -327,11 +338,17 @@
 
     /// Returns the urgency of loading another copy of a model; zero if it has enough copies.
     fn load_urgency(&self, round: &Round<'_>, model: &ModelName, view: &ModelView) -> f64 {
+        let pending_loads = self.pending_load_count(round, model);
+        let total_copies = view.copies + pending_loads;
+        // Streams that go on need one copy at the software that began them; others use any copy.
+        let needs_one_copy = round.scope.bounds.software.is_some();
+        if needs_one_copy && total_copies > 0 {
+            let is_unusable = self.has_unusable_copies(model, view, pending_loads);
+            return if is_unusable { waiting_urgency(view) } else { 0.0 };
+        }
         if round.copies == CopyPolicy::ServiceTime {
             return self.load_value(round, model, view);
         }
-        let pending_loads = self.pending_load_count(round, model);
-        let total_copies = view.copies + pending_loads;
         if total_copies == 0 {
             let is_displaced =
                 view.rate > MIN_DISPLACED_RATE_PER_S && self.displaced.contains(model);
@@ -458,6 +475,17 @@
     }
 }
 
+/// Returns the version of the software of a service's targets, if all of them run one.
+fn sole_software<'a>(
+    targets: &'a [Arc<Target>],
+    service: &ServiceName,
+) -> Option<&'a SoftwareVersion> {
+    let mut versions =
+        targets.iter().filter(|t| t.service == *service).map(|t| t.software.as_ref());
+    let first = versions.next()??;
+    versions.all(|version| version == Some(first)).then_some(first)
+}
+
 /// Returns the urgency of a model that requests wait for. Requests that can still be on time take
 /// precedence over late ones, then many requests over few, then long waits over short ones.
 fn waiting_urgency(view: &ModelView) -> f64 {
--- a/crates/tansyknot-fleet/src/plan/adapters.rs
+++ b/crates/tansyknot-fleet/src/plan/adapters.rs
@@ -6,7 +6,7 @@
 
 use super::{Planner, Round, Step, Task, used_mb};
 use crate::{
-    dissemination::message::DemandKey, platform_api::Action, residency::ZoneSet, target::Target,
+    bounds::Bounds, dissemination::message::DemandKey, platform_api::Action, target::Target,
 };
 
 impl Planner {
@@ -35,9 +35,9 @@
 
     fn wanted_adapters(&self, round: &Round<'_>) -> Vec<(ModelName, AdapterName)> {
         let mut wanted: Vec<(u32, ModelName, AdapterName)> = Vec::new();
-        for (DemandKey { service, model, adapter, zones }, d) in &self.demand {
+        for (DemandKey { service, model, adapter, bounds }, d) in &self.demand {
             let Some(adapter) = adapter else { continue };
-            let is_in_scope = service == round.scope.service && zones.as_ref() == round.scope.zones;
+            let is_in_scope = service == round.scope.service && round.scope.includes(bounds);
             if !is_in_scope || d.waiting() == 0 {
                 continue;
             }
@@ -115,14 +115,15 @@
         let now = round.scope.now;
         let all = target.models.iter().flat_map(|h| h.adapters.iter().map(|a| (&h.model, a)));
         let rate = |(model, adapter): &(&ModelName, &AdapterName)| {
-            let key = |zones: Option<&ZoneSet>| DemandKey {
+            let key = |bounds: &Bounds| DemandKey {
                 service: round.scope.service.clone(),
                 model: (*model).clone(),
                 adapter: Some((*adapter).clone()),
-                zones: zones.cloned(),
+                bounds: bounds.clone(),
             };
-            let of_scope = round.scope.zones.map(|zones| self.rate(&key(Some(zones)), now));
-            self.rate(&key(None), now) + of_scope.unwrap_or(0.0)
+            let bounds = round.scope.bounds;
+            let of_scope = (!bounds.is_unbound()).then(|| self.rate(&key(bounds), now));
+            self.rate(&key(&Bounds::default()), now) + of_scope.unwrap_or(0.0)
         };
         let least_used = all.min_by(|a, b| rate(a).total_cmp(&rate(b)))?;
         Some((least_used.0.clone(), least_used.1.clone()))
--- a/crates/tansyknot-fleet/src/plan/loads.rs
+++ b/crates/tansyknot-fleet/src/plan/loads.rs
@@ -310,7 +310,7 @@
     /// round may use. Overdue loads that no task waits for are not counted.
     pub(super) fn pending_load_count(&self, round: &Round<'_>, model: &ModelName) -> usize {
         let is_pending = |service: &ServiceName, target: &Target| {
-            service == round.scope.service && round.scope.allows(&target.zone)
+            service == round.scope.service && round.scope.allows(target)
         };
         let tasks = self
             .pending
--- a/crates/tansyknot-fleet/src/plan/round.rs
+++ b/crates/tansyknot-fleet/src/plan/round.rs
@@ -10,12 +10,12 @@
 
 use tansyknot_core::{
     clock::Time,
-    name::{ModelName, ServiceName, TargetName, ZoneName},
+    name::{ModelName, ServiceName, SoftwareVersion, TargetName},
 };
 use tansyknot_policy::copies::CopyDemand;
 
 use super::{ORDER_OVERHEAD, Planner, TWO_COPIES_RATE_PER_S, Tier};
-use crate::{catalog::Engine, residency::ZoneSet, scheduling::CopyPolicy, target::Target};
+use crate::{bounds::Bounds, catalog::Engine, scheduling::CopyPolicy, target::Target};
 
 /// The demand for one model, and its copies.
 #[derive(Clone, Copy, Debug, Default)]
@@ -64,15 +64,22 @@
     pub(super) objective: Duration,
     /// The longest time budget of these routes: no request waits longer.
     pub(super) max_wait: Duration,
-    /// The only zones that the demand of the round may use; `None` for all.
-    pub(super) zones: Option<&'a ZoneSet>,
+    /// The targets to which the demand of the round is bound.
+    pub(super) bounds: &'a Bounds,
+    /// The software of all targets of the service, if it is one version.
+    pub(super) sole_software: Option<&'a SoftwareVersion>,
     pub(super) now: Time,
 }
 
 impl Scope<'_> {
-    /// Returns whether the round may use targets in `zone`.
-    pub(super) fn allows(&self, zone: &ZoneName) -> bool {
-        self.zones.is_none_or(|zones| zones.contains(zone))
+    /// Returns whether the round may use a target of the service.
+    pub(super) fn allows(&self, target: &Target) -> bool {
+        self.bounds.allows(target)
+    }
+
+    /// Returns whether the round plans for demand with these bounds.
+    pub(super) fn includes(&self, bounds: &Bounds) -> bool {
+        bounds.among(self.sole_software) == *self.bounds
     }
 }
 
@@ -166,7 +173,7 @@
                 view.slow_rate += demand.slow_rate_at(scope.now);
                 view.expected_rate += demand.expected_rate(load_takes, scope.now);
             }
-            if key.zones.as_ref() != scope.zones {
+            if !scope.includes(&key.bounds) {
                 continue;
             }
             view.is_in_scope = true;
@@ -184,7 +191,7 @@
             for held in &target.models {
                 let view = models.entry(held.model.clone()).or_default();
                 view.copies += usize::from(!planner.is_removing(&target.name, &held.model));
-                view.is_in_scope |= scope.zones.is_none();
+                view.is_in_scope |= scope.bounds.is_unbound();
             }
         }
         let mut in_flight: HashMap<(TargetName, ModelName), u32> = HashMap::new();
--- a/crates/tansyknot-fleet/src/plan/unplaced.rs
+++ b/crates/tansyknot-fleet/src/plan/unplaced.rs
@@ -162,14 +162,14 @@
     }
 
     /// Returns whether a lack of room for a model is announced: requests wait for it that may use
-    /// all zones, it has no copy, and the planner's view is complete.
+    /// all targets, it has no copy, and the planner's view is complete.
     fn may_announce(&self, round: &Round<'_>, model: &ModelName) -> bool {
         let view = round.model(model);
         let is_established =
             self.began.is_some_and(|began| round.scope.now.since(began) >= MIN_PLANNER_AGE);
         round.copies == CopyPolicy::ServiceTime
             && is_established
-            && round.scope.zones.is_none()
+            && round.scope.bounds.is_unbound()
             && !round.targets.is_empty()
             && view.all_waiting() > 0
             && view.copies + self.pending_load_count(round, model) == 0
--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -195,6 +195,8 @@
 pub struct StreamSink<'a, 'o> {
     /// The caller.
     pub caller: CallerConnection<'a>,
+    /// Called before the first event is sent to the caller.
+    pub on_first_event: &'a dyn Fn(),
     /// The time limits of the target and the caller.
     pub timeouts: ResponseTimeouts,
     /// Measures the time between events.
@@ -255,6 +257,9 @@
             let Some(end) = events::last_event_end(&pending[from..]) else { continue };
             let end = from + end;
             sink.observer.record(events::count(&pending[..end]));
+            if !self.has_begun() {
+                (sink.on_first_event)();
+            }
             self.send(head, &pending[..end], caller, timeouts.write_by)?;
             pending.drain(..end);
             control.set_deadline((BootInstant::now() + timeouts.gap).min(timeouts.deadline));
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -13,7 +13,7 @@
 mod signal;
 mod wait;
 
-use std::{io, net::TcpStream, sync::Arc, time::Duration};
+use std::{io, net::TcpStream, rc::Rc, sync::Arc, time::Duration};
 
 use tansyknot_core::{
     clock::{BootInstant, Time},
@@ -415,6 +415,7 @@
             identity,
             zones,
             cache,
+            origin: Rc::default(),
             cost,
             caller,
             began,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a request: the exchange with a target, and what its outcome shows about the target.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use tansyknot_core::{
     clock::{BootInstant, Time},
@@ -22,6 +22,7 @@
     platform_api::{ForwardParams, ResponseClass},
     reachability::Path,
     response_relay::{self, EventObserver, ResponseTimeouts, StreamSink},
+    stream_origin::Origin,
     target::Target,
 };
 
@@ -54,12 +55,8 @@
         let outcome = match opened {
             Ok(exchange) => {
                 let software = target.software.as_ref().map_or("unknown", SoftwareVersion::as_str);
-                match via {
-                    Some(peer) => {
-                        request.note(format_args!("{} ({software}) sent via {peer}", target.name))
-                    }
-                    None => request.note(format_args!("{} ({software}) sent", target.name)),
-                }
+                let via = via.map_or_else(String::new, |peer| format!(" via {peer}"));
+                request.note(format_args!("{} ({software}) sent{via}", target.name));
                 request.transmissions += 1;
                 self.receive_or_hand_over(request, target, exchange, began)
             }
@@ -178,8 +175,14 @@
             let model = request.params.model.clone();
             let record = |interval| self.observe_stream(target, model.as_ref(), interval);
             let mut observer = EventObserver::new(&record);
+            let origin = Rc::clone(&request.origin);
+            let on_first_event = || {
+                // A stream that goes on keeps its origin.
+                origin.get_or_init(|| Origin::of(target));
+            };
             let sink = StreamSink {
                 caller: request.caller,
+                on_first_event: &on_first_event,
                 timeouts,
                 observer: &mut observer,
                 buffer: &mut request.buffer,
--- a/crates/tansyknot-fleet/src/serve/handover.rs
+++ b/crates/tansyknot-fleet/src/serve/handover.rs
@@ -1,6 +1,11 @@
 //! Search for another target before an unresponsive target is abandoned.
 
-use std::{cell::RefCell, sync::Arc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use tansyknot_core::{
     clock::BootInstant,
@@ -14,6 +19,7 @@
     poison::key::RequestKey,
     residency::ZoneSet,
     state::State,
+    stream_origin::Origin,
     target::Target,
 };
 
@@ -33,6 +39,8 @@
     prefix: Option<PromptPrefix>,
     zones: Option<ZoneSet>,
     cache: CacheNeed,
+    /// Set once an event has arrived, which may be after the handover was prepared.
+    origin: Rc<OnceCell<Origin>>,
     tried: Vec<TargetName>,
     deadline: BootInstant,
     next_target: RefCell<Option<Arc<Target>>>,
@@ -53,6 +61,7 @@
             prefix: want.prefix,
             zones: want.zones.cloned(),
             cache: want.cache,
+            origin: Rc::clone(&request.origin),
             tried,
             deadline: request.give_up_at(),
             next_target: RefCell::default(),
@@ -76,6 +85,7 @@
             prefix: self.prefix,
             zones: self.zones.as_ref(),
             cache: self.cache,
+            origin: self.origin.get(),
         };
         let now = self.state.now();
         let target = self.state.fleet().pick_other(&want, &self.tried, now, &mut rand::rng())?;
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -1,6 +1,8 @@
 //! State of one request while it is served, its time limits, and its outcomes.
 
-use std::{fmt::Write as _, ops::RangeInclusive, sync::Arc, time::Duration};
+use std::{
+    cell::OnceCell, fmt::Write as _, ops::RangeInclusive, rc::Rc, sync::Arc, time::Duration,
+};
 
 use tansyknot_core::{
     clock::BootInstant,
@@ -26,6 +28,7 @@
     residency::ZoneSet,
     response_buffers::Reservation,
     response_relay::{CallerConnection, EventRelay},
+    stream_origin::Origin,
     target::Target,
 };
 
@@ -76,6 +79,8 @@
     RegionUnavailable,
     /// No target of the service can hold the request in its cache.
     TooLarge,
+    /// No target that can serve the rest of the stream runs the software that began it.
+    SoftwareUnavailable,
     /// Neither this daemon nor another one reaches a target of the service.
     TargetsUnreachable,
     /// The time limit passed before a target could accept the request.
@@ -111,6 +116,7 @@
             Reason::ZonesDrained => metric::ZONES_DRAINED.name,
             Reason::RegionUnavailable => metric::REGION_UNAVAILABLE.name,
             Reason::TooLarge => "too_large",
+            Reason::SoftwareUnavailable => metric::SOFTWARE_UNAVAILABLE.name,
             Reason::TargetsUnreachable => metric::TARGETS_UNREACHABLE.name,
             Reason::NoTargetInTime => metric::NO_TARGET_IN_TIME.name,
             Reason::RefusedByTargets => metric::REFUSED_BY_TARGETS.name,
@@ -144,6 +150,7 @@
             | Reason::ZonesDrained
             | Reason::RegionUnavailable
             | Reason::TooLarge
+            | Reason::SoftwareUnavailable
             | Reason::TargetsUnreachable
             | Reason::NoTargetInTime
             | Reason::RefusedByTargets => 503,
@@ -156,8 +163,8 @@
         }
     }
 
-    /// Returns the `Retry-After` of a request that has not run; a poison request and a request that
-    /// is too large get none.
+    /// Returns the `Retry-After` of a request that has not run; a poison request, a request that is
+    /// too large and a stream that can't go on get none.
     pub(super) fn retry_after(self, is_store_unavailable: bool) -> Option<Duration> {
         match self {
             Reason::NoConfiguration | Reason::NoTargetInTime | Reason::StaleKeys
@@ -244,6 +251,8 @@
     pub(super) zones: Option<ZoneSet>,
     /// The tokens that it keeps in the cache of its target.
     pub(super) cache: CacheNeed,
+    /// The software that brought the first event of its stream, once one has arrived.
+    pub(super) origin: Rc<OnceCell<Origin>>,
     /// The units taken from the team's quota.
     pub(super) cost: Option<Cost>,
     pub(super) caller: CallerConnection<'a>,
@@ -286,6 +295,7 @@
             prefix: self.prefix(),
             zones: self.zones.as_ref(),
             cache: self.cache,
+            origin: self.origin.get(),
         }
     }
 
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -160,6 +160,7 @@
                 Pick::Full | Pick::NoTarget => Wait::Slot,
                 Pick::Excluded(Exclusion::Drained) => return Err(Reason::ZonesDrained),
                 Pick::Excluded(Exclusion::Region) => return Err(Reason::RegionUnavailable),
+                Pick::Excluded(Exclusion::Software) => return Err(Reason::SoftwareUnavailable),
             };
             match wait {
                 Wait::Slot => self.wait_in_queue(request, place, now),
--- a/crates/tansyknot-fleet/tests/admission.rs
+++ b/crates/tansyknot-fleet/tests/admission.rs
@@ -44,6 +44,7 @@
         prefix: None,
         zones: None,
         cache: Default::default(),
+        origin: None,
     })
 }
 
--- a/crates/tansyknot-fleet/tests/brittle.rs
+++ b/crates/tansyknot-fleet/tests/brittle.rs
@@ -155,6 +155,7 @@
             prefix: None,
             zones: None,
             cache: CacheNeed::default(),
+            origin: None,
         };
         let mut without_place = BTreeSet::new();
         for (daemon, until) in std::mem::take(&mut self.waiting) {
--- a/crates/tansyknot-fleet/tests/condition.rs
+++ b/crates/tansyknot-fleet/tests/condition.rs
@@ -220,6 +220,7 @@
         prefix,
         zones,
         cache: Default::default(),
+        origin: None,
     };
     let mut rng = StdRng::seed_from_u64(2);
     let picked = (0..8).filter_map(|_| match fleet.pick(&want, &[], now, &mut rng) {
--- a/crates/tansyknot-fleet/tests/drained_zones.rs
+++ b/crates/tansyknot-fleet/tests/drained_zones.rs
@@ -51,6 +51,7 @@
         prefix: None,
         zones: None,
         cache: CacheNeed::default(),
+        origin: None,
     };
     fleet.pick(&requirements, &[], at(0), &mut StdRng::seed_from_u64(1))
 }
@@ -106,6 +107,7 @@
         Pick::Target(t) => t.name.to_string(),
         Pick::Excluded(Exclusion::Drained) => "drained".to_owned(),
         Pick::Excluded(Exclusion::Region) => "outside its regions".to_owned(),
+        Pick::Excluded(Exclusion::Software) => "other software".to_owned(),
         Pick::NotLoaded => "not loaded".to_owned(),
         other => format!("{other:?}"),
     };
--- a/crates/tansyknot-fleet/tests/news.rs
+++ b/crates/tansyknot-fleet/tests/news.rs
@@ -9,6 +9,7 @@
 use support::target;
 use tansyknot_core::clock::Time;
 use tansyknot_fleet::{
+    bounds::Bounds,
     dissemination::{
         changes::{Change, ChangeLog, Entry, ListRead, ListUpdate},
         datagram,
@@ -241,7 +242,7 @@
             service: "service".into(),
             model: name(n).as_str().into(),
             adapter: None,
-            zones: None,
+            bounds: Bounds::default(),
         },
         waiting: 1,
         arrived: 300,
--- a/crates/tansyknot-fleet/tests/obeyed.rs
+++ b/crates/tansyknot-fleet/tests/obeyed.rs
@@ -94,6 +94,7 @@
         prefix: None,
         zones: None,
         cache: CacheNeed::default(),
+        origin: None,
     };
     describe(fleet.pick(&requirements, &tried, now, &mut StdRng::seed_from_u64(1)))
 }
@@ -107,6 +108,7 @@
         prefix: None,
         zones: None,
         cache: CacheNeed::default(),
+        origin: None,
     };
     let tried = [TargetName::from("t2")];
     let picked = fleet.pick_other(&requirements, &tried, now, &mut StdRng::seed_from_u64(1));
--- a/crates/tansyknot-fleet/tests/residency.rs
+++ b/crates/tansyknot-fleet/tests/residency.rs
@@ -17,6 +17,7 @@
     name::{ModelName, RegionName, ServiceName, TargetName, ZoneName},
 };
 use tansyknot_fleet::{
+    bounds::Bounds,
     dissemination::message::{DemandKey, ModelUse},
     fleet::{CacheNeed, Exclusion, Fleet, Pick, TargetRequirements},
     freshness::FreshnessLimits,
@@ -66,18 +67,21 @@
         prefix: None,
         zones,
         cache: CacheNeed::default(),
+        origin: None,
     };
     match fleet.pick(&want, &[], at(0), &mut StdRng::seed_from_u64(1)) {
         Pick::Target(t) => t.name.to_string(),
         Pick::Excluded(Exclusion::Drained) => "drained".to_owned(),
         Pick::Excluded(Exclusion::Region) => "outside its regions".to_owned(),
+        Pick::Excluded(Exclusion::Software) => "other software".to_owned(),
         other => format!("{other:?}"),
     }
 }
 
 fn bound_use(model: &str, waiting: u16, zones: &ZoneSet) -> ModelUse {
     let ModelUse { key, arrived, .. } = model_use(model, None, waiting, 1);
-    ModelUse { key: DemandKey { zones: Some(Arc::clone(zones)), ..key }, waiting, arrived }
+    let bounds = Bounds { zones: Some(Arc::clone(zones)), software: None };
+    ModelUse { key: DemandKey { bounds, ..key }, waiting, arrived }
 }
 
 #[parameterized(
--- a/crates/tansyknot-fleet/tests/room.rs
+++ b/crates/tansyknot-fleet/tests/room.rs
@@ -46,6 +46,7 @@
         prefix: None,
         zones: None,
         cache: CacheNeed { tokens, capacity: Some(CAPACITY) },
+        origin: None,
     };
     match fleet.pick(&want, &[], now, &mut StdRng::seed_from_u64(1)) {
         Pick::Target(t) => t.name.to_string(),
--- a/crates/tansyknot-fleet/tests/running_loads.rs
+++ b/crates/tansyknot-fleet/tests/running_loads.rs
@@ -263,6 +263,7 @@
         prefix: None,
         zones: None,
         cache: Default::default(),
+        origin: None,
     };
     for node in network.nodes.iter().filter(|node| !node.is_dead) {
         let announced = node.state.fleet().pending_load_due(&want, network.now());
--- a/crates/tansyknot-fleet/tests/support/planner.rs
+++ b/crates/tansyknot-fleet/tests/support/planner.rs
@@ -7,6 +7,7 @@
     name::{AdapterName, ModelName, ServiceName, TargetName},
 };
 use tansyknot_fleet::{
+    bounds::Bounds,
     dissemination::{
         message::{Demand, DemandKey, InFlight, ModelUse},
         planner_view::ReceivedState,
@@ -29,7 +30,7 @@
         service: ServiceName::from("s"),
         model: ModelName::from(model),
         adapter: adapter.map(AdapterName::from),
-        zones: None,
+        bounds: Bounds::default(),
     };
     ModelUse { key, waiting, arrived }
 }
--- a/crates/tansyknot-fleet/tests/support/signals/request.rs
+++ b/crates/tansyknot-fleet/tests/support/signals/request.rs
@@ -133,6 +133,7 @@
             prefix: None,
             zones: None,
             cache: CacheNeed::default(),
+            origin: None,
         };
         let pick = state.fleet().pick(&requirements, &req.tried, now, &mut self.rng);
         let found = match pick {
--- a/crates/tansyknot-fleet/tests/support/zones.rs
+++ b/crates/tansyknot-fleet/tests/support/zones.rs
@@ -309,6 +309,7 @@
             prefix: None,
             zones: None,
             cache: CacheNeed::default(),
+            origin: None,
         };
         let pick = state.fleet().pick(&want, &[], now, &mut self.rng);
         let found = match pick {
--- a/crates/tansyknot-fleet/tests/unplaced.rs
+++ b/crates/tansyknot-fleet/tests/unplaced.rs
@@ -29,6 +29,7 @@
         prefix: None,
         zones: None,
         cache: Default::default(),
+        origin: None,
     }
 }
 
--- a/crates/tansyknot-fleet/tests/view.rs
+++ b/crates/tansyknot-fleet/tests/view.rs
@@ -43,6 +43,7 @@
             prefix: None,
             zones: None,
             cache: CacheNeed::default(),
+            origin: None,
         }
     }
 }
@@ -69,6 +70,7 @@
         Pick::NoTarget => "no target".to_owned(),
         Pick::Excluded(Exclusion::Drained) => "drained".to_owned(),
         Pick::Excluded(Exclusion::Region) => "outside its regions".to_owned(),
+        Pick::Excluded(Exclusion::Software) => "other software".to_owned(),
     }
 }
 
--- a/crates/tansyknot-fleet/tests/warm_up.rs
+++ b/crates/tansyknot-fleet/tests/warm_up.rs
@@ -70,6 +70,7 @@
         prefix: None,
         zones: None,
         cache: CacheNeed::default(),
+        origin: None,
     };
     match fleet.pick(&requirements, &[], now, &mut StdRng::seed_from_u64(1)) {
         Pick::Target(t) => t.name.to_string(),
