Streams: a resumed stream goes on only at the software version that began it

Cause, over attempts: a resumption was forwarded like any other request, and nothing at a daemon said which version the stream had begun at, least of all at another daemon or after a restart.

Change: a daemon that begins a resumable stream sends the version to four other daemons, chosen by a hash of the attempt's identifier, before the first event leaves. The daemon at which the stream is resumed (Resumes, Last-Event-Id) knows the version itself or asks these daemons, for 0.3 s at most, and binds the request to it. An origin that is not found is refused at once (origin_unknown, no Retry-After) and never guessed, unless the service is known to have had one version for as long as any stream may last. Records live as long as the caller's deadline, 65,536 at most. A stream of a split route goes on at the service that began it.

--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -79,6 +79,7 @@
     WAITED = "waited", Durations, "route", "Time that requests waited for a load or a free slot.";
     WAIT_EXPECTED = "wait_expected", Durations, "route", "Expected waits of requests that got a slot from the queue, when they joined it.";
     WAIT_ACTUAL = "wait_actual", Durations, "route", "Time that requests which got a slot from the queue waited in it.";
+    ORIGIN_LOOKUP = "origin_lookup", Durations, "route", "Time until the origin of a resumed stream was found, or known not to be found.";
     STREAMS_RESUMED = "streams_resumed", Counter, "route", "Requests that resume a stream of an earlier attempt.";
     SENDS_AGAIN = "sends_again", Counter, "route", "Retries of requests.";
     UNREACHABLE = "unreachable", Counter, "service", "Connections to targets that could not be opened; nothing was sent over them.";
--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -62,6 +62,11 @@
 }
 
 impl Route {
+    /// Returns whether the route sends requests to a service.
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        self.split.iter().any(|(name, weight)| name == service && *weight > 0)
+    }
+
     /// Selects a service by `draw`, a uniformly distributed number, in proportion to the weights.
     pub fn service(&self, draw: u64) -> Option<&ServiceName> {
         let total: u64 = self.split.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -23,6 +23,7 @@
     bounds::Bounds,
     lease::promise::Promise,
     poison::evidence::{Digest, Evidence},
+    stream_origin::records::{StreamKey, StreamRecord},
     target::{LoadedModel, StartTime, TargetState},
     zone_drain::DrainedZones,
 };
@@ -239,6 +240,14 @@
     PermitCancel(backpressure::message::PermitCancel),
     /// From the planner with this fencing token to a daemon whose first promise it has received.
     PromiseAcknowledged(u64),
+    /// From a daemon that begins a stream to those that keep its origin.
+    StreamBegan(StreamRecord),
+    /// From a daemon at which a stream is resumed to those that keep its origin.
+    OriginQuery(StreamKey),
+    /// The reply to a [`Message::OriginQuery`] by a daemon that knows the origin.
+    OriginFound(StreamRecord),
+    /// The reply to a [`Message::OriginQuery`] by one that does not.
+    OriginUnknown(StreamKey),
 }
 
 impl Message {
@@ -254,7 +263,11 @@
             | Message::PermitQuery(_)
             | Message::PermitReply(_)
             | Message::PermitCancel(_)
-            | Message::PromiseAcknowledged(_) => None,
+            | Message::PromiseAcknowledged(_)
+            | Message::StreamBegan(_)
+            | Message::OriginQuery(_)
+            | Message::OriginFound(_)
+            | Message::OriginUnknown(_) => None,
             Message::Crashes(mut first) => {
                 let rest = first.split_off(first.len() / 2);
                 (!first.is_empty()).then_some((Message::Crashes(first), Message::Crashes(rest)))
--- a/crates/tansyknot-fleet/src/dissemination/peers.rs
+++ b/crates/tansyknot-fleet/src/dissemination/peers.rs
@@ -66,6 +66,15 @@
         Some(if weight(&best) > weight(&me) { best } else { me })
     }
 
+    /// Returns the `count` other daemons that rank highest for `hash`.
+    pub fn highest_ranked(&self, hash: u64, count: usize, now: Time) -> Vec<SocketAddr> {
+        let others = self.all(now).map(|p| p.address).filter(|a| Some(*a) != self.local_address);
+        let mut ranked: Vec<(u64, SocketAddr)> =
+            others.map(|address| (relays::rank_for(address, hash), address)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
     /// Returns the ranking of this daemon among those that are known now.
     pub fn ranking(&self, now: Time) -> Ranking {
         let others = self.all(now).map(|p| p.address).filter(|a| Some(*a) != self.local_address);
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -21,7 +21,7 @@
 use tansyknot_core::{
     clock::Time,
     event,
-    name::{AdapterName, ModelName, ServiceName, TargetName, ZoneName},
+    name::{AdapterName, ModelName, ServiceName, SoftwareVersion, TargetName, ZoneName},
 };
 
 use crate::{
@@ -35,7 +35,7 @@
     freshness::FreshnessLimits,
     residency::ZoneSet,
     scheduling::{Admission, RoomAccounting, TargetChoice},
-    stream_origin::Origin,
+    stream_origin::{Origin, history::SoftwareHistory},
     target::Target,
     zone_drain::ZoneDrains,
 };
@@ -186,6 +186,7 @@
     brittle: BrittleServices,
     warm_ups: WarmUps,
     zone_drains: ZoneDrains,
+    software: SoftwareHistory,
     target_choice: TargetChoice,
     /// The conditions of targets; used by [`TargetChoice::ExpectedTime`] only.
     conditions: Conditions,
@@ -323,7 +324,25 @@
     /// Returns whether every target of the service may serve the rest of a request's stream.
     pub(super) fn all_run_origin(&self, want: &TargetRequirements<'_>) -> bool {
         let of_service = self.members.values().filter(|m| m.target.service == *want.service);
-        want.origin.is_none() || of_service.into_iter().all(|m| want.runs_origin(&m.target))
+        want.origin.is_none() || { of_service }.all(|m| want.runs_origin(&m.target))
+    }
+
+    /// Records whether the view of the targets is current.
+    pub fn record_software_view(&mut self, is_current: bool, now: Time) {
+        self.software.record_view(is_current, now);
+    }
+
+    /// Returns the version of all targets that a service has had within `period`, if it is known to
+    /// be only one.
+    pub fn sole_software(
+        &self,
+        service: &ServiceName,
+        period: Duration,
+        now: Time,
+    ) -> Option<SoftwareVersion> {
+        let of_service = self.members.values().filter(|m| m.target.service == *service);
+        let present = of_service.map(|m| m.target.software.as_ref());
+        self.software.sole_version(service, present, period, now)
     }
 
     /// Returns the targets of all services.
--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -263,6 +263,9 @@
         if !target::may_be_same_run(born, target.started_at) {
             self.conditions.forget(&target.name);
         }
+        if m.entry.software != target.software {
+            self.software.record_gone(&m.entry, now);
+        }
         m.set_entry(target, now);
         if m.run != before && born.is_none() {
             // The same run, whose entry now includes its start time.
@@ -354,7 +357,9 @@
         let before = self.removed_targets.get(&removal.name).map_or(0, |removed| removed.version);
         let removed = RemovedTarget { version: removal.version.max(before), at: now };
         self.removed_targets.insert(removal.name.clone(), removed);
-        let was_known = self.members.remove(&removal.name).is_some();
+        let known = self.members.remove(&removal.name);
+        known.iter().for_each(|m| self.software.record_gone(&m.entry, now));
+        let was_known = known.is_some();
         // Daemons that read the list while the target had an entry must receive the removal.
         (was_known || before < removal.version).then_some(Change::Removed(removal))
     }
--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -2,6 +2,7 @@
 //! targets and publishes updates to all daemons.
 
 mod crashes;
+mod origin;
 mod permit;
 mod planning;
 mod publishing;
@@ -180,6 +181,10 @@
             Some(Message::PermitReply(reply)) => self.handle_permit_reply(&reply, now),
             Some(Message::PermitCancel(end)) => self.handle_permit_cancel(end, from),
             Some(Message::PromiseAcknowledged(fence)) => self.lease.record_acknowledgement(fence),
+            Some(Message::StreamBegan(record)) => self.state.record_origin(record),
+            Some(Message::OriginQuery(stream)) => self.handle_origin_query(stream, from, now),
+            Some(Message::OriginFound(record)) => self.handle_origin_found(record),
+            Some(Message::OriginUnknown(stream)) => self.handle_origin_unknown(stream, from),
             None => event::DATAGRAM_DROPPED.emit(&[("from", &from)]),
         }
     }
@@ -369,6 +374,7 @@
         };
         let is_planner_new = self.published().is_planner_new(self.lease.fence(), now);
         let waiting = self.state.admission().report(now);
+        self.state.record_software_view(now);
         let mut fleet = self.state.fleet();
         fleet.expire(now);
         // A new planner may have received no signals yet.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod handover;
 mod log_limit;
+mod origin;
 mod permit;
 mod queue;
 mod request;
@@ -13,7 +14,7 @@
 mod signal;
 mod wait;
 
-use std::{io, net::TcpStream, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::OnceCell, io, net::TcpStream, rc::Rc, sync::Arc, time::Duration};
 
 use tansyknot_core::{
     clock::{BootInstant, Time},
@@ -40,6 +41,7 @@
     response_buffers::{Reservation, ResponseBuffers, ResponseLimits},
     response_relay::{self, CallerConnection, EventRelay},
     state::State,
+    stream_origin::{NoPeers, Origin, OriginDirectory},
     target::Target,
 };
 
@@ -59,6 +61,7 @@
     dialect: Arc<dyn Dialect>,
     quotas: Arc<dyn Quotas>,
     permits: Arc<dyn Permits>,
+    origins: Arc<dyn OriginDirectory>,
     recorder: Arc<dyn Recorder>,
     lifecycle: Arc<Lifecycle>,
     paths: Paths,
@@ -85,6 +88,7 @@
             dialect,
             quotas,
             permits,
+            origins: Arc::new(NoPeers),
             recorder,
             lifecycle,
             paths,
@@ -100,12 +104,18 @@
         Self { buffers: Arc::new(ResponseBuffers::new(limits)), ..self }
     }
 
+    /// Returns this server with a way to share the origins of streams with other daemons.
+    #[must_use]
+    pub fn with_origins(self, origins: Arc<dyn OriginDirectory>) -> Self {
+        Self { origins, ..self }
+    }
+
     /// Returns the bytes of responses that the server holds.
     pub fn buffers(&self) -> Arc<ResponseBuffers> {
         Arc::clone(&self.buffers)
     }
 
-    /// Resolves the route, the service, the team and the size of a request.
+    /// Resolves the route, the service, the team, the origin and the size of a request.
     fn route(&self, head: &Head, params: &RequestParams, arrived: Time) -> Result<Routed, Reason> {
         if self.lifecycle.is_ending() {
             return Err(Reason::Stopping);
@@ -118,8 +128,11 @@
         let service = route.service(hash).cloned().ok_or(Reason::NoRoute)?;
         let identity = self.identify(head, &route, &catalog, &view, arrived)?;
         let zones = self.state.regions.allowed_zones(&identity.residency_bounds(&route));
+        let origin = self.resumed_origin(params, &route, &service)?;
+        let origin_service = origin.get().map(|origin| origin.service.clone());
+        let service = origin_service.filter(|s| route.leads_to(s)).unwrap_or(service);
         let cache = self.cache_need(params, &catalog, &service)?;
-        Ok(Routed { route, service, identity, zones, cache })
+        Ok(Routed { route, service, identity, zones, origin, cache })
     }
 
     /// Refuses a request before a target is selected for it.
@@ -145,10 +158,13 @@
         let version = catalog.map_or(0, |c| c.version);
         let now = self.state.now();
         let keys_age = view.as_of(version).map(|at| now.since(at).as_millis());
+        let resumption = params.resumption.as_ref();
+        let resumes = resumption.and_then(|r| r.first_attempt.as_deref()).unwrap_or("");
         event::FLEET_REFUSED.emit(&[
             ("request", &params.id),
             ("reason", &reason.name()),
             ("path", &req.head.path),
+            ("resumes", &resumes),
             ("config", &version),
             ("keys_age_ms", &keys_age.map_or_else(String::new, |ms| ms.to_string())),
         ]);
@@ -363,12 +379,14 @@
     }
 }
 
-/// Route, service, identity, residency and size of a request.
+/// Route, service, identity, residency, origin and size of a request.
 struct Routed {
     route: Arc<Route>,
     service: ServiceName,
     identity: Identity,
     zones: Option<ZoneSet>,
+    /// The origin of the stream that it resumes.
+    origin: Rc<OnceCell<Origin>>,
     cache: CacheNeed,
 }
 
@@ -390,7 +408,7 @@
         let began = BootInstant::now();
         self.buffers.limit_connection(stream)?;
         let params = self.dialect.request_params(&req.head);
-        let Routed { route, service, identity, zones, cache } =
+        let Routed { route, service, identity, zones, origin, cache } =
             match self.route(&req.head, &params, self.state.now()) {
                 Ok(routed) => routed,
                 Err(reason) => {
@@ -415,7 +433,7 @@
             identity,
             zones,
             cache,
-            origin: Rc::default(),
+            origin,
             cost,
             caller,
             began,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -12,6 +12,7 @@
 use super::{
     MAX_SENDS, Server,
     handover::Handover,
+    origin::NewStream,
     request::{ActiveRequest, NotRun, SendOutcome},
 };
 use crate::{
@@ -22,7 +23,6 @@
     platform_api::{ForwardParams, ResponseClass},
     reachability::Path,
     response_relay::{self, EventObserver, ResponseTimeouts, StreamSink},
-    stream_origin::Origin,
     target::Target,
 };
 
@@ -175,11 +175,8 @@
             let model = request.params.model.clone();
             let record = |interval| self.observe_stream(target, model.as_ref(), interval);
             let mut observer = EventObserver::new(&record);
-            let origin = Rc::clone(&request.origin);
-            let on_first_event = || {
-                // A stream that goes on keeps its origin.
-                origin.get_or_init(|| Origin::of(target));
-            };
+            let (origin, stream) = (Rc::clone(&request.origin), NewStream::of(request));
+            let on_first_event = || self.record_first_event(&origin, target, stream);
             let sink = StreamSink {
                 caller: request.caller,
                 on_first_event: &on_first_event,
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -79,6 +79,8 @@
     RegionUnavailable,
     /// No target of the service can hold the request in its cache.
     TooLarge,
+    /// It is not known which software began the stream that the request resumes.
+    OriginUnknown,
     /// No target that can serve the rest of the stream runs the software that began it.
     SoftwareUnavailable,
     /// Neither this daemon nor another one reaches a target of the service.
@@ -116,6 +118,7 @@
             Reason::ZonesDrained => metric::ZONES_DRAINED.name,
             Reason::RegionUnavailable => metric::REGION_UNAVAILABLE.name,
             Reason::TooLarge => "too_large",
+            Reason::OriginUnknown => "origin_unknown",
             Reason::SoftwareUnavailable => metric::SOFTWARE_UNAVAILABLE.name,
             Reason::TargetsUnreachable => metric::TARGETS_UNREACHABLE.name,
             Reason::NoTargetInTime => metric::NO_TARGET_IN_TIME.name,
@@ -150,6 +153,7 @@
             | Reason::ZonesDrained
             | Reason::RegionUnavailable
             | Reason::TooLarge
+            | Reason::OriginUnknown
             | Reason::SoftwareUnavailable
             | Reason::TargetsUnreachable
             | Reason::NoTargetInTime
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -4,6 +4,7 @@
 mod contacts;
 mod notifier;
 mod operators;
+mod origins;
 mod paths;
 
 use std::{
@@ -36,6 +37,7 @@
 
 pub use contacts::{ConfigRead, Contacts};
 pub use notifier::Notifier;
+pub use origins::Origins;
 
 /// A daemon has read the configuration within this time after its start if the store responds; the
 /// read usually takes about 100 ms.
@@ -80,6 +82,8 @@
     pub quota_reply_received: Notifier,
     /// Raised at the daemon that grants permits when it receives a permit query.
     pub permits_changed: Notifier,
+    /// Raised when another daemon has replied to a question about the origin of a stream.
+    pub origins_changed: Notifier,
     /// Raised when a direct path to a target has failed.
     pub paths_failed: Notifier,
     /// Raised when a call to the store may be due: after an update from the planner, or when the
@@ -91,6 +95,7 @@
     peers: Mutex<Peers>,
     reachability: Mutex<Reachability>,
     tunnel_peers: Mutex<TunnelPeers>,
+    origins: Mutex<Origins>,
     poison: Mutex<Poison>,
     key_view: Mutex<KeyView>,
     pending_quotas: Mutex<PendingQuotas>,
@@ -134,6 +139,7 @@
             poison_changed: Notifier::default(),
             quota_reply_received: Notifier::default(),
             permits_changed: Notifier::default(),
+            origins_changed: Notifier::default(),
             paths_failed: Notifier::default(),
             store_call_due: Notifier::default(),
             fleet: Mutex::new(Fleet::new(zone, freshness)),
@@ -142,6 +148,7 @@
             peers: Mutex::default(),
             reachability: Mutex::default(),
             tunnel_peers: Mutex::default(),
+            origins: Mutex::default(),
             poison: Mutex::new(Poison::new(started)),
             key_view: Mutex::default(),
             pending_quotas: Mutex::new(PendingQuotas::of_run(rand::random())),
@@ -240,6 +247,15 @@
         self.tunnel_peers.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the origins of streams that callers may resume. No other lock may be held meanwhile.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the lock is poisoned.
+    pub fn origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the evidence about requests under which targets have crashed.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/tansyknot-fleet/src/state/origins.rs
@@ -0,0 +1,63 @@
+//! The origins of streams in a daemon's state.
+
+use std::time::Duration;
+
+use tansyknot_core::{
+    clock::Time,
+    name::{ServiceName, SoftwareVersion},
+};
+
+use super::State;
+use crate::stream_origin::{
+    lookup::Lookups,
+    records::{StreamRecord, StreamRecords},
+};
+
+/// The origins of streams that callers may resume.
+#[derive(Debug, Default)]
+pub struct Origins {
+    /// The origins that this daemon knows.
+    pub records: StreamRecords,
+    /// Its questions to other daemons.
+    pub lookups: Lookups,
+    /// The longest time for which any caller could resume its stream.
+    longest_lifetime: Duration,
+}
+
+impl State {
+    /// Records the origin of a stream.
+    pub fn record_origin(&self, record: StreamRecord) {
+        let now = self.now();
+        let lifetime = Duration::from_millis(record.lifetime_ms.into());
+        let mut origins = self.origins();
+        origins.longest_lifetime = origins.longest_lifetime.max(lifetime);
+        origins.records.add(record, now);
+    }
+
+    /// Records whether the view of the targets' software is current.
+    pub fn record_software_view(&self, now: Time) {
+        let is_current = self.list_age(now).is_some_and(|age| age <= self.freshness.max_list_age);
+        self.fleet().record_software_view(is_current, now);
+    }
+
+    /// Returns the version of all targets that a service has had for as long as a stream may have
+    /// lasted, if it is known to be only one.
+    pub fn sole_software(&self, service: &ServiceName) -> Option<SoftwareVersion> {
+        let now = self.now();
+        let max_age = self.freshness.max_list_age;
+        self.list_age(now).filter(|age| *age <= max_age)?;
+        let timeout = self.catalog().map_or(Duration::ZERO, |c| c.longest_timeout(service));
+        let longest_stream = self.origins().longest_lifetime.max(timeout);
+        self.fleet().sole_software(service, longest_stream, now)
+    }
+
+    /// Returns the age of the view of the targets; `None` if there is none, or it has gaps.
+    fn list_age(&self, now: Time) -> Option<Duration> {
+        let own_read_at = self.store_contacts().list;
+        if self.fleet().has_gap() {
+            return None;
+        }
+        let as_of = self.planner_view().list_as_of().max(own_read_at)?;
+        Some(now.since(as_of))
+    }
+}
--- a/crates/tansyknot-fleet/src/stream_origin.rs
+++ b/crates/tansyknot-fleet/src/stream_origin.rs
@@ -1,12 +1,43 @@
 //! The software that began a stream, at which alone the stream may go on.
 //!
 //! Targets of one service may run several versions of their software, whose events do not fit
-//! together. The version that brought a stream's first event binds all further runs of the stream.
+//! together. The version that brought a stream's first event binds all further runs of the stream, also
+//! those of later attempts of its caller, at any daemon.
+//!
+//! A daemon that begins a stream sends its origin to a few others before the first event leaves. One
+//! at which the stream is resumed knows the origin itself or asks these daemons. A stream whose origin
+//! is not found does not go on, unless its service has had only one version for as long as the stream
+//! may have lasted.
+
+pub mod history;
+pub mod lookup;
+pub mod records;
 
 use serde::{Deserialize, Serialize};
 use tansyknot_core::name::{ServiceName, SoftwareVersion, TargetName};
 
 use crate::target::Target;
+use records::{StreamKey, StreamRecord};
+
+/// Shares the origins of streams with other daemons.
+pub trait OriginDirectory: Send + Sync {
+    /// Sends the origin of a stream to the daemons that keep it.
+    fn publish(&self, record: &StreamRecord);
+
+    /// Asks the daemons that keep the origin of a stream for it, but for those that have replied. Their
+    /// replies are recorded in the daemon's state.
+    fn query(&self, stream: StreamKey);
+}
+
+/// A daemon without others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoPeers;
+
+impl OriginDirectory for NoPeers {
+    fn publish(&self, _: &StreamRecord) {}
+
+    fn query(&self, _: StreamKey) {}
+}
 
 /// The software that brought the first event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/tansyknot-fleet/tests/snapshot.rs
+++ b/crates/tansyknot-fleet/tests/snapshot.rs
@@ -29,6 +29,7 @@
     catalog::Catalog,
     dissemination::{
         changes::{ChangeLog, Entry, ListRead},
+        datagram,
         planner_view::PlannerView,
     },
     follow::{ConfigFollower, TargetFollower},
@@ -341,13 +342,21 @@
 #[test]
 fn malformed_requests_leave_the_server_as_it_was() {
     let address = serve(&system_state());
-    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[4, 0, 0, 0, 9, 9, 9, 9], &[]] {
+    let other_build = [2, 0, 0, 0, datagram::FORMAT - 1, 1];
+    let malformed = [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[4, 0, 0, 0, 9, 9, 9, 9],
+        &[1, 0, 0, 0, 1],
+        &other_build,
+        &[],
+    ];
+    for bytes in malformed {
         let mut stream = TcpStream::connect(address).expect("the server listens");
         stream.write_all(bytes).expect("the server reads");
         drop(stream);
     }
     let mut stream = TcpStream::connect(address).expect("the server listens");
-    stream.write_all(&[1, 0, 0, 0, 1]).expect("the server reads");
+    stream.write_all(&[2, 0, 0, 0, datagram::FORMAT, 1]).expect("the server reads");
     let mut reply = [0; 4];
     stream.read_exact(&mut reply).expect("the server replies");
     assert_eq!(reply, [0; 4], "it has no list yet");
--- /dev/null
+++ b/crates/tansyknot-fleet/tests/stream_origin.rs
@@ -0,0 +1,185 @@
+//! Tests of what daemons know of the origins of streams.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use tansyknot_core::{
+    clock::{ManualClock, Time},
+    name::{ServiceName, SoftwareVersion},
+};
+use tansyknot_fleet::{
+    dissemination::{datagram, message::Message},
+    fleet::Fleet,
+    freshness::FreshnessLimits,
+    stream_origin::{
+        Origin, Software,
+        lookup::{Lookups, Progress},
+        records::{Known, StreamKey, StreamRecord, StreamRecords},
+    },
+    target::{Removal, Target},
+};
+use yare::parameterized;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(100_000 + ms)
+}
+
+fn origin(version: &str) -> Origin {
+    Origin {
+        service: ServiceName::from("s"),
+        software: Software::Version(SoftwareVersion::from(version)),
+    }
+}
+
+fn record(attempt: &str, version: &str, lifetime_ms: u32) -> StreamRecord {
+    StreamRecord { stream: StreamKey::of_attempt(attempt), origin: origin(version), lifetime_ms }
+}
+
+fn known(records: &StreamRecords, attempt: &str, now: Time) -> Option<Known> {
+    records.get(StreamKey::of_attempt(attempt), now)
+}
+
+#[test]
+fn origin_is_known_as_long_as_the_stream_may_be_resumed() {
+    let mut records = StreamRecords::default();
+    records.add(record("a", "v1", 5_000), at(0));
+    let expected = Some(Known::Origin(Arc::new(origin("v1"))));
+    assert_eq!(known(&records, "a", at(4_999)), expected);
+    assert_eq!(known(&records, "a", at(5_000)), None);
+    assert_eq!(known(&records, "b", at(0)), None);
+    let sent = records.record(StreamKey::of_attempt("a"), at(2_000)).expect("it is known");
+    assert_eq!(sent.lifetime_ms, 3_000, "another daemon keeps it no longer");
+}
+
+// Two callers that use one identifier must not go on with each other's software.
+#[parameterized(
+    same_software = { "v1", Some(true) },
+    other_software = { "v1.1", Some(false) },
+)]
+fn origin_of_two_streams_with_one_identifier(second: &str, is_origin: Option<bool>) {
+    let mut records = StreamRecords::default();
+    records.add(record("a", "v1", 5_000), at(0));
+    records.add(record("a", second, 5_000), at(10));
+    let known = known(&records, "a", at(20));
+    assert_eq!(known.map(|known| matches!(known, Known::Origin(_))), is_origin);
+}
+
+#[test]
+fn rush_of_streams_does_not_pass_the_bound_on_memory() {
+    let mut records = StreamRecords::with_capacity(100);
+    for n in 0..10_000 {
+        records.add(record(&format!("a{n}"), &format!("v{}", n % 7), 60_000), at(n));
+        assert!(records.len() <= 100);
+    }
+    assert!(known(&records, "a9999", at(10_000)).is_some());
+    assert!(known(&records, "a9900", at(10_000)).is_some());
+    assert!(known(&records, "a9899", at(10_000)).is_none(), "the oldest are dropped");
+}
+
+#[test]
+fn expired_origins_take_no_memory() {
+    let mut records = StreamRecords::default();
+    for n in 0..1_000 {
+        records.add(record(&format!("a{n}"), "v1", 1_000), at(n));
+    }
+    records.add(record("last", "v1", 1_000), at(10_000));
+    assert_eq!(records.len(), 1);
+}
+
+#[test]
+fn question_is_open_until_all_keepers_have_replied() {
+    let stream = StreamKey::of_attempt("a");
+    let keepers: Vec<_> = (1..=3).map(|port| ([127, 0, 0, 1], port).into()).collect();
+    let mut lookups = Lookups::default();
+    lookups.begin(stream);
+    assert_eq!(lookups.record_asked(stream, keepers.clone()), keepers);
+    assert!(lookups.record_unknown(stream, keepers[0]));
+    assert_eq!(lookups.progress(stream), Progress::Waiting);
+    assert_eq!(lookups.record_asked(stream, keepers.clone()), keepers[1..], "only these are asked");
+    for keeper in &keepers[1..] {
+        assert!(lookups.record_unknown(stream, *keeper));
+    }
+    assert_eq!(lookups.progress(stream), Progress::Unknown);
+    lookups.end(stream);
+    assert!(!lookups.record_unknown(stream, keepers[0]), "no request waits for it");
+}
+
+fn running(name: &str, version: Option<&str>) -> Target {
+    Target { software: version.map(SoftwareVersion::from), ..support::target(name, &[], &[]) }
+}
+
+/// Returns the sole version of a service within 10 s, as a daemon that has followed the list for
+/// `followed_ms` knows it. One target of `gone` has left `gone_ms` ago.
+fn sole_version(
+    present: &[Option<&str>],
+    gone: Option<&str>,
+    gone_ms: u64,
+    followed_ms: u64,
+) -> Option<SoftwareVersion> {
+    let mut fleet = Fleet::new("z1".into(), FreshnessLimits::default());
+    let name = |n: usize| format!("t{n}");
+    let targets = present.iter().enumerate().map(|(n, version)| running(&name(n), *version));
+    let targets = targets.chain([running("gone", gone)]).collect();
+    let now = at(60_000);
+    fleet.apply_full_list(targets, 1, None, at(0));
+    let removal = Removal { name: "gone".into(), version: 2 };
+    let removed = tansyknot_fleet::platform_api::TargetChange::Removed(removal);
+    fleet.apply_change(removed, now.saturating_sub(Duration::from_millis(gone_ms)));
+    fleet.record_software_view(true, now.saturating_sub(Duration::from_millis(followed_ms)));
+    fleet.sole_software(&ServiceName::from("s"), Duration::from_secs(10), now)
+}
+
+#[parameterized(
+    one_version = { &[Some("v1"), Some("v1")], Some("v1"), 1_000, 30_000, true },
+    two_versions = { &[Some("v1"), Some("v1.1")], Some("v1"), 1_000, 30_000, false },
+    unknown_version = { &[Some("v1"), None], Some("v1"), 1_000, 30_000, false },
+    another_one_has_just_gone = { &[Some("v1")], Some("v1.1"), 9_000, 30_000, false },
+    another_one_is_long_gone = { &[Some("v1")], Some("v1.1"), 11_000, 30_000, true },
+    unknown_one_has_just_gone = { &[Some("v1")], None, 9_000, 30_000, false },
+    daemon_has_just_started = { &[Some("v1")], Some("v1"), 1_000, 9_000, false },
+    no_target = { &[], Some("v1"), 1_000, 30_000, false },
+)]
+fn stream_of_unknown_origin_goes_on_only_if_there_was_one_version(
+    present: &[Option<&str>],
+    gone: Option<&str>,
+    gone_ms: u64,
+    followed_ms: u64,
+    is_sole: bool,
+) {
+    let sole = sole_version(present, gone, gone_ms, followed_ms);
+    assert_eq!(sole, is_sole.then(|| SoftwareVersion::from("v1")));
+}
+
+#[test]
+fn daemon_with_an_old_view_of_the_targets_knows_no_sole_version() {
+    let clock = ManualClock::default();
+    let state = support::state(&clock);
+    let service = ServiceName::from("s");
+    let read_list = || {
+        state.fleet().apply_full_list(vec![running("t", Some("v1"))], 1, None, state.now());
+        state.store_contacts().list = Some(state.now());
+        state.record_software_view(state.now());
+    };
+    for _ in 0..20 {
+        read_list();
+        clock.advance(Duration::from_millis(500));
+    }
+    assert_eq!(state.sole_software(&service), Some("v1".into()));
+    clock.advance(Duration::from_secs(3));
+    assert_eq!(state.sole_software(&service), None, "another version may have come meanwhile");
+    state.record_origin(record("a", "v1", 20_000));
+    state.record_software_view(state.now());
+    read_list();
+    assert_eq!(state.sole_software(&service), None, "versions may have come and gone meanwhile");
+}
+
+// Daemons of another build must drop these messages, not misread them.
+#[test]
+fn message_of_another_format_is_dropped() {
+    let message = Message::StreamBegan(record("a", "v1", 5_000));
+    let mut bytes = datagram::encode(&message).expect("it fits");
+    assert_eq!(datagram::decode(&bytes), Some(message));
+    bytes[0] = bytes[0].wrapping_sub(1);
+    assert_eq!(datagram::decode(&bytes), None);
+}
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -151,6 +151,7 @@
             Arc::clone(&lifecycle),
         );
         let server = server.with_response_limits(response_limits(settings));
+        let server = server.with_origins(Arc::clone(&peer_node) as _);
         let callers =
             serve(settings.listen.callers, caller_options(settings), Arc::new(server), &lifecycle)?;
         let ready = ReadyPage {
