Logs: the store has come back from an older copy

Cause: nothing in the logs said that the store is another one than before; the header that says so was not read.

--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -125,6 +125,7 @@
     FLEET_NO_ROOM = 1635, Warn, "A requested model gets no room at any target, or only after its callers can no longer wait; requests for it are refused.";
     FLEET_NO_ROOM_ENDED = 1636, Info, "A model that had no room is being loaded, or is no longer requested.";
     FLEET_LEASE_YIELDED = 1637, Warn, "This planner reaches no engine by itself and leaves the lease to another daemon.";
+    STORE_ERA = 1638, Warn, "The platform's store has come back from an older copy: what was written shortly before is gone, and its versions are given out again.";
     FLEET_READY = 1641, Info, "The daemon is ready for callers.";
     FLEET_LOG_DROPPED = 1651, Warn, "Log lines were dropped.";
     TARGET_SIGNAL = 1661, Info, "A backpressure signal of a target has changed: its rate limit, that it is leaving, or its retry delay.";
--- a/crates/tansyknot-platform/src/http.rs
+++ b/crates/tansyknot-platform/src/http.rs
@@ -20,6 +20,14 @@
     pub text: String,
     /// The `ETag` header, if it was sent.
     pub etag: Option<String>,
+    headers: ureq::http::HeaderMap,
+}
+
+impl HttpResponse {
+    /// Returns the value of a header, if it was sent and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
 }
 
 /// A client of one kind of external service.
@@ -120,7 +128,7 @@
         let mut body = res.body_mut().with_config().limit(MAX_RESPONSE_BYTES).reader();
         body.read_to_end(&mut bytes).map_err(|e| self.body_error(&e, bytes.len()))?;
         let text = String::from_utf8(bytes).map_err(|e| Error::malformed(self.service, e))?;
-        Ok(HttpResponse { status, text, etag })
+        Ok(HttpResponse { status, text, etag, headers: std::mem::take(res.headers_mut()) })
     }
 
     /// Returns the error of a call whose response body failed after `received` bytes.
