Lease: no fencing token of a holder that a returning store has lost is used again

Read in the code and played with the lease alone; with real daemons the test of a lost takeover passed before as well.

Change: tokens contain the store's era and exceed every one that a daemon has heard of. A holder whose lease is valid keeps it and writes its row again. For all others a row of an earlier era is that of an unknown holder: it is not free because it names this host or was released, and all targets get the longest cooldown. A holder whose lease has lapsed reads the row before it writes it.

--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -10,6 +10,11 @@
 //! interval, counted from the latest moment at which the previous holder could have sent them an
 //! order.
 //!
+//! A store that comes back from an older copy may name a former holder in the row. A holder whose lease
+//! is valid writes its row again at once. Others wait as for any row that they see for the first time,
+//! take the holder for an unknown one, and observe the cooldown of all targets. The fencing token
+//! contains the store's era, so that no token of a lost holder is used again.
+//!
 //! A holder whose row says that it extends its lease continues beyond [`LEASE_DURATION`] while the
 //! store does not respond, as long as all its followers promise not to take the row over (see
 //! [`promise`]).
@@ -26,7 +31,7 @@
 use serde::{Deserialize, Serialize};
 use tansyknot_core::{clock::Time, name::TargetName};
 
-use crate::platform_api::PeerAddress;
+use crate::{platform_api::PeerAddress, store_version};
 
 use promise::{EXTENSION_LIMIT, MadePromise, PROMISE_DURATION, Promise, ReceivedPromises};
 
@@ -81,6 +86,9 @@
     /// The remaining cooldown of all targets in milliseconds when the row was written.
     #[serde(default)]
     pub all_rest: u64,
+    /// The era of the store in which the row was written.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// The interval that must pass between the orders of two holders.
@@ -116,6 +124,8 @@
     takeover: Option<Takeover>,
     /// Whether this daemon takes the row over no more.
     is_retired: bool,
+    /// The highest fencing token that this daemon knows of any holder.
+    highest_fence: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -189,10 +199,12 @@
         me: &Arc<str>,
     ) {
         let Some(holder) = holder else {
-            *self = Self { is_retired: self.is_retired, ..Self::default() };
+            let (is_retired, highest_fence) = (self.is_retired, self.highest_fence);
+            *self = Self { is_retired, highest_fence, ..Self::default() };
             return;
         };
-        if holder.incarnation != *me {
+        self.highest_fence = self.highest_fence.max(holder.fence);
+        if holder.incarnation != *me && !self.is_held_beyond(&holder, version, now) {
             self.held = None;
         }
         // A write that expected another version can't take effect any more.
@@ -202,6 +214,23 @@
         self.seen = Some(ObservedRow { holder, version, since });
     }
 
+    /// Returns whether this daemon holds a valid lease that is newer than the row, which is a copy from
+    /// an earlier era.
+    fn is_held_beyond(&self, holder: &LeaseHolder, version: u64, now: Time) -> bool {
+        let is_newer = self.held.as_ref().is_some_and(|h| h.fence > holder.fence);
+        is_newer && is_copy(holder, version) && self.is_valid(now)
+    }
+
+    /// Records a fencing token that some holder has used.
+    pub fn record_fence(&mut self, fence: u64) {
+        self.highest_fence = self.highest_fence.max(fence);
+    }
+
+    /// Returns a fencing token that no holder has used, for a row that is read as of `version`.
+    fn next_fence(&self, version: u64) -> u64 {
+        self.highest_fence.max(store_version::pack(store_version::era(version), 0)) + 1
+    }
+
     /// Records that the holder reported that it sent its write of `version` at `sent`.
     pub fn record_renewal(&mut self, fence: u64, version: u64, sent: Time) {
         let Some(seen) = self.seen.as_mut().filter(|s| s.holder.fence == fence) else { return };
@@ -350,8 +379,8 @@
         now: Time,
     ) -> Option<Claim> {
         let (expected_version, mut held) = match (&self.seen, &self.held) {
-            (None, _) => (0, HeldLease { fence: 1, since: now, ..HeldLease::default() }),
-            (Some(seen), Some(held)) => (seen.version, held.clone()),
+            (None, _) => (0, self.first_lease(options, now)),
+            (Some(seen), Some(held)) => (seen.version, self.renewed_lease(held, seen)),
             (Some(_), None) if self.is_retired => return None,
             (Some(seen), None) => (seen.version, self.take_over(seen, me, options, now)?),
         };
@@ -360,14 +389,34 @@
         held.cooldown_ends.retain(|_, end| now < *end);
         held.covered.retain(|_, last| now.since(*last) < options.cooldown());
         held.covered.extend(targets.iter().map(|target| (target.clone(), now)));
-        let holder = LeaseHolder { released: false, ..to_row(&held, me, now) };
+        let era = store_version::era(expected_version);
+        let holder = LeaseHolder { released: false, era, ..to_row(&held, me, now) };
         Some(Claim { expected_version, holder, held })
     }
 
+    /// Returns the lease of a daemon that finds no row.
+    fn first_lease(&self, options: LeaseOptions, now: Time) -> HeldLease {
+        let mut held = HeldLease { fence: self.next_fence(0), since: now, ..HeldLease::default() };
+        if self.highest_fence > 0 {
+            // The row of an earlier holder is gone.
+            held.all_cooldown_end = now + options.unknown_holder_cooldown();
+        }
+        held
+    }
+
+    /// Returns a held lease as it is renewed: with a new fencing token if the row is of a later era.
+    fn renewed_lease(&self, held: &HeldLease, seen: &ObservedRow) -> HeldLease {
+        let era_began_at = store_version::pack(store_version::era(seen.version), 0);
+        let fence =
+            if held.fence < era_began_at { self.next_fence(seen.version) } else { held.fence };
+        HeldLease { fence, ..held.clone() }
+    }
+
     /// Records that the write of a claim succeeded and gave the row this version.
     pub fn record_claim(&mut self, claim: Claim, version: u64) {
         let Claim { holder, mut held, .. } = claim;
-        match self.held.take().filter(|before| before.fence == held.fence) {
+        self.record_fence(held.fence);
+        match self.held.take().filter(|before| before.since == held.since) {
             // Orders may have been sent while the row was written.
             Some(before) => {
                 let sent = held.renewed;
@@ -416,11 +465,17 @@
     pub fn release(&mut self, me: &LeaseHolder, now: Time) -> Option<(u64, LeaseHolder)> {
         let held = self.held.take()?;
         let seen = self.seen.as_ref()?;
-        let holder = LeaseHolder { released: true, ..to_row(&held, me, now) };
+        let era = store_version::era(seen.version);
+        let holder = LeaseHolder { released: true, era, ..to_row(&held, me, now) };
         Some((seen.version, holder))
     }
 }
 
+/// Returns whether a row that is read as of `version` was written in an earlier era.
+fn is_copy(holder: &LeaseHolder, version: u64) -> bool {
+    holder.era != store_version::era(version)
+}
+
 /// A message of a holder that asks for promises.
 #[derive(Clone, Copy, Debug)]
 pub struct HolderMessage {
--- a/crates/tansyknot-fleet/src/lease/takeover.rs
+++ b/crates/tansyknot-fleet/src/lease/takeover.rs
@@ -28,17 +28,26 @@
         now: Time,
     ) -> Option<HeldLease> {
         let before = &seen.holder;
-        let is_same_host = before.daemon == me.daemon && before.address.ip() == me.address.ip();
-        let possible = self.possible_orders(seen);
+        // A holder that the copy does not know may have sent orders since.
+        let is_copy = super::is_copy(before, seen.version);
+        let is_same_host =
+            !is_copy && before.daemon == me.daemon && before.address.ip() == me.address.ip();
+        let is_released = !is_copy && before.released;
+        let possible = self.possible_orders(seen, me);
         let is_free = is_same_host
-            || before.released
+            || is_released
             || (now.since(seen.since) >= TAKEOVER_TIMEOUT && now >= possible.until);
         if !is_free {
             return None;
         }
-        let mut held = HeldLease { fence: before.fence + 1, since: now, ..HeldLease::default() };
+        let fence = self.next_fence(seen.version);
+        let mut held = HeldLease { fence, since: now, ..HeldLease::default() };
         // The row was written before it was read, so these cooldowns end late rather than early.
         held.all_cooldown_end = seen.since + Duration::from_millis(before.all_rest);
+        if is_copy {
+            held.all_cooldown_end =
+                held.all_cooldown_end.max(now + options.unknown_holder_cooldown());
+        }
         if is_same_host {
             // The earlier incarnation on this host has ended, and both count as one holder. The
             // next holder has to observe the cooldown of the targets that the earlier one sent
@@ -47,7 +56,7 @@
             if before.extends {
                 held.others_cooldown_end = now + options.cooldown();
             }
-        } else if let Some(until) = possible.unnamed_until.filter(|_| !before.released) {
+        } else if let Some(until) = possible.unnamed_until.filter(|_| !is_released) {
             held.all_cooldown_end = held.all_cooldown_end.max(until + options.cooldown());
         }
         for (target, cooldown_ms) in &before.rests {
@@ -55,7 +64,7 @@
             held.cooldown_ends.insert(target.clone(), end);
         }
         for (target, idle_ms) in before.covers.iter().filter(|_| !is_same_host) {
-            let end = if before.released {
+            let end = if is_released {
                 now + options.cooldown().saturating_sub(Duration::from_millis(*idle_ms))
             } else {
                 possible.until + options.cooldown()
@@ -67,12 +76,14 @@
     }
 
     /// Returns until when the holder of the row could have sent orders, and to which targets.
-    fn possible_orders(&self, seen: &ObservedRow) -> PossibleOrders {
+    fn possible_orders(&self, seen: &ObservedRow, me: &LeaseHolder) -> PossibleOrders {
         let lapses_at = seen.since + LEASE_DURATION;
-        if !seen.holder.extends {
+        let is_copy = super::is_copy(&seen.holder, seen.version);
+        let may_extend = seen.holder.extends || (is_copy && me.extends);
+        if !may_extend {
             return PossibleOrders { until: lapses_at, unnamed_until: None };
         }
-        let made = self.made.filter(|made| made.fence == seen.holder.fence);
+        let made = self.made.filter(|made| is_copy || made.fence == seen.holder.fence);
         match made.filter(|made| made.is_acknowledged) {
             Some(made) => PossibleOrders {
                 until: lapses_at.max(made.until),
--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -17,6 +17,7 @@
     },
     platform_api::{PeerAddress, RowName, Store, StoreRow, WriteOutcome},
     state::State,
+    store_version,
 };
 
 /// A daemon reads the lease row once it has received no message from the planner for this long.
@@ -154,7 +155,10 @@
         if is_older || status.fence < self.row_fence() {
             return false;
         }
-        self.lease().record_renewal(status.fence, status.version, status.sent);
+        let mut lease = self.lease();
+        lease.record_fence(status.fence);
+        lease.record_renewal(status.fence, status.version, status.sent);
+        drop(lease);
         *last = Some(LastMessage { status, at: now });
         true
     }
@@ -311,7 +315,10 @@
         }
         let _row_access = self.row_access();
         if self.shared.is_mine() {
-            let renewed = self.claim();
+            // A holder whose lease has lapsed may have been replaced, and the store may have come back
+            // from a copy and given the row's version to another holder.
+            let has_read = self.shared.is_valid(now) || self.poll_row();
+            let renewed = has_read && self.shared.is_mine() && self.claim();
             return pause(&self.renewal_backoff, renewed, RENEW_INTERVAL);
         }
         let has_responded = self.poll_row();
@@ -540,8 +547,8 @@
 
 /// Decodes the row; a row that cannot be decoded counts as that of an unknown holder.
 ///
-/// The row's version serves as the unknown holder's fencing token: versions of the store rise with
-/// every write, and no fencing token exceeds them.
+/// The row's version serves as the unknown holder's fencing token: packed versions rise with
+/// every write, and a fencing token of an era rises more slowly than its versions.
 fn decode(row: &StoreRow, options: LeaseOptions) -> LeaseHolder {
     serde_json::from_slice(&row.value).unwrap_or_else(|e| {
         event::FLEET_BAD_ENTRY.emit(&[("error", &e)]);
@@ -556,6 +563,7 @@
             rests: BTreeMap::new(),
             // It is unknown to which targets this holder has sent orders, and until when it can.
             all_rest: lease::millis(options.unknown_holder_cooldown()),
+            era: store_version::era(row.version),
         }
     })
 }
--- a/crates/tansyknot-fleet/tests/lease_extension.rs
+++ b/crates/tansyknot-fleet/tests/lease_extension.rs
@@ -244,5 +244,6 @@
         covers: Default::default(),
         rests: Default::default(),
         all_rest: 0,
+        era: 0,
     }
 }
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -75,6 +75,7 @@
             covers: Default::default(),
             rests: Default::default(),
             all_rest: 0,
+            era: 0,
         };
         let keeper = Arc::new(LeaseKeeper::new(
             Arc::clone(&state),
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -257,6 +257,7 @@
             covers: BTreeMap::new(),
             rests: BTreeMap::new(),
             all_rest: 0,
+            era: 0,
         };
         let is_disconnected = Arc::new(AtomicBool::new(false));
         let store_client = StoreClient {
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -106,6 +106,7 @@
             covers: BTreeMap::new(),
             rests: BTreeMap::new(),
             all_rest: 0,
+            era: 0,
         };
         let options = LeaseOptions { handover_interval: settings.bounds.order_turn.duration() };
         let keeper = Arc::new(LeaseKeeper::new(
