Streams: daemons that start alone know which services have run one software version

Cause: where all daemons end at once, none keeps the origin of a stream, and one that starts has not seen the targets for long enough to know that their service runs one version only.

Change: the planner's row says which services run one version and for how long. A daemon takes it over from the first row that it reads, unless the row is an older copy, and adds what it sees itself. A view that was not current for a while starts anew.

--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -13,7 +13,7 @@
 mod zone;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -21,7 +21,7 @@
 use tansyknot_core::{
     clock::Time,
     event,
-    name::{AdapterName, ModelName, ServiceName, SoftwareVersion, TargetName, ZoneName},
+    name::{AdapterName, ModelName, ServiceName, TargetName, ZoneName},
 };
 
 use crate::{
@@ -35,7 +35,10 @@
     freshness::FreshnessLimits,
     residency::ZoneSet,
     scheduling::{Admission, RoomAccounting, TargetChoice},
-    stream_origin::{Origin, history::SoftwareHistory},
+    stream_origin::{
+        Origin,
+        history::{SoftwareHistory, SoleVersion, SoleVersions},
+    },
     target::Target,
     zone_drain::ZoneDrains,
 };
@@ -332,17 +335,26 @@
         self.software.record_view(is_current, now);
     }
 
-    /// Returns the version of all targets that a service has had within `period`, if it is known to
-    /// be only one.
-    pub fn sole_software(
-        &self,
-        service: &ServiceName,
-        period: Duration,
-        now: Time,
-    ) -> Option<SoftwareVersion> {
+    /// Records what the planner's row says of the software when this daemon starts.
+    pub fn inherit_software(&mut self, versions: SoleVersions) {
+        self.software.inherit(versions);
+    }
+
+    /// Returns the version of all targets of a service, and for how long it is known to have been the
+    /// only one.
+    pub fn sole_software(&self, service: &ServiceName, now: Time) -> Option<SoleVersion> {
         let of_service = self.members.values().filter(|m| m.target.service == *service);
         let present = of_service.map(|m| m.target.software.as_ref());
-        self.software.sole_version(service, present, period, now)
+        self.software.sole_version(service, present, now)
+    }
+
+    /// Returns the sole versions of all services that have one.
+    pub fn sole_versions(&self, now: Time) -> SoleVersions {
+        let services: BTreeSet<&ServiceName> =
+            self.members.values().map(|m| &m.target.service).collect();
+        let sole =
+            |service: &ServiceName| Some((service.clone(), self.sole_software(service, now)?));
+        services.into_iter().filter_map(sole).collect()
     }
 
     /// Returns the targets of all services.
--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -31,7 +31,7 @@
 use serde::{Deserialize, Serialize};
 use tansyknot_core::{clock::Time, name::TargetName};
 
-use crate::{platform_api::PeerAddress, store_version};
+use crate::{platform_api::PeerAddress, store_version, stream_origin::history::SoleVersions};
 
 use promise::{EXTENSION_LIMIT, MadePromise, PROMISE_DURATION, Promise, ReceivedPromises};
 
@@ -89,6 +89,10 @@
     /// The era of the store in which the row was written.
     #[serde(default)]
     pub era: u64,
+    /// The software of the services that run one version, as of the writing of the row. It tells
+    /// daemons that start while no other is left at which software a resumed stream began.
+    #[serde(default)]
+    pub software: SoleVersions,
 }
 
 /// The interval that must pass between the orders of two holders.
--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -18,6 +18,7 @@
     platform_api::{PeerAddress, RowName, Store, StoreRow, WriteOutcome},
     state::State,
     store_version,
+    stream_origin::history::SoleVersions,
 };
 
 /// A daemon reads the lease row once it has received no message from the planner for this long.
@@ -412,7 +413,8 @@
     /// quotas or confirm keys, and leaves both to a successor.
     fn identity(&self) -> LeaseHolder {
         let extends = self.me.extends && !self.state.requires_keys();
-        LeaseHolder { extends, ..self.me.clone() }
+        let software = self.state.fleet().sole_versions(self.state.now());
+        LeaseHolder { extends, software, ..self.me.clone() }
     }
 
     /// Reads the row; returns whether the store responded.
@@ -434,7 +436,11 @@
     fn record_row(&self, row: Option<StoreRow>, now: Time) {
         let before = self.shared.planner();
         let (holder, version) = match row {
-            Some(row) => (Some(decode(&row, self.options)), row.version),
+            Some(row) => {
+                let holder = decode(&row, self.options);
+                self.inherit_software(&holder, row.version);
+                (Some(holder), row.version)
+            }
             None => (None, 0),
         };
         self.shared.lease().record_row(holder, version, now, &self.me.incarnation);
@@ -447,6 +453,13 @@
         }
     }
 
+    /// Takes over what an earlier planner knew of the software, unless the row is an older copy.
+    fn inherit_software(&self, holder: &LeaseHolder, version: u64) {
+        let is_current = holder.era == store_version::era(version);
+        let software = if is_current { holder.software.clone() } else { SoleVersions::new() };
+        self.state.fleet().inherit_software(software);
+    }
+
     /// Writes a claim; returns whether it succeeded.
     fn write(&self, claim: Claim) -> bool {
         let was_mine = self.shared.is_mine();
@@ -564,6 +577,7 @@
             // It is unknown to which targets this holder has sent orders, and until when it can.
             all_rest: lease::millis(options.unknown_holder_cooldown()),
             era: store_version::era(row.version),
+            software: SoleVersions::new(),
         }
     })
 }
--- a/crates/tansyknot-fleet/src/state/origins.rs
+++ b/crates/tansyknot-fleet/src/state/origins.rs
@@ -44,11 +44,11 @@
     /// lasted, if it is known to be only one.
     pub fn sole_software(&self, service: &ServiceName) -> Option<SoftwareVersion> {
         let now = self.now();
-        let max_age = self.freshness.max_list_age;
-        self.list_age(now).filter(|age| *age <= max_age)?;
+        self.record_software_view(now);
         let timeout = self.catalog().map_or(Duration::ZERO, |c| c.longest_timeout(service));
         let longest_stream = self.origins().longest_lifetime.max(timeout);
-        self.fleet().sole_software(service, longest_stream, now)
+        let sole = self.fleet().sole_software(service, now)?;
+        (Duration::from_millis(sole.for_ms) >= longest_stream).then_some(sole.version)
     }
 
     /// Returns the age of the view of the targets; `None` if there is none, or it has gaps.
--- a/crates/tansyknot-fleet/tests/lease_extension.rs
+++ b/crates/tansyknot-fleet/tests/lease_extension.rs
@@ -245,5 +245,6 @@
         rests: Default::default(),
         all_rest: 0,
         era: 0,
+        software: Default::default(),
     }
 }
--- a/crates/tansyknot-fleet/tests/store_eras.rs
+++ b/crates/tansyknot-fleet/tests/store_eras.rs
@@ -140,6 +140,7 @@
         rests: Default::default(),
         all_rest: 0,
         era: 0,
+        software: Default::default(),
     }
 }
 
--- a/crates/tansyknot-fleet/tests/stream_origin.rs
+++ b/crates/tansyknot-fleet/tests/stream_origin.rs
@@ -14,6 +14,7 @@
     freshness::FreshnessLimits,
     stream_origin::{
         Origin, Software,
+        history::{SoleVersion, SoleVersions},
         lookup::{Lookups, Progress},
         records::{Known, StreamKey, StreamRecord, StreamRecords},
     },
@@ -127,7 +128,8 @@
     let removed = tansyknot_fleet::platform_api::TargetChange::Removed(removal);
     fleet.apply_change(removed, now.saturating_sub(Duration::from_millis(gone_ms)));
     fleet.record_software_view(true, now.saturating_sub(Duration::from_millis(followed_ms)));
-    fleet.sole_software(&ServiceName::from("s"), Duration::from_secs(10), now)
+    let sole = fleet.sole_software(&ServiceName::from("s"), now)?;
+    (sole.for_ms >= 10_000).then_some(sole.version)
 }
 
 #[parameterized(
@@ -174,6 +176,32 @@
     assert_eq!(state.sole_software(&service), None, "versions may have come and gone meanwhile");
 }
 
+// All daemons may end at once; the planner's row says what the last planner knew.
+#[parameterized(
+    same_version = { "v1", true, true },
+    another_version = { "v1.1", true, false },
+    view_that_was_broken_since = { "v1", false, false },
+)]
+fn daemon_that_starts_alone_continues_what_the_last_planner_knew(
+    version: &str,
+    is_unbroken: bool,
+    is_known: bool,
+) {
+    let sole = SoleVersion { version: version.into(), for_ms: 30_000 };
+    let versions = SoleVersions::from([(ServiceName::from("s"), sole)]);
+    let mut fleet = Fleet::new("z1".into(), FreshnessLimits::default());
+    fleet.inherit_software(versions.clone());
+    fleet.apply_full_list(vec![running("t", Some("v1"))], 1, None, at(0));
+    fleet.record_software_view(true, at(100));
+    if !is_unbroken {
+        fleet.record_software_view(false, at(150));
+        fleet.inherit_software(versions);
+        fleet.record_software_view(true, at(160));
+    }
+    let sole = fleet.sole_software(&ServiceName::from("s"), at(200)).expect("it has one version");
+    assert_eq!(sole.for_ms >= 30_000, is_known, "{sole:?}");
+}
+
 // Daemons of another build must drop these messages, not misread them.
 #[test]
 fn message_of_another_format_is_dropped() {
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -76,6 +76,7 @@
             rests: Default::default(),
             all_rest: 0,
             era: 0,
+            software: Default::default(),
         };
         let keeper = Arc::new(LeaseKeeper::new(
             Arc::clone(&state),
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -258,6 +258,7 @@
             rests: BTreeMap::new(),
             all_rest: 0,
             era: 0,
+            software: Default::default(),
         };
         let is_disconnected = Arc::new(AtomicBool::new(false));
         let store_client = StoreClient {
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -107,6 +107,7 @@
             rests: BTreeMap::new(),
             all_rest: 0,
             era: 0,
+            software: Default::default(),
         };
         let options = LeaseOptions { handover_interval: settings.bounds.order_turn.duration() };
         let keeper = Arc::new(LeaseKeeper::new(
