Streams: followers tell the planner which services run one version; less waiting where there is one

And daemons that start alone asked for an origin for 0.3 s, though nobody was left to reply.

Change: every eighth demand says which services run one version and for how long; the planner goes by the longest. A view counts as broken after twice the age at which a daemon calls the store. Where a service is known to run one version, a daemon waits for replies for 60 ms only.

--- a/crates/tansyknot-fleet/examples/plan.rs
+++ b/crates/tansyknot-fleet/examples/plan.rs
@@ -160,6 +160,7 @@
         scheduling: Default::default(),
         promise: None,
         is_retired: false,
+        software: Default::default(),
         in_flight: (0..size.targets).step_by(2).map(busy).collect(),
     }
 }
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -23,7 +23,10 @@
     bounds::Bounds,
     lease::promise::Promise,
     poison::evidence::{Digest, Evidence},
-    stream_origin::records::{StreamKey, StreamRecord},
+    stream_origin::{
+        history::SoleVersions,
+        records::{StreamKey, StreamRecord},
+    },
     target::{LoadedModel, StartTime, TargetState},
     zone_drain::DrainedZones,
 };
@@ -123,6 +126,8 @@
     pub promise: Option<Promise>,
     /// Whether it takes the lease over no more.
     pub is_retired: bool,
+    /// The services that run one software version, as far as it knows; with some of the heartbeats only.
+    pub software: SoleVersions,
 }
 
 /// A model that is being loaded.
@@ -301,7 +306,9 @@
         let crashes = split_off(&mut self.crashes, &mut room);
         let signals = split_off(&mut self.signals, &mut room);
         let scheduling = self.scheduling.split_off(&mut room);
-        let rest = Self { models, in_flight, crashes, signals, scheduling, ..self.clone() };
+        let software = SoleVersions::new();
+        let rest =
+            Self { models, in_flight, crashes, signals, scheduling, software, ..self.clone() };
         Some((self, rest))
     }
 }
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -340,6 +340,11 @@
         self.software.inherit(versions);
     }
 
+    /// Records what another daemon knows of the software.
+    pub fn record_software_report(&mut self, versions: &SoleVersions, now: Time) {
+        self.software.record_report(versions, now);
+    }
+
     /// Returns the version of all targets of a service, and for how long it is known to have been the
     /// only one.
     pub fn sole_software(&self, service: &ServiceName, now: Time) -> Option<SoleVersion> {
--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -44,6 +44,7 @@
     plan::Planner,
     platform_api::DatagramSender,
     state::State,
+    stream_origin::history::SoleVersions,
     task::TaskRunner,
 };
 
@@ -51,6 +52,10 @@
 use publishing::Published;
 use stats::CoordinationStats;
 
+/// Every so many demands include what the daemon knows of the targets' software. The planner needs it
+/// only after a loss of its own view.
+const SOFTWARE_REPORT_DEMANDS: u32 = 8;
+
 /// One daemon's part in the coordination between daemons.
 pub struct PeerNode {
     state: Arc<State>,
@@ -206,6 +211,7 @@
             now,
         );
         self.record_observations(&demand, now);
+        self.state.fleet().record_software_report(&demand.software, now);
         self.waiting_totals().record(&demand, now);
         self.planner().record_demand(demand, now);
         if is_urgent || needs_reply {
@@ -394,6 +400,11 @@
             scheduling: SchedulingReport { waiting, ..fleet.observation_report(now) },
             promise: self.lease.promise(now),
             is_retired: self.lease.is_retired(now),
+            software: if seq.is_multiple_of(SOFTWARE_REPORT_DEMANDS) {
+                fleet.sole_versions(now)
+            } else {
+                SoleVersions::new()
+            },
         }
     }
 
--- a/crates/tansyknot-fleet/src/serve/origin.rs
+++ b/crates/tansyknot-fleet/src/serve/origin.rs
@@ -23,7 +23,8 @@
 /// How long a daemon waits for the replies of those that keep the origin of a stream. Beyond it, the
 /// daemons that know it are taken for lost.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
-/// How often the question is repeated, as datagrams may be lost.
+/// How often the question is repeated, as datagrams may be lost. A daemon that knows of one version
+/// only waits no longer.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(60);
 
 /// A stream that a request begins and that its caller may resume.
@@ -70,24 +71,26 @@
 
     fn find_origin(&self, resumption: &Resumption, service: &ServiceName) -> Option<Origin> {
         let stream = resumption.first_attempt.as_deref().map(StreamKey::of_attempt);
-        match stream.and_then(|stream| self.known_origin(stream)) {
+        let sole = self.state.sole_software(service).map(|version| Origin {
+            service: service.clone(),
+            software: Software::Version(version),
+        });
+        let timeout = if sole.is_some() { LOOKUP_INTERVAL } else { LOOKUP_TIMEOUT };
+        match stream.and_then(|stream| self.known_origin(stream, timeout)) {
             Some(Known::Origin(origin)) => Some(Origin::clone(&origin)),
             Some(Known::Ambiguous) => None,
-            None => self.state.sole_software(service).map(|version| Origin {
-                service: service.clone(),
-                software: Software::Version(version),
-            }),
+            None => sole,
         }
     }
 
     /// Returns what this daemon or another one knows of a stream.
-    fn known_origin(&self, stream: StreamKey) -> Option<Known> {
+    fn known_origin(&self, stream: StreamKey, timeout: Duration) -> Option<Known> {
         let known = self.recorded_origin(stream);
         if known.is_some() {
             return known;
         }
         self.state.origins().lookups.begin(stream);
-        let known = self.ask_for_origin(stream);
+        let known = self.ask_for_origin(stream, timeout);
         self.state.origins().lookups.end(stream);
         known
     }
@@ -98,8 +101,8 @@
     }
 
     /// Asks the daemons that keep the origin of a stream, until one knows it or none does.
-    fn ask_for_origin(&self, stream: StreamKey) -> Option<Known> {
-        let until = BootInstant::now() + LOOKUP_TIMEOUT;
+    fn ask_for_origin(&self, stream: StreamKey, timeout: Duration) -> Option<Known> {
+        let until = BootInstant::now() + timeout;
         while BootInstant::now() < until {
             let mut seen = self.state.origins_changed.count();
             self.origins.query(stream);
--- a/crates/tansyknot-fleet/src/state/origins.rs
+++ b/crates/tansyknot-fleet/src/state/origins.rs
@@ -13,6 +13,10 @@
     records::{StreamRecord, StreamRecords},
 };
 
+/// The maximum age of a view of the targets' software, as a multiple of that at which a daemon calls
+/// the store: the time for a call and its repetition.
+const MAX_VIEW_AGE: u32 = 2;
+
 /// The origins of streams that callers may resume.
 #[derive(Debug, Default)]
 pub struct Origins {
@@ -36,7 +40,8 @@
 
     /// Records whether the view of the targets' software is current.
     pub fn record_software_view(&self, now: Time) {
-        let is_current = self.list_age(now).is_some_and(|age| age <= self.freshness.max_list_age);
+        let max_age = self.freshness.max_list_age * MAX_VIEW_AGE;
+        let is_current = self.list_age(now).is_some_and(|age| age <= max_age);
         self.fleet().record_software_view(is_current, now);
     }
 
--- a/crates/tansyknot-fleet/src/stream_origin/history.rs
+++ b/crates/tansyknot-fleet/src/stream_origin/history.rs
@@ -40,6 +40,8 @@
     inherited: Option<SoleVersions>,
     /// Whether the planner's row has been read.
     has_read_row: bool,
+    /// What other daemons have reported since this daemon's view was last broken, and when.
+    reported: HashMap<ServiceName, (SoleVersion, Time)>,
 }
 
 impl SoftwareHistory {
@@ -57,11 +59,22 @@
         versions.insert(target.software.clone(), now);
     }
 
+    /// Records what another daemon knows, whose view may have been current for longer.
+    pub fn record_report(&mut self, versions: &SoleVersions, now: Time) {
+        for (service, sole) in versions {
+            let known_ms = self.reported_ms(service, &sole.version, None, now);
+            if sole.for_ms > known_ms {
+                self.reported.insert(service.clone(), (sole.clone(), now));
+            }
+        }
+    }
+
     /// Records whether the view of the targets is current. Versions may have come and gone unseen
     /// while it was not.
     pub fn record_view(&mut self, is_current: bool, now: Time) {
         if !is_current && self.current_since.take().is_some() {
             self.inherited = None;
+            self.reported.clear();
         }
         if is_current {
             self.current_since.get_or_insert(now);
@@ -91,10 +104,25 @@
             Some(at) => now.since(at.max(current_since)).as_millis() as u64,
             None => now.since(current_since).as_millis() as u64 + self.inherited_ms(service, sole),
         };
+        let for_ms = for_ms.max(self.reported_ms(service, sole, last_other, now));
         let for_ms = for_ms.min(RETENTION.as_millis() as u64);
         Some(SoleVersion { version: sole.clone(), for_ms })
     }
 
+    /// Returns for how long another daemon has known `version` as the only one of a service, unless one
+    /// has gone at `last_other`, after its report.
+    fn reported_ms(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        last_other: Option<Time>,
+        now: Time,
+    ) -> u64 {
+        let Some((sole, at)) = self.reported.get(service) else { return 0 };
+        let is_valid = sole.version == *version && last_other.is_none_or(|other| other < *at);
+        if is_valid { sole.for_ms + now.since(*at).as_millis() as u64 } else { 0 }
+    }
+
     /// Returns for how long an earlier planner knew `version` as the only one of a service.
     fn inherited_ms(&self, service: &ServiceName, version: &SoftwareVersion) -> u64 {
         let Some(versions) = &self.inherited else { return 0 };
--- a/crates/tansyknot-fleet/tests/admission.rs
+++ b/crates/tansyknot-fleet/tests/admission.rs
@@ -80,6 +80,7 @@
         signals: Vec::new(),
         promise: None,
         is_retired: false,
+        software: Default::default(),
         scheduling: SchedulingReport { waiting, ..SchedulingReport::default() },
     }
 }
--- a/crates/tansyknot-fleet/tests/news.rs
+++ b/crates/tansyknot-fleet/tests/news.rs
@@ -263,6 +263,7 @@
         scheduling: Default::default(),
         promise: None,
         is_retired: false,
+        software: Default::default(),
     }
 }
 
--- a/crates/tansyknot-fleet/tests/stream_origin.rs
+++ b/crates/tansyknot-fleet/tests/stream_origin.rs
@@ -202,6 +202,31 @@
     assert_eq!(sole.for_ms >= 30_000, is_known, "{sole:?}");
 }
 
+// A planner that has lost the store has not seen the targets for a while; its followers have.
+#[test]
+fn planner_whose_view_was_broken_goes_by_what_its_followers_report() {
+    let service = ServiceName::from("s");
+    let versions = |version: &str, for_ms| {
+        let sole = SoleVersion { version: version.into(), for_ms };
+        SoleVersions::from([(ServiceName::from("s"), sole)])
+    };
+    let mut fleet = Fleet::new("z1".into(), FreshnessLimits::default());
+    fleet.apply_full_list(vec![running("t", Some("v1"))], 1, None, at(0));
+    fleet.record_software_view(true, at(0));
+    fleet.record_software_view(false, at(1_000));
+    fleet.record_software_view(true, at(2_000));
+    let for_ms = |fleet: &Fleet, now| fleet.sole_software(&service, now).map(|sole| sole.for_ms);
+    assert_eq!(for_ms(&fleet, at(3_000)), Some(1_000));
+    fleet.record_software_report(&versions("v1", 20_000), at(3_000));
+    fleet.record_software_report(&versions("v1", 10_000), at(3_500));
+    assert_eq!(for_ms(&fleet, at(4_000)), Some(21_000));
+    fleet.record_software_view(false, at(5_000));
+    fleet.record_software_view(true, at(6_000));
+    assert_eq!(for_ms(&fleet, at(7_000)), Some(1_000), "both views may have gaps now");
+    fleet.record_software_report(&versions("v1.1", 20_000), at(7_000));
+    assert_eq!(for_ms(&fleet, at(7_000)), Some(1_000), "it saw other targets");
+}
+
 // Daemons of another build must drop these messages, not misread them.
 #[test]
 fn message_of_another_format_is_dropped() {
--- a/crates/tansyknot-fleet/tests/support/planner.rs
+++ b/crates/tansyknot-fleet/tests/support/planner.rs
@@ -85,6 +85,7 @@
             scheduling: Default::default(),
             promise: None,
             is_retired: false,
+            software: Default::default(),
         };
         self.planner.record_demand(demand, self.now);
     }
