Soak: streams of two software versions are left and resumed under faults

Callers leave streams and resume them at random daemons, before runners of two versions, while daemons are killed, suspended and lose the store, and the store comes back from copies.

--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod launch;
 mod leave;
 mod proxy;
+mod resume;
 mod storm;
 mod world;
 
@@ -153,6 +154,17 @@
     }
 }
 
+// Guards against streams that go on at another software version, whichever daemon resumes them.
+#[test]
+fn resumed_streams_hold_events_of_one_software_version() {
+    for seed in seeds(1..2) {
+        let (violations, resumed, completed) = resume::run(seed);
+        assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
+        assert!(completed > 0, "seed {seed}: none of {resumed} resumed streams was completed");
+        println!("seed {seed}: {completed} streams completed after {resumed} resumptions");
+    }
+}
+
 // With these seeds daemons sent requests to a target 20 s after its removal.
 #[parameterized(
     one_daemon = { 9 },
