Lease: the view of the targets is not locked within the lease

Cause: since the planner's row names the services that run one version, a renewal locked the view of the targets while it held the lease; the planner asks for the lease while it holds that view. The two threads waited for each other for good, and with them everything else of the daemon: it served nothing any more.

Change: what the row says is gathered before the lease is locked.

--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -400,9 +400,11 @@
     fn claim(&self) -> bool {
         let now = self.state.now();
         let targets = std::mem::take(&mut *self.added_targets());
+        // The view of the targets is locked before the lease, as by the planner.
+        let me = self.identity();
         let claim = {
             let mut lease = self.shared.lease();
-            let claim = lease.claim(&self.identity(), self.options, &targets, now);
+            let claim = lease.claim(&me, self.options, &targets, now);
             claim.iter().for_each(|claim| lease.begin_write(claim));
             claim
         };
--- a/crates/tansyknot-fleet/tests/lease.rs
+++ b/crates/tansyknot-fleet/tests/lease.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, mpsc},
+    thread,
+    time::Duration,
+};
 
 use support::{
     Daemon, catalog,
@@ -319,3 +323,23 @@
     run(&clock, &[&a, &b], 3_000);
     assert!(may_order(&a) && !may_order(&b));
 }
+
+// The planner asks for the lease while it holds the lock of the targets.
+#[test]
+fn renewal_does_not_hold_the_lease_while_it_waits_for_the_view_of_the_targets() {
+    let (clock, store) = (ManualClock::default(), FakeStore::new());
+    let daemon = Daemon::new("a", &store, &clock);
+    run(&clock, &[&daemon], 100);
+    let (state, keeper) = (Arc::clone(&daemon.state), Arc::clone(&daemon.keeper));
+    let (tx, rx) = mpsc::channel();
+    let fleet = state.fleet();
+    let renewal = thread::spawn(move || keeper.step());
+    // Long enough for the renewal to reach the lock.
+    thread::sleep(Duration::from_millis(100));
+    let (lease, now) = (Arc::clone(&daemon.lease), clock.now());
+    thread::spawn(move || tx.send(lease.is_valid(now)));
+    let is_valid = rx.recv_timeout(Duration::from_secs(20));
+    drop(fleet);
+    assert_eq!(is_valid, Ok(true), "the lease is locked");
+    renewal.join().expect("the renewal ends");
+}
