Logs: from where a configuration came and how old the view was

1611 said that a version is in force, but not who handed it over; 1603 of a 404 did not say how old the view was that refused. Both now do (`source`, `age_ms`, `config_age_ms`), so that a view that nobody renews is told apart from slow transfers and from answers with "not yet". What is known of the newest configuration is now one function of the state. No decision changes.

--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -2,16 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tansyknot_core::{Error, clock::Time, event};
+use tansyknot_core::{Error, clock::Time};
 
 use super::{contact::StoreContact, replay_from};
 use crate::{
     access::view,
-    catalog::Catalog,
     dissemination::relays::MAX_FOLLOWERS,
     platform_api::{OperatorUpdate, Store},
     snapshot::{ConfigSnapshot, Snapshot, SnapshotClient, SnapshotRequest},
-    state::{ConfigRead, State},
+    state::{ConfigSource, State},
 };
 
 /// Maximum time between the state of the store that a response shows and the response's arrival.
@@ -115,16 +114,6 @@
         self.state.now()
     }
 
-    /// Puts a configuration in force, if it is newer.
-    fn apply(&self, catalog: Catalog, store_version: u64, as_of: Time) {
-        let version = catalog.version;
-        if self.state.put_in_force(catalog, as_of) {
-            self.state.store_contacts().config_read = Some(ConfigRead { version, store_version });
-            event::FLEET_CONFIG.emit(&[("version", &version), ("store_version", &store_version)]);
-            self.state.notify_view_changed();
-        }
-    }
-
     /// Gets a configuration that the planner has announced from the sender of its update.
     ///
     /// A configuration with callers' keys is read from the store: keys do not leave a daemon.
@@ -165,7 +154,7 @@
         let ConfigSnapshot { content, store_version, age_ms } = snapshot;
         let as_of = began.saturating_sub(Duration::from_millis(age_ms.into()));
         self.version = self.version.max(Some(store_version));
-        self.apply(content.into(), store_version, as_of);
+        self.state.apply_config(content.into(), store_version, as_of, ConfigSource::Daemon);
         let mut contacts = self.state.store_contacts();
         contacts.config = contacts.config.max(Some(as_of));
     }
@@ -196,12 +185,12 @@
                 let is_first = self.version.replace(version).is_none();
                 let can_follow = catalog.is_some() || !is_first;
                 if let Some(catalog) = catalog {
-                    self.apply(catalog, version, proven_at);
+                    self.state.apply_config(catalog, version, proven_at, ConfigSource::Store);
                 }
                 self.state.apply_zone_update(zones);
                 let in_force = self.state.catalog().map_or(0, |c| c.version);
                 self.state.key_view().record_newest(in_force, proven_at);
-                // This follows `apply`: the age of the configuration in force may be sent to other
+                // This follows `apply_config`: the age of the configuration in force may be sent to other
                 // daemons at any moment.
                 self.state.store_contacts().config = Some(shown_at);
                 // Before the first configuration there is no version to follow.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -157,7 +157,9 @@
         let (catalog, view) = self.state.active_catalog_and_keys();
         let version = catalog.map_or(0, |c| c.version);
         let now = self.state.now();
-        let keys_age = view.as_of(version).map(|at| now.since(at).as_millis());
+        let millis_since = |at: Option<Time>| {
+            at.map_or_else(String::new, |at| now.since(at).as_millis().to_string())
+        };
         let resumption = params.resumption.as_ref();
         let resumes = resumption.and_then(|r| r.first_attempt.as_deref()).unwrap_or("");
         event::FLEET_REFUSED.emit(&[
@@ -166,7 +168,8 @@
             ("path", &req.head.path),
             ("resumes", &resumes),
             ("config", &version),
-            ("keys_age_ms", &keys_age.map_or_else(String::new, |ms| ms.to_string())),
+            ("config_age_ms", &millis_since(self.state.config_known_at(version))),
+            ("keys_age_ms", &millis_since(view.as_of(version))),
         ]);
     }
 
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -35,7 +35,7 @@
     tunnel::peers::TunnelPeers,
 };
 
-pub use contacts::{ConfigRead, Contacts};
+pub use contacts::{ConfigRead, ConfigSource, Contacts};
 pub use notifier::Notifier;
 pub use origins::Origins;
 
--- a/crates/tansyknot-fleet/src/state/contacts.rs
+++ b/crates/tansyknot-fleet/src/state/contacts.rs
@@ -1,5 +1,7 @@
 //! A daemon's contacts with the store.
 
+use std::fmt;
+
 use tansyknot_core::clock::Time;
 
 /// A version of the configuration, as the store showed it.
@@ -11,6 +13,24 @@
     pub store_version: u64,
 }
 
+/// From where a daemon has a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// The daemon has read it from the store.
+    Store,
+    /// Another daemon has handed over the whole configuration.
+    Daemon,
+}
+
+impl fmt::Display for ConfigSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ConfigSource::Store => "store",
+            ConfigSource::Daemon => "daemon",
+        })
+    }
+}
+
 /// When the last successful calls to the store began, and whether the store responds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contacts {
--- a/crates/tansyknot-fleet/src/state/operators.rs
+++ b/crates/tansyknot-fleet/src/state/operators.rs
@@ -2,7 +2,7 @@
 
 use tansyknot_core::{clock::Time, event};
 
-use super::State;
+use super::{ConfigRead, ConfigSource, State};
 use crate::{
     catalog::Catalog,
     zone_drain::{DrainedZones, ZoneTransitions, ZoneUpdate},
@@ -24,6 +24,44 @@
         is_newer
     }
 
+    /// Puts a configuration from `source` in force if it is newer than the current one, as the store
+    /// showed it as of `as_of`.
+    pub fn apply_config(
+        &self,
+        catalog: Catalog,
+        store_version: u64,
+        as_of: Time,
+        source: ConfigSource,
+    ) {
+        let version = catalog.version;
+        if !self.put_in_force(catalog, as_of) {
+            return;
+        }
+        {
+            let mut contacts = self.store_contacts();
+            let is_newest = contacts.config_read.is_none_or(|read| read.version < version);
+            if is_newest {
+                contacts.config_read = Some(ConfigRead { version, store_version });
+            }
+        }
+        event::FLEET_CONFIG.emit(&[
+            ("version", &version),
+            ("store_version", &store_version),
+            ("source", &source),
+            ("age_ms", &self.now().since(as_of).as_millis()),
+        ]);
+        self.notify_view_changed();
+    }
+
+    /// Returns the last moment as of which no newer version of the configuration than `version`
+    /// existed; `None` if none is known, or a newer version is.
+    pub fn config_known_at(&self, version: u64) -> Option<Time> {
+        let own = self.store_contacts().config;
+        let view = self.planner_view();
+        let own = own.filter(|_| view.config_version() <= version);
+        view.config_as_of(version).max(own)
+    }
+
     /// Applies what a response of the store shows of the drained zones.
     pub fn apply_zone_update(&self, update: ZoneUpdate) {
         let now = self.now();
