--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -51,6 +51,8 @@
 /// retries it.
 const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(500);
 const CONFIG_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a call for the configuration lasts that has no response.
+const CONFIG_CALL_TIMEOUT: Duration = Duration::from_millis(1700);
 /// Every twentieth daemon has a good link.
 const GOOD_LINK_STRIDE: usize = 20;
 
@@ -126,6 +128,8 @@
     /// Whether the daemon has read what it needs before it accepts requests.
     pub(crate) takes_requests: bool,
     is_disconnected: Arc<AtomicBool>,
+    /// Whether calls to the store have no response.
+    is_silent: bool,
     pub(crate) is_dead: bool,
     /// The daemon does nothing until then.
     pub(crate) frozen_until: Time,
@@ -314,6 +318,7 @@
             config_at: lease_step_at,
             takes_requests: false,
             is_disconnected,
+            is_silent: false,
             is_dead: false,
             frozen_until: Time::default(),
             lease_step_at,
@@ -478,12 +483,19 @@
         self.config.skip_next_wait();
         // The daemon's own delays are not drawn from the seed; fixed intervals replace them.
         self.config_at = match self.config.step() {
+            _ if self.is_silent => now + CONFIG_CALL_TIMEOUT,
             _ if self.is_disconnected() => now + CONFIG_RETRY_INTERVAL,
             _ if is_planner => now + CONFIG_POLL_INTERVAL,
             _ => now,
         };
     }
 
+    /// Makes calls to the store have no response, or responses again.
+    pub(crate) fn set_silent(&mut self, is_silent: bool) {
+        self.is_silent = is_silent;
+        self.set_disconnected(is_silent);
+    }
+
     fn is_disconnected(&self) -> bool {
         self.is_disconnected.load(Ordering::SeqCst)
     }
