Configuration: four daemons follow it at the store and send each change to all

Callers got 404 for routes that had been accepted over 3 s before. Only the planner read the configuration; one that had lost the store published on, and its followers found out by age alone, at 0.8 of the bound, all in the same moment.

Now three more daemons, in different zones and with good links, keep a call open at the store. Each of the four sends a new version to all others at once, as the difference to the versions before, if that fits into a datagram; a daemon that lacks the base asks the sender of its updates, then the others, for any version newer than its own (before: for the newest announced one, which a relay may never have while changes go on). The readers also tell the planner how old their view is, so that a planner without the store goes on with a fresh one, and tell all daemons while no planner is heard. A new planner's first update no longer makes the view of the configuration count as unknown. 404 and 401 need a view that is at most as old as the bound and that no newer version is known to replace; else 503 with Retry-After: the request has not run.

The test that the store is read once for a change assumed the one reader. It now demands that at most four documents are read, and as many calls per reader as before, at 7, 77 and 984 daemons.

--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -1,5 +1,7 @@
 //! The configuration in force: routes, services and the models that their engines may hold.
 
+pub mod change;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
--- a/crates/tansyknot-fleet/src/dissemination/message.rs
+++ b/crates/tansyknot-fleet/src/dissemination/message.rs
@@ -21,6 +21,7 @@
     access,
     backpressure::{self, message::RunSummary},
     bounds::Bounds,
+    catalog::change::CatalogChange,
     lease::promise::Promise,
     poison::evidence::{Digest, Evidence},
     stream_origin::{
@@ -253,6 +254,23 @@
     OriginFound(StreamRecord),
     /// The reply to a [`Message::OriginQuery`] by one that does not.
     OriginUnknown(StreamKey),
+    /// From a daemon that follows the operators' configuration at the store to other daemons.
+    ConfigNotice(ConfigNotice),
+}
+
+/// What a daemon that follows the operators' configuration at the store knows of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigNotice {
+    /// The newest version.
+    pub version: u64,
+    /// How long ago the store showed that it is the newest, in milliseconds.
+    pub age_ms: u32,
+    /// The version of the store as of which it was read.
+    pub store_version: u64,
+    /// The drained zones.
+    pub drained_zones: DrainedZones,
+    /// The difference to the versions before, if it fits into a datagram.
+    pub change: Option<CatalogChange>,
 }
 
 impl Message {
@@ -272,7 +290,8 @@
             | Message::StreamBegan(_)
             | Message::OriginQuery(_)
             | Message::OriginFound(_)
-            | Message::OriginUnknown(_) => None,
+            | Message::OriginUnknown(_)
+            | Message::ConfigNotice(_) => None,
             Message::Crashes(mut first) => {
                 let rest = first.split_off(first.len() / 2);
                 (!first.is_empty()).then_some((Message::Crashes(first), Message::Crashes(rest)))
--- a/crates/tansyknot-fleet/src/dissemination/peers.rs
+++ b/crates/tansyknot-fleet/src/dissemination/peers.rs
@@ -20,6 +20,12 @@
 /// lease first.
 const GOOD_LINK_SHARE: f64 = 0.5;
 
+/// The number of daemons that follow the operators' configuration at the store, besides the planner. Two
+/// of them, or one and the planner, may have lost the store at the same time.
+const CONFIG_READERS: usize = 3;
+/// How often they are chosen anew.
+const CONFIG_READERS_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// The address, zone and link of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerEntry {
@@ -36,6 +42,8 @@
 pub struct Peers {
     local_address: Option<SocketAddr>,
     announced: BTreeMap<SocketAddr, (PeerEntry, Time)>,
+    /// The daemons that follow the configuration at the store, and when they were chosen.
+    config_readers: Option<(Vec<SocketAddr>, Time)>,
 }
 
 impl Peers {
@@ -109,15 +117,49 @@
     /// with good links come first, in the order of a hash. Returns 0 if `me` is not known.
     pub fn rank_of(&self, me: SocketAddr, now: Time) -> usize {
         let Some((own_entry, _)) = self.announced.get(&me) else { return 0 };
-        let best = self.all(now).filter_map(|p| p.link_mbps).max().map(f64::from);
-        let is_poor = |p: &PeerEntry| {
-            let (Some(link), Some(best)) = (p.link_mbps, best) else { return false };
-            f64::from(link) < best * GOOD_LINK_SHARE
-        };
+        let is_poor = self.poor_links(now);
         let order = |p: &PeerEntry| (is_poor(p), relays::rank(p.address));
         let own = order(own_entry);
         self.all(now).filter(|p| order(p) < own).count()
     }
+
+    /// Returns the daemons that follow the operators' configuration at the store for all daemons:
+    /// in different zones if possible, those with good links first, in the order of a hash.
+    pub fn config_readers(&mut self, now: Time) -> &[SocketAddr] {
+        let is_current = |at: &Time| now.since(*at) < CONFIG_READERS_INTERVAL;
+        if !self.config_readers.as_ref().is_some_and(|(_, at)| is_current(at)) {
+            self.config_readers = Some((self.choose_config_readers(now), now));
+        }
+        self.config_readers.as_ref().map_or(&[], |(readers, _)| readers)
+    }
+
+    fn choose_config_readers(&self, now: Time) -> Vec<SocketAddr> {
+        let is_poor = self.poor_links(now);
+        let order = |p: &&PeerEntry| (is_poor(p), relays::rank(p.address));
+        let mut peers: Vec<&PeerEntry> = self.all(now).collect();
+        peers.sort_by_cached_key(order);
+        let mut chosen_in_zone: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        let mut ranked: Vec<_> = peers
+            .into_iter()
+            .map(|p| {
+                let before = chosen_in_zone.entry(&p.zone).or_default();
+                *before += 1;
+                (is_poor(p), *before, p.address)
+            })
+            .collect();
+        // The sort is stable, so that the hash still decides among equals.
+        ranked.sort_by_key(|(is_poor, before, _)| (*is_poor, *before));
+        ranked.into_iter().map(|(_, _, address)| address).take(CONFIG_READERS).collect()
+    }
+
+    /// Returns a function that tells whether a daemon's link is much slower than the best one.
+    fn poor_links(&self, now: Time) -> impl Fn(&PeerEntry) -> bool {
+        let best = self.all(now).filter_map(|p| p.link_mbps).max().map(f64::from);
+        move |p| {
+            let (Some(link), Some(best)) = (p.link_mbps, best) else { return false };
+            f64::from(link) < best * GOOD_LINK_SHARE
+        }
+    }
 }
 
 /// Ranks this daemon among the others, in another order for each hash.
--- a/crates/tansyknot-fleet/src/dissemination/planner_view.rs
+++ b/crates/tansyknot-fleet/src/dissemination/planner_view.rs
@@ -117,13 +117,15 @@
     pub fn apply_list_update(&mut self, fence: u64, update: ListUpdate, now: Time) -> Vec<Change> {
         if self.fence != fence {
             // State that came from the store stays valid under another planner.
-            let Self { spans, list_version, list_as_of, config_version, source, .. } = *self;
+            let Self { spans, list_version, list_as_of, source, .. } = *self;
+            let Self { config_version, config_as_of, .. } = *self;
             let earlier_list_as_of = list_as_of.max(self.earlier_list_as_of);
             *self = Self {
                 fence,
                 list_version,
                 earlier_list_as_of,
                 config_version,
+                config_as_of,
                 source,
                 ..Self::new(spans)
             };
@@ -201,19 +203,20 @@
         self.missing_since.is_some()
     }
 
-    /// Records the version and age of the planner's view of the configuration.
+    /// Records that `version` of the configuration was the newest `age` ago, as a daemon reports that
+    /// has it from the store.
     pub fn record_config(&mut self, version: u64, age: Duration, now: Time) {
         self.config_version = self.config_version.max(version);
         self.config_as_of = self.config_as_of.max(Some(now.saturating_sub(age)));
     }
 
-    /// Returns the last moment as of which the planner had no newer configuration than
-    /// `own_version`; `None` if it has one now.
+    /// Returns the last moment as of which no newer configuration than `own_version` was reported;
+    /// `None` if one has been.
     pub fn config_as_of(&self, own_version: u64) -> Option<Time> {
         self.config_as_of.filter(|_| own_version >= self.config_version)
     }
 
-    /// Returns the newest version of the configuration in the planner's updates, 0 if none.
+    /// Returns the newest reported version of the configuration, 0 if none.
     pub fn config_version(&self) -> u64 {
         self.config_version
     }
--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -1,6 +1,6 @@
 //! Follows the operators' configuration.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tansyknot_core::{Error, clock::Time};
 
@@ -22,8 +22,8 @@
 /// configuration before callers send requests.
 const EMPTY_STORE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long a daemon waits at most until the sender of its updates has an announced configuration.
-const MAX_DEFERRAL: Duration = Duration::from_millis(1000);
+/// How long a daemon waits for the notice of an announced version before it asks for the version.
+const NOTICE_WAIT: Duration = Duration::from_millis(100);
 /// The pause between two questions for it.
 const DEFERRAL_PAUSE: Duration = Duration::from_millis(50);
 
@@ -47,8 +47,10 @@
     /// Whether the next call returns immediately, with or without a change.
     skips_wait: bool,
     peers: Option<Arc<dyn SnapshotClient>>,
-    /// Since when the announced configuration has been left to other daemons.
+    /// Since when an announced version has been left to other daemons.
     deferred_since: Option<Time>,
+    /// The number of questions to other daemons since then.
+    questions: usize,
 }
 
 impl ConfigFollower {
@@ -62,6 +64,7 @@
             skips_wait: false,
             peers: None,
             deferred_since: None,
+            questions: 0,
         }
     }
 
@@ -92,14 +95,6 @@
         }
     }
 
-    /// Returns the last moment at which the configuration in force is known to have been the
-    /// newest.
-    fn known_at(&self) -> Option<Time> {
-        let version = self.state.catalog().map_or(0, |c| c.version);
-        let followed = self.state.planner_view().config_as_of(version);
-        followed.max(self.state.store_contacts().config)
-    }
-
     /// Returns the timeout for a read of the full table: with a configuration in force at least the
     /// wait of a call that follows changes, less at startup.
     fn read_timeout(&self) -> Duration {
@@ -114,7 +109,9 @@
         self.state.now()
     }
 
-    /// Gets a configuration that the planner has announced from the sender of its update.
+    /// Gets a configuration that was announced from another daemon: the sender of its updates, then
+    /// those that follow the configuration at the store. Any version newer than this daemon's will
+    /// do: with changes in quick succession, another daemon may never have the newest one yet.
     ///
     /// A configuration with callers' keys is read from the store: keys do not leave a daemon.
     fn take_from_peer(&mut self) -> Handover {
@@ -122,15 +119,21 @@
             return Handover::Unavailable;
         };
         let began = self.now();
-        let (announced, source) = {
-            let view = self.state.planner_view();
-            (view.config_version(), view.source(began))
-        };
         let own_version = self.state.catalog().map_or(0, |c| c.version);
-        let Some(source) = source.filter(|_| announced > own_version) else {
+        if self.state.planner_view().config_version() <= own_version || self.reads_for_others() {
             return Handover::Unavailable;
-        };
-        match peers.fetch(source, SnapshotRequest::Config(announced)) {
+        }
+        let since = *self.deferred_since.get_or_insert(began);
+        if own_version > 0 && began.since(since) < NOTICE_WAIT {
+            return Handover::Deferred;
+        }
+        let sources = self.sources(began);
+        if sources.is_empty() || began.since(since) >= self.state.freshness.max_config_deferral {
+            return Handover::Unavailable;
+        }
+        let source = sources[self.questions % sources.len()];
+        self.questions += 1;
+        match peers.fetch(source, SnapshotRequest::Config(own_version + 1)) {
             Ok(Snapshot::Config(snapshot)) => {
                 self.apply_snapshot(snapshot, began);
                 Handover::Done
@@ -138,16 +141,24 @@
             Ok(Snapshot::List(_)) => Handover::Unavailable,
             Err(e) => {
                 log::debug!("no configuration from {source}: {e}");
-                self.defer(&e, began)
+                let may_have_it_later = matches!(e, Error::Busy { .. }) || sources.len() > 1;
+                if may_have_it_later { Handover::Deferred } else { Handover::Unavailable }
             }
         }
     }
 
-    /// Returns whether a question that failed is to be repeated.
-    fn defer(&mut self, error: &Error, began: Time) -> Handover {
-        let since = *self.deferred_since.get_or_insert(began);
-        let is_due = matches!(error, Error::Busy { .. }) && began.since(since) < MAX_DEFERRAL;
-        if is_due { Handover::Deferred } else { Handover::Unavailable }
+    /// Returns whether this daemon follows the store for others, and the store responds.
+    fn reads_for_others(&self) -> bool {
+        self.state.is_config_reader() && !self.contact.is_lost()
+    }
+
+    /// Returns the daemons that may hand the configuration over, the most suitable first.
+    fn sources(&self, now: Time) -> Vec<SocketAddr> {
+        let relay = self.state.planner_view().source(now);
+        let mut peers = self.state.peers();
+        let me = peers.local_address();
+        let readers = peers.config_readers(now).iter().copied();
+        relay.into_iter().chain(readers.filter(|a| Some(*a) != me && Some(*a) != relay)).collect()
     }
 
     fn apply_snapshot(&mut self, snapshot: ConfigSnapshot, began: Time) {
@@ -159,18 +170,27 @@
         contacts.config = contacts.config.max(Some(as_of));
     }
 
+    fn end_deferral(&mut self) {
+        self.deferred_since = None;
+        self.questions = 0;
+    }
+
     /// Makes one call; returns the delay before the next.
     pub fn step(&mut self) -> Duration {
         match self.take_from_peer() {
             Handover::Done => {
-                self.deferred_since = None;
+                self.end_deferral();
                 return Duration::ZERO;
             }
             Handover::Deferred => return DEFERRAL_PAUSE,
-            Handover::Unavailable => self.deferred_since = None,
+            Handover::Unavailable => self.end_deferral(),
         }
         let began = self.state.now();
-        let from = replay_from(self.version, self.known_at(), began);
+        // A notice may have brought a newer version than the last call.
+        let read = self.state.store_contacts().config_read;
+        self.version = self.version.max(read.map(|read| read.store_version));
+        let in_force = self.state.catalog().map_or(0, |c| c.version);
+        let from = replay_from(self.version, self.state.config_known_at(in_force), began);
         let wait = self.wait();
         let result = match from {
             Some(version) => self.store.operator_changes(version, wait),
--- a/crates/tansyknot-fleet/src/follow/contact.rs
+++ b/crates/tansyknot-fleet/src/follow/contact.rs
@@ -33,6 +33,11 @@
         Self { subject, failures: 0 }
     }
 
+    /// Returns whether the last call failed.
+    pub(super) fn is_lost(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Returns the timeout of the next read of a full table.
     pub(super) fn read_timeout(&self) -> Duration {
         backoff::exponential(MIN_READ_TIMEOUT, self.failures, MAX_READ_TIMEOUT)
--- a/crates/tansyknot-fleet/src/freshness.rs
+++ b/crates/tansyknot-fleet/src/freshness.rs
@@ -38,6 +38,9 @@
 const CONFIG_FRESH_SHARE: f64 = 0.8;
 /// The share of `config_within` for which a call that follows the configuration may wait.
 const CONFIG_WAIT_SHARE: f64 = 0.5;
+/// The share of `config_within` for which an announced version is left to other daemons, before a call
+/// to the store. Both together take less than half of the bound.
+const CONFIG_DEFERRAL_SHARE: f64 = 0.25;
 /// How long an override takes precedence over the list, in heartbeats: the maximum age of an entry.
 const OVERRIDE_HEARTBEATS: u32 = 2;
 /// The length of an outage of the store, in heartbeats, after which entries may have expired. An
@@ -59,8 +62,12 @@
     pub list_poll_interval: Duration,
     /// Maximum age of the view of the configuration, beyond which a daemon queries the store.
     pub max_config_age: Duration,
+    /// Age of the view of the configuration beyond which it may lack a change that must be in force.
+    pub config_within: Duration,
     /// How long a call that follows the configuration waits for a change.
     pub config_wait: Duration,
+    /// How long an announced version of the configuration is left to other daemons.
+    pub max_config_deferral: Duration,
     /// How long an override of the planner precedes the list.
     pub override_ttl: Duration,
     /// The length of an outage of the store beyond which entries may have expired.
@@ -79,7 +86,9 @@
                 .mul_f64(LIST_POLL_SHARE)
                 .min(MAX_LIST_POLL_INTERVAL),
             max_config_age: bounds.config_within.mul_f64(CONFIG_FRESH_SHARE),
+            config_within: bounds.config_within,
             config_wait: bounds.config_within.mul_f64(CONFIG_WAIT_SHARE),
+            max_config_deferral: bounds.config_within.mul_f64(CONFIG_DEFERRAL_SHARE),
             expiry: bounds.heartbeat * EXPIRY_HEARTBEATS,
             recovery: bounds.recover_within.saturating_sub(RECOVER_MARGIN),
             override_ttl: bounds.heartbeat * OVERRIDE_HEARTBEATS + OVERRIDE_MARGIN,
--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -1,6 +1,7 @@
 //! Coordination between daemons: each daemon sends its demand to the planner, which plans, orders
 //! targets and publishes updates to all daemons.
 
+mod config;
 mod crashes;
 mod origin;
 mod permit;
@@ -48,6 +49,7 @@
     task::TaskRunner,
 };
 
+use config::RecentVersions;
 use crashes::ResendTimes;
 use publishing::Published;
 use stats::CoordinationStats;
@@ -69,6 +71,7 @@
     scheduler: Mutex<Scheduler>,
     announced_loads: Mutex<AnnouncedLoads>,
     waiting_totals: Mutex<WaitingTotals>,
+    recent_versions: Mutex<RecentVersions>,
     peers: Arc<dyn DatagramSender>,
     paths: Paths,
     me: DaemonIdentity,
@@ -112,6 +115,7 @@
             scheduler: Mutex::default(),
             announced_loads: Mutex::default(),
             waiting_totals: Mutex::default(),
+            recent_versions: Mutex::default(),
             peers,
             paths,
             me,
@@ -150,6 +154,10 @@
         self.waiting_totals.lock().expect("no holder of the lock panics")
     }
 
+    fn recent_versions(&self) -> MutexGuard<'_, RecentVersions> {
+        self.recent_versions.lock().expect("no holder of the lock panics")
+    }
+
     /// Receives and handles messages until the socket fails.
     ///
     /// # Errors
@@ -190,6 +198,7 @@
             Some(Message::OriginQuery(stream)) => self.handle_origin_query(stream, from, now),
             Some(Message::OriginFound(record)) => self.handle_origin_found(record),
             Some(Message::OriginUnknown(stream)) => self.handle_origin_unknown(stream, from),
+            Some(Message::ConfigNotice(notice)) => self.handle_config_notice(notice, from, now),
             None => event::DATAGRAM_DROPPED.emit(&[("from", &from)]),
         }
     }
@@ -356,6 +365,8 @@
         let now = self.state.now();
         if reason == StepReason::Heartbeat {
             self.state.update_allowances(now);
+            self.state.update_config_reader(now);
+            self.publish_config_age(now);
         }
         let demand = self.current_demand(now);
         if reason == StepReason::Heartbeat {
--- a/crates/tansyknot-fleet/src/peering/publishing.rs
+++ b/crates/tansyknot-fleet/src/peering/publishing.rs
@@ -324,7 +324,7 @@
 
     /// Creates an update with `list` and the age of this daemon's views, and without loads.
     fn new_update(&self, seq: u32, list: ListUpdate, now: Time) -> PlannerUpdate {
-        let contacts = *self.state.store_contacts();
+        let config = self.state.catalog().map_or(0, |c| c.version);
         let renewed = self.lease.last_renewal();
         let daemons = self.planner().daemon_count();
         PlannerUpdate {
@@ -338,8 +338,8 @@
             stamp_us: self.lease.stamp_us(now),
             daemons: u16::try_from(daemons).unwrap_or(u16::MAX),
             poison: self.state.poison().digest(),
-            config: self.state.catalog().map_or(0, |c| c.version),
-            config_age_ms: millis(age(contacts.config, now)),
+            config,
+            config_age_ms: millis(age(self.state.config_known_at(config), now)),
             drained_zones: self.state.fleet().zone_drains().current().clone(),
             list,
             peers: Vec::new(),
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -123,9 +123,10 @@
         let (catalog, view) = self.state.active_catalog_and_keys();
         let catalog = catalog.ok_or(Reason::NoConfiguration)?;
         let host = head.header("host").unwrap_or("");
-        let route = find_route(&catalog, host, &head.path).ok_or(Reason::NoRoute)?;
+        let no_route = || self.reason_without_route(&catalog);
+        let route = find_route(&catalog, host, &head.path).ok_or_else(no_route)?;
         let hash = xxhash_rust::xxh3::xxh3_64(params.id.as_bytes());
-        let service = route.service(hash).cloned().ok_or(Reason::NoRoute)?;
+        let service = route.service(hash).cloned().ok_or_else(no_route)?;
         let identity = self.identify(head, &route, &catalog, &view, arrived)?;
         let zones = self.state.regions.allowed_zones(&identity.residency_bounds(&route));
         let origin = self.resumed_origin(params, &route, &service)?;
@@ -135,6 +136,14 @@
         Ok(Routed { route, service, identity, zones, origin, cache })
     }
 
+    /// Returns why a request has no route: a configuration that may be outdated may lack it.
+    fn reason_without_route(&self, catalog: &Catalog) -> Reason {
+        match self.state.config_may_be_outdated(catalog.version) {
+            true => Reason::StaleConfiguration,
+            false => Reason::NoRoute,
+        }
+    }
+
     /// Refuses a request before a target is selected for it.
     fn refuse_on_arrival(
         &self,
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -63,6 +63,8 @@
     Stopping,
     /// No route matches the host and path.
     NoRoute,
+    /// No route matches, but a newer configuration may have one.
+    StaleConfiguration,
     /// The key belongs to no team, or the request has none.
     UnknownKey,
     /// This daemon's view of the keys is too old to decide whether the key is valid.
@@ -110,6 +112,7 @@
             Reason::NoConfiguration => "no_configuration",
             Reason::Stopping => metric::STOPPING.name,
             Reason::NoRoute => "no_route",
+            Reason::StaleConfiguration => "stale_configuration",
             Reason::UnknownKey => "unknown_key",
             Reason::StaleKeys => "stale_keys",
             Reason::OverQuota => "over_quota",
@@ -145,6 +148,7 @@
             Reason::OverQuota => 429,
             Reason::NoConfiguration
             | Reason::Stopping
+            | Reason::StaleConfiguration
             | Reason::StaleKeys
             | Reason::QuotaUnknown
             // The request has not run and will not: a caller whose request is rejected by mistake
@@ -171,14 +175,18 @@
     /// too large and a stream that can't go on get none.
     pub(super) fn retry_after(self, is_store_unavailable: bool) -> Option<Duration> {
         match self {
-            Reason::NoConfiguration | Reason::NoTargetInTime | Reason::StaleKeys
+            Reason::NoConfiguration
+            | Reason::StaleConfiguration
+            | Reason::NoTargetInTime
+            | Reason::StaleKeys
                 if is_store_unavailable =>
             {
                 Some(Duration::from_millis(rand::random_range(RETRY_AFTER_STORE_OUTAGE_MS)))
             }
-            Reason::NoConfiguration | Reason::StaleKeys | Reason::QuotaUnknown => {
-                Some(RETRY_AFTER_NOT_READY)
-            }
+            Reason::NoConfiguration
+            | Reason::StaleConfiguration
+            | Reason::StaleKeys
+            | Reason::QuotaUnknown => Some(RETRY_AFTER_NOT_READY),
             Reason::TargetsUnreachable => {
                 Some(Duration::from_millis(rand::random_range(RETRY_AFTER_UNREACHABLE_MS)))
             }
--- a/crates/tansyknot-fleet/src/snapshot.rs
+++ b/crates/tansyknot-fleet/src/snapshot.rs
@@ -143,7 +143,7 @@
         let contacts = *self.state.store_contacts();
         let catalog = self.state.catalog().filter(|catalog| catalog.version >= version)?;
         let read = contacts.config_read.filter(|read| read.version == catalog.version)?;
-        let as_of = self.state.planner_view().config_as_of(catalog.version).max(contacts.config)?;
+        let as_of = self.state.config_known_at(catalog.version)?;
         let age_ms = millis(now.since(as_of));
         let store_version = read.store_version;
         Some(ConfigSnapshot { content: catalog.content()?, store_version, age_ms })
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -9,7 +9,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, RwLock},
+    sync::{
+        Arc, Mutex, MutexGuard, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -89,6 +92,7 @@
     /// Raised when a call to the store may be due: after an update from the planner, or when the
     /// store responds again.
     pub store_call_due: Notifier,
+    is_config_reader: AtomicBool,
     fleet: Mutex<Fleet>,
     admission: Mutex<Admission>,
     planner_view: Mutex<PlannerView>,
@@ -153,6 +157,7 @@
             key_view: Mutex::default(),
             pending_quotas: Mutex::new(PendingQuotas::of_run(rand::random())),
             permits: Mutex::new(PendingPermits::of_run(rand::random())),
+            is_config_reader: AtomicBool::default(),
             contacts: Mutex::default(),
             catalog: RwLock::new(None),
             budgets: Mutex::default(),
@@ -378,18 +383,32 @@
     }
 
     /// Returns how long version `own_version` of the configuration stays fresh enough without a
-    /// call to the store: according to the planner's updates, or to this daemon's own last call if
-    /// the planner has announced no newer version.
+    /// call to the store.
     pub fn config_fresh_for(&self, own_version: u64) -> Duration {
         let now = self.now();
-        let own = self.store_contacts().config;
         let keys = self.keys_fresh_for();
-        let view = self.planner_view();
-        let own = own.filter(|_| view.config_version() <= own_version);
-        let own_left = own.map_or(Duration::ZERO, |at| {
+        let fresh_for = self.config_known_at(own_version).map_or(Duration::ZERO, |at| {
             self.freshness.max_config_age.saturating_sub(now.since(at))
         });
-        view.config_fresh_for(own_version, now).max(own_left).min(keys)
+        fresh_for.min(keys)
+    }
+
+    /// Returns whether this daemon follows the operators' configuration at the store for all
+    /// daemons.
+    pub fn is_config_reader(&self) -> bool {
+        self.is_config_reader.load(Ordering::Relaxed)
+    }
+
+    /// Decides again whether this daemon follows the configuration at the store for all daemons.
+    pub fn update_config_reader(&self, now: Time) {
+        let is_reader = {
+            let mut peers = self.peers();
+            let me = peers.local_address();
+            me.is_some_and(|me| peers.config_readers(now).contains(&me))
+        };
+        if self.is_config_reader.swap(is_reader, Ordering::Relaxed) != is_reader {
+            self.store_call_due.notify();
+        }
     }
 
     /// Wakes the requests that wait for a target, and the planner, after a change of the view.
--- a/crates/tansyknot-fleet/src/state/contacts.rs
+++ b/crates/tansyknot-fleet/src/state/contacts.rs
@@ -20,6 +20,8 @@
     Store,
     /// Another daemon has handed over the whole configuration.
     Daemon,
+    /// A notice of another daemon had the difference to the version before.
+    Notice,
 }
 
 impl fmt::Display for ConfigSource {
@@ -27,6 +29,7 @@
         f.write_str(match self {
             ConfigSource::Store => "store",
             ConfigSource::Daemon => "daemon",
+            ConfigSource::Notice => "notice",
         })
     }
 }
--- a/crates/tansyknot-fleet/src/state/operators.rs
+++ b/crates/tansyknot-fleet/src/state/operators.rs
@@ -62,6 +62,13 @@
         view.config_as_of(version).max(own)
     }
 
+    /// Returns whether the configuration in force, with this version, may lack a change that was
+    /// accepted longer ago than the bound within which it must be in force, or lacks a known one.
+    pub fn config_may_be_outdated(&self, version: u64) -> bool {
+        let age = self.config_known_at(version).map(|at| self.now().since(at));
+        age.is_none_or(|age| age > self.freshness.config_within)
+    }
+
     /// Applies what a response of the store shows of the drained zones.
     pub fn apply_zone_update(&self, update: ZoneUpdate) {
         let now = self.now();
--- a/crates/tansyknotd/src/fleet/store_polling.rs
+++ b/crates/tansyknotd/src/fleet/store_polling.rs
@@ -63,6 +63,7 @@
             }
             let started_at = state.now();
             let pause = follower.step();
+            peer_node.publish_config();
             pause_calls(&state, started_at, pause);
             await_config_call(&state, &peer_node);
         }
@@ -85,8 +86,8 @@
     }
 }
 
-/// Waits until the configuration received from the planner is stale, or while a planner has none.
-/// Does not wait if this daemon is the planner.
+/// Waits until the configuration received from other daemons is stale, or while a planner has none.
+/// Does not wait if this daemon is the planner or follows the configuration for all.
 fn await_config_call(state: &State, peer_node: &PeerNode) {
     loop {
         let seen = state.store_call_due.count();
@@ -96,7 +97,7 @@
             0 => state.planner_view().config_fresh_for(0, state.now()),
             _ => state.config_fresh_for(own_version),
         };
-        if peer_node.is_planner() || time_left.is_zero() {
+        if peer_node.is_planner() || state.is_config_reader() || time_left.is_zero() {
             return;
         }
         state.store_call_due.wait(seen, time_left);
