--- a/crates/tansyknot-fleet/src/follow/config.rs
+++ b/crates/tansyknot-fleet/src/follow/config.rs
@@ -162,10 +162,11 @@
     }
 
     fn apply_snapshot(&mut self, snapshot: ConfigSnapshot, began: Time) {
-        let ConfigSnapshot { content, store_version, age_ms } = snapshot;
+        let ConfigSnapshot { content, store_version, drained_zones, age_ms } = snapshot;
         let as_of = began.saturating_sub(Duration::from_millis(age_ms.into()));
         self.version = self.version.max(Some(store_version));
         self.state.apply_config(content.into(), store_version, as_of, ConfigSource::Daemon);
+        self.state.apply_published_zones(drained_zones);
         let mut contacts = self.state.store_contacts();
         contacts.config = contacts.config.max(Some(as_of));
     }
--- a/crates/tansyknot-fleet/src/snapshot.rs
+++ b/crates/tansyknot-fleet/src/snapshot.rs
@@ -20,6 +20,7 @@
     catalog::CatalogContent,
     dissemination::{changes::Entry, message::millis},
     state::State,
+    zone_drain::DrainedZones,
 };
 
 /// How long a daemon waits until it has what it is asked for. An update reaches a relay's followers
@@ -46,6 +47,8 @@
     pub content: CatalogContent,
     /// The version of the store as of which it was read.
     pub store_version: u64,
+    /// The drained zones, which are followed with the configuration.
+    pub drained_zones: DrainedZones,
     /// How long ago it is known to have been the newest, in milliseconds.
     pub age_ms: u32,
 }
@@ -146,7 +149,8 @@
         let as_of = self.state.config_known_at(catalog.version)?;
         let age_ms = millis(now.since(as_of));
         let store_version = read.store_version;
-        Some(ConfigSnapshot { content: catalog.content()?, store_version, age_ms })
+        let drained_zones = self.state.fleet().zone_drains().current().clone();
+        Some(ConfigSnapshot { content: catalog.content()?, store_version, drained_zones, age_ms })
     }
 
     /// Returns the list, unless this daemon may lack changes or takes entries for expired.
--- a/crates/tansyknot-fleet/tests/snapshot.rs
+++ b/crates/tansyknot-fleet/tests/snapshot.rs
@@ -42,6 +42,7 @@
     state::{ConfigRead, State, StateOptions},
     target::Target,
     tunnel::server::TunnelServer,
+    zone_drain::DrainedZones,
 };
 use yare::parameterized;
 
@@ -173,6 +174,20 @@
     assert!(SnapshotProvider::new(informed).current(SnapshotRequest::Config(1)).is_none());
 }
 
+#[test]
+fn drained_zones_come_with_the_configuration_of_another_daemon() {
+    let clock = started_clock();
+    let informed = informed_daemon(&clock, catalog(), Vec::new());
+    let zones = DrainedZones { version: 30, zones: [ZoneName::from("z1")].into() };
+    informed.apply_published_zones(zones.clone());
+    let peer = FakePeer::with(Snapshot::Config(config_of(&SnapshotProvider::new(informed))));
+    let (state, store) = (state(&clock), FakeStore::new().client());
+    receive_update(&state, 1);
+    let follower = ConfigFollower::new(Arc::clone(&state), Arc::new(store));
+    follower.with_peers(peer).step();
+    assert_eq!(*state.fleet().zone_drains().current(), zones);
+}
+
 #[test]
 fn older_configuration_than_asked_for_is_not_handed_out() {
     let clock = started_clock();
