--- a/crates/tansyknotd/tests/poison.rs
+++ b/crates/tansyknotd/tests/poison.rs
@@ -19,7 +19,7 @@
 use launch::Daemon;
 use tansyknot_adapter_standins::{
     caller::Request,
-    crash::{self, CrashLog, CrashSequence},
+    crash::{self, CRASH_PART, CrashLog, CrashSequence},
     operator::Configuration,
     store::Store,
 };
@@ -35,6 +35,12 @@
 const MAX_LATE_SENDS: usize = 3;
 /// How long the request is repeated after the propagation time.
 const REPEAT_DURATION: Duration = Duration::from_secs(4);
+/// Every so many requests have the harmful part of a prompt.
+const HARMFUL_STRIDE: usize = 4;
+/// Crashes after which no more requests with a harmful part may be sent.
+const MAX_CRASHES_UNDER_A_PART: usize = 5;
+/// The share of sound requests that must be served once the harmful part is known.
+const MIN_SERVED_SHARE: f64 = 0.95;
 /// Crashes after which a request is convicted.
 const CRASHES_TO_CONVICT: usize = 3;
 
@@ -78,11 +84,48 @@
         }
     }
 
+    /// Sends requests that have a harmful part of their prompts in common, no two alike, and sound
+    /// ones that share the other parts, until `is_over` returns true. Returns the number of sound ones
+    /// that were served, and of those that were not.
+    fn send_prompts_until(&mut self, is_over: impl Fn(&CrashLog) -> bool) -> (usize, usize) {
+        let started_at = Instant::now();
+        let mut sound = Vec::new();
+        while !is_over(&self.crash_log) {
+            assert!(
+                started_at.elapsed() < launch::CONDITION_TIMEOUT,
+                "the condition did not hold in time"
+            );
+            self.sent_count += 1;
+            let n = self.sent_count;
+            let callers = self.daemons[n % DAEMONS].callers;
+            let is_harmful = n.is_multiple_of(HARMFUL_STRIDE);
+            let part = if is_harmful { CRASH_PART } else { "50" };
+            let prompt = format!("aa:20,{part}:10,{n:x}:5");
+            let sent = thread::spawn(move || send_prompt(callers, &prompt, n));
+            if !is_harmful {
+                sound.push(sent);
+            }
+            thread::sleep(SEND_INTERVAL / HARMFUL_STRIDE as u32);
+        }
+        let responses =
+            sound.into_iter().map(|sent| sent.join().expect("the caller does not panic"));
+        let served = responses.map(|response| response.starts_with("HTTP/1.1 200"));
+        let (served, others): (Vec<bool>, Vec<bool>) = served.partition(|is_served| *is_served);
+        (served.len(), others.len())
+    }
+
     fn late_sends(&self, since: Instant) -> usize {
         self.crash_log.arrivals().iter().filter(|at| **at > since + PROPAGATION_TIME).count()
     }
 }
 
+fn send_prompt(callers: SocketAddr, prompt: &str, n: usize) -> String {
+    let (path, id) = (format!("/lookup/{n}"), format!("id-{n}"));
+    let headers = format!("Connection: close\r\nPrompt-Prefix: {prompt}\r\n");
+    let req = Request::new(&path, &id, None, 1_500);
+    launch::send(callers, &Request { extra_headers: &headers, ..req }.text())
+}
+
 fn send(callers: SocketAddr, path: &str, id: &str) -> String {
     let req = Request::new(path, id, None, 1_500);
     launch::send(callers, &Request { extra_headers: "Connection: close\r\n", ..req }.text())
@@ -132,3 +175,31 @@
         world.late_sends(started_at)
     );
 }
+
+#[test]
+fn part_of_prompts_reaches_no_target_once_five_have_crashed_under_it() {
+    let mut world = World::start("part", CrashSequence::PortClosesFirst);
+    world.send_prompts_until(|crash_log| crash_log.crashes().len() >= MAX_CRASHES_UNDER_A_PART);
+    let fifth_crash = world.crash_log.crashes()[MAX_CRASHES_UNDER_A_PART - 1];
+    world.send_prompts_until(|_| fifth_crash.elapsed() > 2 * PROPAGATION_TIME);
+    let (served, others) = world
+        .send_prompts_until(|_| fifth_crash.elapsed() > 2 * PROPAGATION_TIME + REPEAT_DURATION);
+    let late = world.late_sends(fifth_crash);
+    assert!(late <= MAX_LATE_SENDS, "{late} late sends");
+    let share = served as f64 / (served + others) as f64;
+    assert!(share >= MIN_SERVED_SHARE, "{served} sound requests served, {others} not");
+}
+
+#[test]
+fn part_of_prompts_is_known_after_all_daemons_have_ended_at_once() {
+    let mut world = World::start("part_ended", CrashSequence::PortClosesFirst);
+    world.send_prompts_until(|crash_log| crash_log.crashes().len() >= MAX_CRASHES_UNDER_A_PART);
+    let fifth_crash = world.crash_log.crashes()[MAX_CRASHES_UNDER_A_PART - 1];
+    world.send_prompts_until(|_| fifth_crash.elapsed() > Duration::from_secs(2));
+    world.daemons.clear();
+    world.start_daemons("part_ended_again");
+    let started_at = Instant::now();
+    world.send_prompts_until(|_| started_at.elapsed() > PROPAGATION_TIME + REPEAT_DURATION);
+    let late = world.late_sends(started_at);
+    assert!(late <= MAX_LATE_SENDS, "{late} late sends");
+}
