--- a/crates/tansyknot-fleet/src/platform_api.rs
+++ b/crates/tansyknot-fleet/src/platform_api.rs
@@ -238,6 +238,12 @@
     pub fn expected_tokens(&self) -> u64 {
         self.prompt_tokens.unwrap_or(0).saturating_add(self.expected_output.unwrap_or(0))
     }
+
+    /// Returns the identifiers of the shared parts of the prompt, separated by commas.
+    pub fn shared_part_ids(&self) -> String {
+        let ids = self.shared_parts.iter().map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
 }
 
 /// An earlier attempt's stream that a request resumes.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -370,6 +370,7 @@
         kind.emit(&[
             ("request", &request.params.id),
             ("key", &request.key),
+            ("parts", &request.params.shared_part_ids()),
             ("route", &request.route.name),
             ("team", &request.identity.name()),
             ("config", &version),
