--- a/crates/tansyknot-fleet/examples/poison.rs
+++ b/crates/tansyknot-fleet/examples/poison.rs
@@ -8,7 +8,7 @@
 use tansyknot_core::clock::Time;
 use tansyknot_fleet::poison::{
     Poison, Presence,
-    key::{RequestKey, RunKey},
+    key::{RunKey, SuspectKey},
 };
 use tansyknot_http::{head, server::Request};
 
@@ -20,7 +20,7 @@
     for bytes in [0, 1 << 10, 64 << 10] {
         let req = request(bytes);
         let hash = |_| {
-            black_box(RequestKey::of(&req));
+            black_box(SuspectKey::of(&req));
         };
         println!("key_of_{bytes}_bytes {}", nanos(hash));
     }
@@ -28,11 +28,11 @@
     for suspected in [0, 100, 4096] {
         let mut poison = suspecting(suspected, now);
         let look_up = |n| {
-            black_box(poison.is_convicted(RequestKey(n)));
+            black_box(poison.is_convicted(SuspectKey(n)));
         };
         println!("look_up_among_{suspected} {}", nanos(look_up));
         let mut poison = suspecting(suspected, now);
-        let record_answer = |n| poison.record_answer(RequestKey(n), RunKey(1), now, now);
+        let record_answer = |n| poison.record_answer(SuspectKey(n), RunKey(1), now, now);
         println!("answer_among_{suspected} {}", nanos(record_answer));
     }
 }
@@ -47,7 +47,7 @@
     let mut poison = Poison::default();
     for n in 0..requests {
         let run = RunKey(n / 64);
-        poison.record_early_close(RequestKey(u128::MAX - u128::from(n)), run, now, now);
+        poison.record_early_close(SuspectKey(u128::MAX - u128::from(n)), run, now, now);
         poison.record_check(run, Presence::Ended, now);
     }
     poison
--- a/crates/tansyknot-fleet/src/peering/crashes.rs
+++ b/crates/tansyknot-fleet/src/peering/crashes.rs
@@ -117,7 +117,7 @@
         let merged = self.state.merge_poison(evidence);
         if merged.convicts && self.lease.is_valid(now) {
             let convicted = self.state.poison().convicted();
-            let is_received = |item: &Evidence| evidence.iter().any(|e| e.request == item.request);
+            let is_received = |item: &Evidence| evidence.iter().any(|e| e.suspect == item.suspect);
             self.send_evidence_to_all(convicted.into_iter().filter(is_received).collect());
         }
         if !merged.lacking.is_empty() && self.is_replier_to(from) {
--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -1,8 +1,10 @@
-//! Requests under which targets crash: tracks which are suspected, convicted, cleared and
-//! forgotten.
+//! Requests, and parts of prompts, under which targets crash: tracks which are suspected, convicted,
+//! cleared and forgotten.
 //!
-//! A request that was at a target when the target crashed is suspected. Three crashes of different
-//! runs convict it, and it is no longer sent to targets, except for one trial by one daemon. The
+//! A request that was at a target when the target crashed is suspected, and so are the parts of its
+//! prompt if the target had not begun its response. Three crashes of different runs convict a request,
+//! four a part, if no other part explains all but two of them better. What is convicted is no longer
+//! sent to targets, except for one trial by one daemon. The
 //! evidence that daemons hold only grows, so that it can be merged in any order, any number of
 //! times, from any of them. This module has no threads or sockets: `serve` reports the outcomes of
 //! sends, `peering` sends evidence to other daemons, and `poison::keeper` stores it.
@@ -17,6 +19,7 @@
 mod trial;
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -26,7 +29,7 @@
 use account::Account;
 use crash_check::CrashChecks;
 use evidence::{Digest, Evidence};
-use key::{RequestKey, RunKey};
+use key::{RequestSuspects, RunKey, SuspectKey};
 use served::Served;
 use trial::Trials;
 
@@ -36,7 +39,20 @@
 /// racks and ending hosts cause crashes that count for requests that did not cause them: one crash
 /// for most of these requests, and two for few.
 pub const CRASHES_TO_CONVICT: usize = 3;
-/// The maximum number of suspected requests, about 150 bytes each. A crash makes as many requests
+/// The same for a part of prompts. Many requests contain it, so that each crash of a rack gives
+/// evidence on it sooner than on a request.
+pub const PART_CRASHES_TO_CONVICT: usize = 4;
+/// How many more crashes convict a part that targets have answered before.
+const CRASHES_AFTER_ANSWER: usize = 2;
+/// A part with this many crashes can explain those under other suspects.
+const CRASHES_TO_EXPLAIN: usize = 3;
+/// That a request or part is cleared is sent to the other daemons if so many crashes counted before:
+/// the next ones could convict it.
+const CRASHES_TO_REPORT_CLEARED: usize = 2;
+/// A request is not sent again after a crash if so many targets have crashed under a part of its
+/// prompt.
+const CRASHES_TO_WITHHOLD: usize = 2;
+/// The maximum number of suspected requests and parts, about 150 bytes each. A crash makes as many requests
 /// suspected as a target has slots, up to 64.
 const MAX_SUSPECTED: usize = 4096;
 /// The maximum number of convicted requests: as many as fit in their row of the store.
@@ -52,20 +68,22 @@
 /// A daemon's evidence on requests under which targets have crashed.
 #[derive(Debug, Default)]
 pub struct Poison {
-    accounts: BTreeMap<RequestKey, Account>,
+    accounts: BTreeMap<SuspectKey, Account>,
     /// The convicted requests, and when they were convicted.
-    convicted: BTreeMap<RequestKey, Time>,
+    convicted: BTreeMap<SuspectKey, Time>,
     /// When the daemon began to see which requests are answered.
     started: Time,
+    /// The accounts with enough crashes to convict or to explain others.
+    strong: BTreeSet<SuspectKey>,
     trials: Trials,
     crash_checks: CrashChecks,
     served: Served,
     /// When this daemon learned that a run has ended.
     ended: BTreeMap<RunKey, Time>,
     /// The requests whose evidence is to be sent to other daemons at once.
-    unsent: BTreeSet<RequestKey>,
+    unsent: BTreeSet<SuspectKey>,
     /// The requests on which this daemon itself has found evidence, and when.
-    findings: BTreeMap<RequestKey, Time>,
+    findings: BTreeMap<SuspectKey, Time>,
     /// A counter that rises with each use of an account.
     use_count: u64,
 }
@@ -86,7 +104,7 @@
     }
 
     /// Returns whether a request must not be sent to targets.
-    pub fn is_convicted(&mut self, key: RequestKey) -> bool {
+    pub fn is_convicted(&mut self, key: SuspectKey) -> bool {
         let is_convicted = self.convicted.contains_key(&key);
         if is_convicted {
             self.account(key);
@@ -94,9 +112,26 @@
         is_convicted
     }
 
-    /// Begins a trial of a convicted request, if one is allowed; exactly one daemon calls this for
+    /// Returns what is convicted of a request and the parts of its prompt.
+    pub fn convicted_of(&mut self, suspects: &RequestSuspects) -> Vec<SuspectKey> {
+        suspects.all().filter(|key| self.is_convicted(*key)).collect()
+    }
+
+    /// Returns whether a request that a crash has cut off is not to be sent again, because other
+    /// targets have crashed under a part of its prompt as well.
+    pub fn withholds(&self, suspects: &RequestSuspects) -> bool {
+        suspects.parts.iter().any(|part| self.count(*part) >= CRASHES_TO_WITHHOLD)
+    }
+
+    /// Returns whether a request may serve as the trial of `key`: another suspect in it could be
+    /// the cause of a crash.
+    pub fn may_try(&self, key: SuspectKey, suspects: &RequestSuspects) -> bool {
+        suspects.all().filter(|other| *other != key).all(|k| self.count(k) < CRASHES_TO_WITHHOLD)
+    }
+
+    /// Begins a trial of a convicted request or part, if one is allowed; exactly one daemon calls this for
     /// a request.
-    pub fn begin_trial(&mut self, key: RequestKey, now: Time) -> bool {
+    pub fn begin_trial(&mut self, key: SuspectKey, now: Time) -> bool {
         let Some(since) = self.convicted.get(&key) else { return false };
         let is_open = self.accounts.get(&key).is_some_and(|a| !a.is_tried());
         is_open && self.trials.begin(key, *since, now)
@@ -107,7 +142,7 @@
     /// result of the check.
     pub fn record_early_close(
         &mut self,
-        key: RequestKey,
+        key: SuspectKey,
         run: RunKey,
         opened: Time,
         now: Time,
@@ -135,7 +170,7 @@
         }
         let suspects = self.crash_checks.confirm_end(run, presence, now);
         suspects.iter().for_each(|s| self.record_crash(s.key, run, s.lived, now));
-        suspects.len()
+        suspects.iter().filter(|s| !s.key.is_part()).count()
     }
 
     /// Has a target checked again, because the first check has not shown that it ended.
@@ -163,13 +198,17 @@
         self.crash_checks.discard(run);
     }
 
-    /// Records that a run of a target has ended while it had a request, which it had for `lived`.
-    fn record_crash(&mut self, key: RequestKey, run: RunKey, lived: Duration, now: Time) {
+    /// Records that a run of a target has ended while it had a request or part, which it had for `lived`.
+    fn record_crash(&mut self, key: SuspectKey, run: RunKey, lived: Duration, now: Time) {
         self.record_end(run, now);
         if self.served.was_answered_recently(key, now) {
             return;
         }
-        let is_in_trial = self.trials.has_begun(key);
+        // The trial of a part that was answered before may fail once by coincidence: many sound requests
+        // may contain it.
+        let was_answered = key.is_part() && self.served.answered_at(key).is_some();
+        let is_in_trial =
+            self.trials.has_begun(key) && (!was_answered || self.trials.was_last(key));
         let account = self.account(key);
         account.add_crash(run, lived);
         if is_in_trial {
@@ -180,13 +219,13 @@
         self.judge(key, now);
     }
 
-    /// Records that a run of a target has answered a request completely, over a connection opened
-    /// at `opened`.
+    /// Records that a run of a target has answered a request completely, or has begun the response to
+    /// one that contains a part, over a connection opened at `opened`.
     ///
-    /// The request is cleared because a target could run it. This is sent to other daemons if the
+    /// The request or part is cleared because a target could run it. This is sent to other daemons if the
     /// next crash would convict the request. A run that answers is alive even if it was taken for
     /// ended, so its supposed crash counts for no request.
-    pub fn record_answer(&mut self, key: RequestKey, run: RunKey, opened: Time, now: Time) {
+    pub fn record_answer(&mut self, key: SuspectKey, run: RunKey, opened: Time, now: Time) {
         self.served.add(key, now);
         self.crash_checks.record_answer(run, opened);
         if self.accounts.is_empty() {
@@ -202,7 +241,7 @@
     /// Clears a run that is alive from the evidence on all requests.
     fn clear_run(&mut self, run: RunKey, now: Time) {
         let affected = self.accounts.iter_mut().filter_map(|(key, a)| a.clear(run).then_some(*key));
-        let affected: Vec<RequestKey> = affected.collect();
+        let affected: Vec<SuspectKey> = affected.collect();
         for key in affected {
             self.unsent.insert(key);
             self.judge(key, now);
@@ -210,9 +249,9 @@
     }
 
     /// Clears all evidence on a request that is known so far.
-    fn clear(&mut self, key: RequestKey, now: Time) {
+    fn clear(&mut self, key: SuspectKey, now: Time) {
         let Some(account) = self.accounts.get_mut(&key) else { return };
-        if account.count() + 1 >= CRASHES_TO_CONVICT {
+        if account.count() >= CRASHES_TO_REPORT_CLEARED {
             self.unsent.insert(key);
         }
         account.clear_all();
@@ -225,9 +264,9 @@
         let mut merged = Merged::default();
         for item in evidence {
             merged.convicts |= self.merge_one(item, now);
-            let lacks = item.count() < CRASHES_TO_CONVICT;
-            if lacks && self.convicted.contains_key(&item.request) {
-                merged.lacking.extend(self.evidence_of(item.request));
+            let lacks = item.count() < item.suspect.crashes_to_convict();
+            if lacks && self.convicted.contains_key(&item.suspect) {
+                merged.lacking.extend(self.evidence_of(item.suspect));
             }
         }
         merged
@@ -236,16 +275,16 @@
     /// Merges the evidence on one request; returns whether that convicts it.
     fn merge_one(&mut self, item: &Evidence, now: Time) -> bool {
         item.crashes.iter().for_each(|run| self.record_end(*run, now));
-        self.account(item.request).merge(item);
-        if self.served.was_answered_recently(item.request, now) {
-            self.clear(item.request, now);
+        self.account(item.suspect).merge(item);
+        if self.served.was_answered_recently(item.suspect, now) {
+            self.clear(item.suspect, now);
         }
         // The daemon that sent the evidence lacks what clears the request, and others may lack it
         // too.
-        if item.count() + 1 >= CRASHES_TO_CONVICT && self.count(item.request) < item.count() {
-            self.unsent.insert(item.request);
+        if item.count() >= CRASHES_TO_REPORT_CLEARED && self.count(item.suspect) < item.count() {
+            self.unsent.insert(item.suspect);
         }
-        self.judge(item.request, now)
+        self.judge(item.suspect, now)
     }
 
     /// Returns whether there is evidence to be sent to other daemons at once.
@@ -287,16 +326,16 @@
     }
 
     /// Returns the number of crashes that count for a request.
-    fn count(&self, key: RequestKey) -> usize {
+    fn count(&self, key: SuspectKey) -> usize {
         self.accounts.get(&key).map_or(0, Account::count)
     }
 
-    fn evidence_of(&self, key: RequestKey) -> Option<Evidence> {
+    fn evidence_of(&self, key: SuspectKey) -> Option<Evidence> {
         self.accounts.get(&key).map(|account| account.evidence(key))
     }
 
     /// Returns the account of a request, and marks it as used.
-    fn account(&mut self, key: RequestKey) -> &mut Account {
+    fn account(&mut self, key: SuspectKey) -> &mut Account {
         self.evict_suspected();
         self.use_count += 1;
         let account = self.accounts.entry(key).or_default();
@@ -312,28 +351,95 @@
         }
     }
 
-    /// Decides again whether a request is convicted; returns whether it is now and was not before.
-    fn judge(&mut self, key: RequestKey, now: Time) -> bool {
+    /// Decides again whether a request or part is convicted, and others that a part may explain;
+    /// returns whether one is now that was not before.
+    fn judge(&mut self, key: SuspectKey, now: Time) -> bool {
+        let is_strong = self.count(key) >= CRASHES_TO_EXPLAIN;
+        let is_changed = if is_strong { self.strong.insert(key) } else { self.strong.remove(&key) };
+        let mut convicts = self.decide(key, now);
+        if key.is_part() && (is_strong || is_changed) {
+            let others: Vec<SuspectKey> = self.strong_with_same_crash(key).collect();
+            convicts |= others.into_iter().fold(false, |any, other| self.decide(other, now) | any);
+        }
+        convicts
+    }
+
+    /// Decides again whether a request or part is convicted; returns whether it is now and was not
+    /// before.
+    fn decide(&mut self, key: SuspectKey, now: Time) -> bool {
         let was_convicted = self.convicted.contains_key(&key);
-        if self.count(key) >= CRASHES_TO_CONVICT && !was_convicted && self.has_just_started(now) {
+        let needed = CRASHES_TO_CONVICT;
+        if self.unexplained(key) >= needed && !was_convicted && self.has_just_started(now) {
             self.clear_shared_with_convicted(key);
         }
-        let crashes = self.count(key);
-        if crashes >= CRASHES_TO_CONVICT && !was_convicted {
+        let crashes = self.unexplained(key);
+        if crashes >= needed && !was_convicted {
             self.convicted.insert(key, now);
-            event::POISON_CONVICTED.emit(&[("key", &key), ("crashes", &crashes)]);
+            let part = if key.is_part() { format!("{:x}", key.0 as u64) } else { String::new() };
+            event::POISON_CONVICTED.emit(&[("key", &key), ("part", &part), ("crashes", &crashes)]);
             self.evict_convicted();
             if self.has_just_started(now) {
                 self.clear_shared_by_others(key, now);
             }
             return true;
         }
-        if crashes < CRASHES_TO_CONVICT && was_convicted {
+        if crashes < needed && was_convicted {
             self.acquit(key);
         }
         false
     }
 
+    /// Returns the number of crashes that count for `key` and that no other part explains better; 0 if
+    /// there are too few to convict it. Those under a failed trial have no other explanation.
+    fn unexplained(&self, key: SuspectKey) -> usize {
+        let Some(account) = self.accounts.get(&key) else { return 0 };
+        if account.is_tried() {
+            return account.count();
+        }
+        if account.count() < self.crashes_to_convict(key) {
+            return 0;
+        }
+        let mut runs: BTreeSet<RunKey> = account.counted().copied().collect();
+        for part in self.strong_with_same_crash(key).filter(|part| part.is_part()) {
+            if self.explains(part, key) {
+                self.accounts[&part].counted().for_each(|run| _ = runs.remove(run));
+            }
+        }
+        runs.len()
+    }
+
+    /// Returns the other requests and parts with many crashes that a target crashed under together with
+    /// `key`.
+    fn strong_with_same_crash(&self, key: SuspectKey) -> impl Iterator<Item = SuspectKey> {
+        let account = self.accounts.get(&key);
+        self.strong.iter().copied().filter(move |other| {
+            let others = self.accounts.get(other);
+            *other != key && account.zip(others).is_some_and(|(a, b)| a.shares_crash(b))
+        })
+    }
+
+    /// Returns the number of crashes that convicts a request or part. A part that targets have answered
+    /// before needs more: it is harmful only if it has become so.
+    fn crashes_to_convict(&self, key: SuspectKey) -> usize {
+        let was_answered = key.is_part() && self.served.answered_at(key).is_some();
+        key.crashes_to_convict() + if was_answered { CRASHES_AFTER_ANSWER } else { 0 }
+    }
+
+    /// Returns whether `part` is a better explanation of crashes than `key`. Of two parts, one that no
+    /// target is known to have answered explains one that was answered before; else the one under
+    /// which more targets have crashed. A part explains a request under which no more have.
+    fn explains(&self, part: SuspectKey, key: SuspectKey) -> bool {
+        let was_answered = |key| self.served.answered_at(key).is_some();
+        if key.is_part() && was_answered(part) != was_answered(key) {
+            return was_answered(key);
+        }
+        match self.count(part).cmp(&self.count(key)) {
+            Ordering::Greater => true,
+            Ordering::Equal => !key.is_part(),
+            Ordering::Less => false,
+        }
+    }
+
     /// Returns whether this daemon has started so recently that it can't know which requests are
     /// answered.
     ///
@@ -345,7 +451,7 @@
         now.since(self.started) < served::RECENT_ANSWER_PERIOD
     }
 
-    fn clear_shared_with_convicted(&mut self, key: RequestKey) {
+    fn clear_shared_with_convicted(&mut self, key: SuspectKey) {
         let Some(mut account) = self.accounts.remove(&key) else { return };
         let causes = self.convicted.keys().filter_map(|cause| self.accounts.get(cause));
         if causes.fold(false, |any, cause| account.clear_shared_with(cause) | any) {
@@ -354,18 +460,18 @@
         self.accounts.insert(key, account);
     }
 
-    fn clear_shared_by_others(&mut self, key: RequestKey, now: Time) {
+    fn clear_shared_by_others(&mut self, key: SuspectKey, now: Time) {
         let Some(cause) = self.accounts.get(&key).cloned() else { return };
         let others = self.accounts.iter_mut().filter(|(other, _)| **other != key);
         let cleared = others.filter_map(|(other, a)| a.clear_shared_with(&cause).then_some(*other));
-        let cleared: Vec<RequestKey> = cleared.collect();
+        let cleared: Vec<SuspectKey> = cleared.collect();
         for other in cleared {
             self.unsent.insert(other);
             self.judge(other, now);
         }
     }
 
-    fn acquit(&mut self, key: RequestKey) {
+    fn acquit(&mut self, key: SuspectKey) {
         self.convicted.remove(&key);
         self.trials.forget(key);
         event::POISON_ACQUITTED.emit(&[("key", &key)]);
@@ -376,7 +482,7 @@
         if self.convicted.len() <= MAX_CONVICTED {
             return;
         }
-        let last_used = |key: &&RequestKey| self.accounts.get(key).map_or(0, |a| a.last_used);
+        let last_used = |key: &&SuspectKey| self.accounts.get(key).map_or(0, |a| a.last_used);
         if let Some(key) = self.convicted.keys().min_by_key(last_used).copied() {
             self.acquit(key);
             self.remove_account(key);
@@ -389,7 +495,7 @@
             return;
         }
         let suspects = self.accounts.iter().filter(|(key, _)| !self.convicted.contains_key(key));
-        let mut by_use: Vec<(u64, RequestKey)> =
+        let mut by_use: Vec<(u64, SuspectKey)> =
             suspects.map(|(key, a)| (a.last_used, *key)).collect();
         by_use.sort_unstable();
         for (_, key) in by_use.into_iter().take(MAX_SUSPECTED / EVICTION_DIVISOR) {
@@ -397,8 +503,9 @@
         }
     }
 
-    fn remove_account(&mut self, key: RequestKey) {
+    fn remove_account(&mut self, key: SuspectKey) {
         self.accounts.remove(&key);
+        self.strong.remove(&key);
         self.findings.remove(&key);
     }
 }
--- a/crates/tansyknot-fleet/src/poison/account.rs
+++ b/crates/tansyknot-fleet/src/poison/account.rs
@@ -1,11 +1,11 @@
-//! The evidence on one request: the runs of targets that ended under it, and which of them don't
+//! The evidence on one request, or one part of prompts: the runs of targets that ended under it, and which of them don't
 //! count.
 
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
     evidence::Evidence,
-    key::{RequestKey, RunKey},
+    key::{RunKey, SuspectKey},
 };
 
 /// The maximum number of crashes that are stored for a request: more than convict it, so that they
@@ -16,7 +16,7 @@
 /// many targets, and its evidence has to fit into a datagram: 40 runs take about 400 bytes.
 const MAX_CLEARED: usize = 32;
 
-/// The account of a request.
+/// The account of a request or of a part of prompts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Account {
     crashes: BTreeSet<RunKey>,
@@ -101,15 +101,20 @@
         self.crashes.difference(&self.cleared)
     }
 
+    /// Returns whether a run counts here that ended under `other` as well.
+    pub(super) fn shares_crash(&self, other: &Account) -> bool {
+        self.counted().any(|run| other.crashes.contains(run))
+    }
+
     /// Returns how many runs count.
     pub(super) fn count(&self) -> usize {
         self.counted().count()
     }
 
     /// Returns all evidence, in the form that is sent to other daemons.
-    pub(super) fn evidence(&self, request: RequestKey) -> Evidence {
+    pub(super) fn evidence(&self, suspect: SuspectKey) -> Evidence {
         Evidence {
-            request,
+            suspect,
             crashes: self.counted().copied().collect(),
             cleared: self.cleared.iter().copied().collect(),
             longest_held: self.longest_held,
--- a/crates/tansyknot-fleet/src/poison/crash_check.rs
+++ b/crates/tansyknot-fleet/src/poison/crash_check.rs
@@ -7,7 +7,7 @@
     name::{ServiceName, TargetName},
 };
 
-use super::key::{RequestKey, RunKey};
+use super::key::{RunKey, SuspectKey};
 use crate::target::Target;
 
 /// How long a target that cut off requests and seems to be alive stays suspect: the entry of an
@@ -23,8 +23,9 @@
     [Duration::from_millis(100), Duration::from_millis(400), Duration::from_millis(1500)];
 /// The maximum number of suspect targets; a failing zone has fewer.
 const MAX_SUSPECT_TARGETS: usize = 128;
-/// The maximum number of requests that are stored for each target: as many as a target has slots.
-const MAX_SUSPECTS: usize = 64;
+/// The maximum number of requests and parts of prompts that are stored for each target: a target has up
+/// to 64 slots, for requests with a few parts each.
+const MAX_SUSPECTS: usize = 256;
 
 /// The result of a check of a target that cut off requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,10 +88,10 @@
     pub is_check_due: bool,
 }
 
-/// A request that a target has cut off.
+/// A request that a target has cut off, or a part of its prompt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Suspect {
-    pub(super) key: RequestKey,
+    pub(super) key: SuspectKey,
     /// How long the target had the request.
     pub(super) lived: Duration,
     cut_off_at: Time,
@@ -137,7 +138,7 @@
     /// Adds a request that a target has cut off after `lived`.
     pub(super) fn add(
         &mut self,
-        key: RequestKey,
+        key: SuspectKey,
         run: RunKey,
         lived: Duration,
         now: Time,
--- a/crates/tansyknot-fleet/src/poison/evidence.rs
+++ b/crates/tansyknot-fleet/src/poison/evidence.rs
@@ -5,13 +5,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::key::{RequestKey, RunKey};
+use super::key::{RunKey, SuspectKey};
 
-/// A daemon's evidence on one request.
+/// A daemon's evidence on one request, or on one part of prompts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
-    /// The request.
-    pub request: RequestKey,
+    /// The request or the part.
+    pub suspect: SuspectKey,
     /// The runs of targets that ended under the request.
     pub crashes: Vec<RunKey>,
     /// The runs that no longer count.
@@ -37,8 +37,8 @@
 
 impl Digest {
     /// Returns the hash of requests, each with whether it gets no further trial.
-    pub(super) fn of(requests: impl Iterator<Item = (RequestKey, bool)>) -> Self {
-        let hash = |(key, is_final): (RequestKey, bool)| {
+    pub(super) fn of(requests: impl Iterator<Item = (SuspectKey, bool)>) -> Self {
+        let hash = |(key, is_final): (SuspectKey, bool)| {
             xxh3::xxh3_64_with_seed(&key.0.to_le_bytes(), u64::from(is_final))
         };
         Self(requests.map(hash).fold(0, u64::wrapping_add))
--- a/crates/tansyknot-fleet/src/poison/keeper.rs
+++ b/crates/tansyknot-fleet/src/poison/keeper.rs
@@ -136,7 +136,7 @@
         let row_state = match evidence {
             Ok(evidence) => {
                 self.state.poison().merge(&evidence, self.state.now());
-                let digest = Digest::of(evidence.iter().map(|e| (e.request, e.tried)));
+                let digest = Digest::of(evidence.iter().map(|e| (e.suspect, e.tried)));
                 RowState::Read(digest, era)
             }
             Err(Unreadable::Newer(_)) => RowState::Newer,
--- a/crates/tansyknot-fleet/src/poison/row.rs
+++ b/crates/tansyknot-fleet/src/poison/row.rs
@@ -9,11 +9,13 @@
     MAX_CONVICTED,
     account::MAX_CRASHES,
     evidence::Evidence,
-    key::{RequestKey, RunKey},
+    key::{RunKey, SuspectKey},
 };
 
 /// The version of the row's format; it changes with the row's meaning.
-const FORMAT_VERSION: u32 = 1;
+const FORMAT_VERSION: u32 = 2;
+/// The first version with parts of prompts; all keys of earlier ones are those of requests.
+const FIRST_VERSION_WITH_PARTS: u32 = 2;
 /// The maximum number of crashes that are written for a request: all that are stored, because each
 /// may explain a crash under another request.
 const MAX_WRITTEN_CRASHES: usize = MAX_CRASHES;
@@ -55,7 +57,7 @@
 /// Encodes the evidence on convicted requests.
 pub(super) fn encode(evidence: &[Evidence]) -> Vec<u8> {
     let request = |item: &Evidence| RequestDoc {
-        key: item.request.to_string(),
+        key: item.suspect.to_string(),
         crashes: item.crashes.iter().take(MAX_WRITTEN_CRASHES).map(RunKey::to_string).collect(),
         lived_ms: item.longest_held.as_millis() as u64,
         tried: item.tried,
@@ -76,13 +78,20 @@
         return Err(Unreadable::Newer(form));
     }
     let doc: RowDoc = serde_json::from_slice(bytes)?;
-    doc.requests.iter().map(evidence).collect()
+    let all = doc.requests.iter().map(evidence).collect::<Result<Vec<Evidence>, _>>()?;
+    if form >= FIRST_VERSION_WITH_PARTS {
+        return Ok(all);
+    }
+    Ok(all
+        .into_iter()
+        .map(|item| Evidence { suspect: item.suspect.as_request(), ..item })
+        .collect())
 }
 
 fn evidence(doc: &RequestDoc) -> Result<Evidence, Unreadable> {
     let run = |text: &String| u64::from_str_radix(text, 16).map(RunKey);
     Ok(Evidence {
-        request: RequestKey(u128::from_str_radix(&doc.key, 16)?),
+        suspect: SuspectKey(u128::from_str_radix(&doc.key, 16)?),
         crashes: doc.crashes.iter().map(run).collect::<Result<_, _>>()?,
         cleared: Vec::new(),
         longest_held: Duration::from_millis(doc.lived_ms),
--- a/crates/tansyknot-fleet/src/poison/trial.rs
+++ b/crates/tansyknot-fleet/src/poison/trial.rs
@@ -8,7 +8,7 @@
 
 use tansyknot_core::clock::Time;
 
-use super::key::RequestKey;
+use super::key::SuspectKey;
 
 /// A request is tried this long after its conviction: another cause of the crashes is over by then,
 /// and the targets are back. The time does not count from the last crash of any target, because
@@ -28,12 +28,12 @@
 /// The trials that this daemon has made.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Trials {
-    made: BTreeMap<RequestKey, Trial>,
+    made: BTreeMap<SuspectKey, Trial>,
 }
 
 impl Trials {
     /// Begins a trial of a request that was convicted at `since`, if one is allowed.
-    pub(super) fn begin(&mut self, key: RequestKey, since: Time, now: Time) -> bool {
+    pub(super) fn begin(&mut self, key: SuspectKey, since: Time, now: Time) -> bool {
         if now.since(since) < TRIAL_INTERVAL {
             return false;
         }
@@ -46,12 +46,17 @@
     }
 
     /// Returns whether a convicted request has been sent as a trial.
-    pub(super) fn has_begun(&self, key: RequestKey) -> bool {
+    pub(super) fn has_begun(&self, key: SuspectKey) -> bool {
         self.made.get(&key).is_some_and(|trial| trial.count > 0)
     }
 
+    /// Returns whether the last trial that is allowed has begun.
+    pub(super) fn was_last(&self, key: SuspectKey) -> bool {
+        self.made.get(&key).is_some_and(|trial| trial.count >= MAX_TRIALS)
+    }
+
     /// Removes a request that is no longer convicted.
-    pub(super) fn forget(&mut self, key: RequestKey) {
+    pub(super) fn forget(&mut self, key: SuspectKey) {
         self.made.remove(&key);
     }
 }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -36,7 +36,7 @@
     fleet::CacheNeed,
     paths::Paths,
     platform_api::{Dialect, RequestParams},
-    poison::key::RequestKey,
+    poison::key::RequestSuspects,
     residency::ZoneSet,
     response_buffers::{Reservation, ResponseBuffers, ResponseLimits},
     response_relay::{self, CallerConnection, EventRelay},
@@ -184,8 +184,9 @@
 
     fn serve(&self, request: &mut ActiveRequest<'_>) -> Ended {
         let now = self.state.now();
-        if self.state.poison().is_convicted(request.key) {
-            request.is_trial = self.state.begin_trial(request.key);
+        let convicted = self.state.poison().convicted_of(&request.suspects);
+        if let [key] = convicted[..] {
+            request.is_trial = self.state.begin_trial(key, &request.suspects);
         }
         self.state.fleet().count_arrival(&request.want(), now);
         loop {
@@ -231,7 +232,8 @@
                 }
                 SendOutcome::MayHaveRun(_) => {
                     request.may_have_run = true;
-                    if !request.may_run_again() {
+                    let is_withheld = self.state.poison().withholds(&request.suspects);
+                    if is_withheld || !request.may_run_again() {
                         return self.give_up(request, Reason::TargetFailed);
                     }
                 }
@@ -369,7 +371,7 @@
         let resumes_after = resumption.map_or("", |r| r.last_event.as_str());
         kind.emit(&[
             ("request", &request.params.id),
-            ("key", &request.key),
+            ("key", &request.suspects.request),
             ("parts", &request.params.shared_part_ids()),
             ("route", &request.route.name),
             ("team", &request.identity.name()),
@@ -438,7 +440,7 @@
             CallerConnection { stream: &caller_stream, http_1_1: req.head.http_1_1, after };
         let mut request = ActiveRequest {
             req: &req,
-            key: RequestKey::of(&req),
+            suspects: RequestSuspects::of(&req, &service, &params.shared_parts),
             is_trial: false,
             params,
             route,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -45,6 +45,7 @@
         let bytes = self.request_bytes(request, target);
         let deadline = request.give_up_at();
         let began = self.state.now();
+        let events = request.relay.events;
         // A conviction or a signal may have arrived since the target was selected.
         let may_send = || !self.is_rejected(request) && self.is_send_allowed(request, target);
         let caller = Some(request.caller.stream);
@@ -77,7 +78,7 @@
             }
         };
         // A probe of the target shows first whether the fault is its own.
-        self.record_poison_evidence(request, target, began, &outcome);
+        self.record_poison_evidence(request, target, began, events, &outcome);
         self.update_target_health(request, target, began, &outcome);
         outcome
     }
@@ -176,7 +177,11 @@
             let record = |interval| self.observe_stream(target, model.as_ref(), interval);
             let mut observer = EventObserver::new(&record);
             let (origin, stream) = (Rc::clone(&request.origin), NewStream::of(request));
-            let on_first_event = || self.record_first_event(&origin, target, stream);
+            let parts = request.suspects.parts.clone();
+            let on_first_event = || {
+                self.record_answered(parts.iter().copied(), target, began);
+                self.record_first_event(&origin, target, stream);
+            };
             let sink = StreamSink {
                 caller: request.caller,
                 on_first_event: &on_first_event,
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -9,41 +9,62 @@
 use crate::{
     exchange::Failure,
     paths::CRASH_PROBE_TIMEOUT,
-    poison::{self, CheckState, Presence, TargetIdentity, key::RunKey},
+    poison::{
+        self, CheckState, Presence, TargetIdentity,
+        key::{RunKey, SuspectKey},
+    },
     target::Target,
 };
 
 impl Server {
-    /// Returns whether a request must not be sent because it is convicted and this is not its
-    /// trial.
+    /// Returns whether a request must not be sent because it, or a part of its prompt, is convicted
+    /// and this is not its trial.
     pub(super) fn is_rejected(&self, request: &ActiveRequest<'_>) -> bool {
-        !request.is_trial && self.state.poison().is_convicted(request.key)
+        !request.is_trial && !self.state.poison().convicted_of(&request.suspects).is_empty()
     }
 
-    /// Records what a send over a connection opened at `opened` has shown about the request.
+    /// Records what a send over a connection opened at `opened` has shown about the request, whose
+    /// caller had received `events` before.
     pub(super) fn record_poison_evidence(
         &self,
         request: &ActiveRequest<'_>,
         target: &Target,
         opened: Time,
+        events: u64,
         outcome: &SendOutcome,
     ) {
         match outcome {
             SendOutcome::Relayed(_) => {
-                let now = self.state.now();
-                self.state.poison().record_answer(request.key, RunKey::of(target), opened, now);
-                self.wake_crash_publisher();
+                self.record_answered(request.suspects.all(), target, opened);
+            }
+            SendOutcome::MayHaveRun(Failure::ClosedEarly) => {
+                let has_begun = request.relay.events > events;
+                self.probe(request, target, opened, has_begun);
             }
-            SendOutcome::MayHaveRun(Failure::ClosedEarly) => self.probe(request, target, opened),
             SendOutcome::ServerError(_) | SendOutcome::MayHaveRun(_) | SendOutcome::NotRun(_) => {}
         }
     }
 
+    /// Records that a target has answered `suspects` of a request that was sent at `opened`.
+    pub(super) fn record_answered(
+        &self,
+        suspects: impl Iterator<Item = SuspectKey>,
+        target: &Target,
+        opened: Time,
+    ) {
+        let (run, now) = (RunKey::of(target), self.state.now());
+        {
+            let mut poison = self.state.poison();
+            suspects.for_each(|key| poison.record_answer(key, run, opened, now));
+        }
+        self.wake_crash_publisher();
+    }
+
     /// Probes whether a target that closed its connection early has ended, and waits for the
     /// result. If another thread already probes the target, only waits.
     ///
     /// A leaving target is not probed: it has announced its end, so no request is the cause.
-    fn probe(&self, request: &ActiveRequest<'_>, target: &Target, opened: Time) {
+    fn probe(&self, request: &ActiveRequest<'_>, target: &Target, opened: Time, has_begun: bool) {
         let run_key = RunKey::of(target);
         let now = self.state.now();
         if !self.state.fleet().accepts_work(&target.name, now) {
@@ -53,7 +74,15 @@
         if self.state.fleet().is_brittle(&target.service, now) {
             return;
         }
-        let check = self.state.poison().record_early_close(request.key, run_key, opened, now);
+        let check = {
+            let mut poison = self.state.poison();
+            // A target that has begun a response has read the prompt and lived on.
+            let parts = request.suspects.parts.iter().filter(|_| !has_begun);
+            let request_check =
+                poison.record_early_close(request.suspects.request, run_key, opened, now);
+            parts.for_each(|part| _ = poison.record_early_close(*part, run_key, opened, now));
+            request_check
+        };
         match check {
             CheckState::Due => {
                 let presence = self.paths.probe(target);
--- a/crates/tansyknot-fleet/src/serve/handover.rs
+++ b/crates/tansyknot-fleet/src/serve/handover.rs
@@ -16,7 +16,7 @@
 use crate::{
     exchange::TimeoutPolicy,
     fleet::{CacheNeed, PromptPrefix, TargetRequirements},
-    poison::key::RequestKey,
+    poison::key::RequestSuspects,
     residency::ZoneSet,
     state::State,
     stream_origin::Origin,
@@ -32,7 +32,7 @@
 /// or the retry budget is empty: closing it would fail a request that is being served.
 pub(super) struct Handover<'s> {
     state: &'s State,
-    key: RequestKey,
+    suspects: RequestSuspects,
     service: ServiceName,
     model: Option<ModelName>,
     adapter: Option<AdapterName>,
@@ -54,7 +54,7 @@
         tried.push(target.name.clone());
         Self {
             state,
-            key: request.key,
+            suspects: request.suspects.clone(),
             service: want.service.clone(),
             model: want.model.cloned(),
             adapter: want.adapter.cloned(),
@@ -75,7 +75,11 @@
     }
 
     fn find(&self) -> Option<Arc<Target>> {
-        if self.state.poison().is_convicted(self.key) {
+        let may_crash_another = {
+            let mut poison = self.state.poison();
+            poison.withholds(&self.suspects) || !poison.convicted_of(&self.suspects).is_empty()
+        };
+        if may_crash_another {
             return None;
         }
         let want = TargetRequirements {
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -24,7 +24,7 @@
     exchange::Failure,
     fleet::{CacheNeed, PromptPrefix, TargetRequirements},
     platform_api::RequestParams,
-    poison::key::RequestKey,
+    poison::key::RequestSuspects,
     residency::ZoneSet,
     response_buffers::Reservation,
     response_relay::{CallerConnection, EventRelay},
@@ -73,7 +73,7 @@
     OverQuota,
     /// The planner, which keeps the quota accounts, does not respond.
     QuotaUnknown,
-    /// The request is convicted: targets have crashed while they had it.
+    /// The request, or a part of its prompt, is convicted: targets have crashed while they had it.
     PoisonRequest,
     /// All targets of the service are in drained availability zones.
     ZonesDrained,
@@ -252,8 +252,8 @@
 /// A request that is being served.
 pub(super) struct ActiveRequest<'a> {
     pub(super) req: &'a Request,
-    pub(super) key: RequestKey,
-    /// Whether the next send is the one trial of a convicted request.
+    pub(super) suspects: RequestSuspects,
+    /// Whether the next send is the one trial of the request, or of a part of its prompt.
     pub(super) is_trial: bool,
     pub(super) params: RequestParams,
     pub(super) route: Arc<Route>,
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -31,7 +31,11 @@
     estimate::Estimate,
     fleet::{Fleet, TargetRequirements},
     freshness::FreshnessLimits,
-    poison::{Merged, Poison, evidence::Evidence, key::RequestKey},
+    poison::{
+        Merged, Poison,
+        evidence::Evidence,
+        key::{RequestSuspects, SuspectKey},
+    },
     reachability::Reachability,
     residency::Regions,
     scheduling::SchedulingOptions,
@@ -332,12 +336,13 @@
         Some(view.age(catalog.version, self.now()))
     }
 
-    /// Begins the trial of a convicted request if the request is assigned to this daemon and a
-    /// trial is allowed now; returns whether it did.
-    pub fn begin_trial(&self, key: RequestKey) -> bool {
+    /// Begins the trial of a convicted request or part with a request of these suspects, if the
+    /// trial is assigned to this daemon and allowed now; returns whether it did.
+    pub fn begin_trial(&self, key: SuspectKey, suspects: &RequestSuspects) -> bool {
         let now = self.now();
         let is_assigned = self.peers().is_assigned_to_me(key.short_hash(), now);
-        is_assigned && self.poison().begin_trial(key, now)
+        let mut poison = self.poison();
+        is_assigned && poison.may_try(key, suspects) && poison.begin_trial(key, now)
     }
 
     /// Merges another daemon's evidence about poison requests; returns the evidence that the other
--- a/crates/tansyknot-fleet/tests/crashes.rs
+++ b/crates/tansyknot-fleet/tests/crashes.rs
@@ -17,6 +17,9 @@
 
 const CALM: Faults = Faults {
     poison_requests: 1,
+    poison_parts: 0,
+    has_prompts: false,
+    comes_first: false,
     target_exits: 0.0,
     target_resets: 0.0,
     daemons: 0.0,
@@ -32,6 +35,17 @@
 const TARGET_KILLS: Faults =
     Faults { poison_requests: 0, target_exits: 3.0, target_resets: 2.0, ..CALM };
 
+const HARMFUL_PART: Faults =
+    Faults { poison_requests: 0, poison_parts: 1, has_prompts: true, ..CALM };
+const FIRST_PART: Faults = Faults { comes_first: true, ..HARMFUL_PART };
+const SEVERAL_PARTS: Faults =
+    Faults { poison_parts: 3, target_resets: 1.0, target_exits: 0.2, ..HARMFUL_PART };
+const PARTS_AND_LOSS: Faults = Faults { loss: 0.3, jitter: 120, ..SEVERAL_PARTS };
+const PARTS_AND_DAEMONS: Faults = Faults { daemons: 0.6, loss: 0.1, jitter: 60, ..SEVERAL_PARTS };
+const PARTS_AND_RESTARTS: Faults = Faults { full_restarts: 0.1, ..PARTS_AND_DAEMONS };
+
+const TARGET_KILLS_UNDER_PROMPTS: Faults = Faults { has_prompts: true, ..TARGET_KILLS };
+
 /// Callers whose innocent requests all differ.
 const DISTINCT_REQUESTS: Callers =
     Callers { innocent_per_s: 60.0, innocent_keys: 1 << 60, repeat_after_ms: 80..400 };
@@ -72,6 +86,7 @@
     all_daemons_that_end = { SMALL_FLEET, FLEET_RESTARTS, DISTINCT_REQUESTS },
     all_daemons_that_end_beside_polls = { SMALL_FLEET, FLEET_RESTARTS, POLLS },
     targets_that_are_killed = { SMALL_FLEET, TARGET_KILLS, DISTINCT_REQUESTS },
+    targets_that_are_killed_under_prompts = { SMALL_FLEET, TARGET_KILLS_UNDER_PROMPTS, DISTINCT_REQUESTS },
     targets_that_are_killed_under_polls = { SMALL_FLEET, TARGET_KILLS, POLLS },
 )]
 fn poison_is_stopped_and_others_are_served(daemons: usize, faults: Faults, callers: Callers) {
@@ -88,6 +103,46 @@
     check_seeds(1, daemons, faults, DISTINCT_REQUESTS, SHORT_RUN_DURATION);
 }
 
+/// The share of innocent requests that must not be rejected once a harmful part is known.
+const MIN_ACCEPTED_SHARE: f64 = 0.95;
+
+#[parameterized(
+    calm = { SMALL_FLEET, HARMFUL_PART, RUN_DURATION },
+    first = { SMALL_FLEET, FIRST_PART, RUN_DURATION },
+    several = { SMALL_FLEET, SEVERAL_PARTS, RUN_DURATION },
+    losses = { SMALL_FLEET, PARTS_AND_LOSS, RUN_DURATION },
+    daemons_that_fail = { SMALL_FLEET, PARTS_AND_DAEMONS, RUN_DURATION },
+    all_daemons_that_end = { SMALL_FLEET, PARTS_AND_RESTARTS, RUN_DURATION },
+    many_calm = { LARGE_FLEET, HARMFUL_PART, SHORT_RUN_DURATION },
+)]
+fn harmful_part_is_stopped_and_requests_that_share_the_others_are_served(
+    daemons: usize,
+    faults: Faults,
+    duration: Duration,
+) {
+    let mut violations = Vec::new();
+    let mut totals = (0, 0, 0, 0);
+    for seed in support::seeds("PARTS_SEEDS", if daemons == SMALL_FLEET { 6 } else { 1 }) {
+        let outcome = CrashSimulation::new(seed, daemons, faults, DISTINCT_REQUESTS).run(duration);
+        violations.extend(outcome.violations.iter().map(|v| format!("seed {seed}: {v}")));
+        let min_accepted = MIN_ACCEPTED_SHARE * outcome.later_innocent as f64;
+        let accepted = (outcome.later_innocent - outcome.later_rejected) as f64;
+        if accepted < min_accepted {
+            let (rejected, all) = (outcome.later_rejected, outcome.later_innocent);
+            violations.push(format!("seed {seed}: {rejected} of {all} rejected once it is known"));
+        }
+        totals.0 += outcome.innocent;
+        totals.1 += outcome.rejected;
+        totals.2 += outcome.later_rejected;
+        totals.3 = totals.3.max(outcome.sends_after_third_crash);
+    }
+    println!(
+        "{} of {} innocent requests rejected, {} once it is known; {} sends after the conviction",
+        totals.1, totals.0, totals.2, totals.3
+    );
+    assert!(violations.is_empty(), "{} violations:\n{}", violations.len(), violations.join("\n"));
+}
+
 // All daemons end every ten seconds and lose their records of recently answered requests. Then four
 // poison requests crash every target while the same twenty innocent requests are in flight at most
 // targets. Some of these are convicted, and rejected for seconds until a trial clears them.
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -16,12 +16,12 @@
         CheckState, MAX_CONVICTED, Poison, Presence, TargetIdentity,
         evidence::Evidence,
         keeper::PoisonKeeper,
-        key::{RequestKey, RunKey},
+        key::{RequestSuspects, RunKey, SuspectKey},
     },
 };
 use yare::parameterized;
 
-const REQUEST: RequestKey = RequestKey(7);
+const REQUEST: SuspectKey = SuspectKey(7);
 /// Size limit of a row of the platform's store.
 const MAX_ROW_BYTES: usize = 65_536;
 
@@ -30,7 +30,7 @@
 }
 
 /// Records that a run crashed while it had the request.
-fn crash(poison: &mut Poison, key: RequestKey, run: u64, now: Time) {
+fn crash(poison: &mut Poison, key: SuspectKey, run: u64, now: Time) {
     if poison.record_early_close(key, RunKey(run), now, now) == CheckState::Due {
         poison.record_check(RunKey(run), Presence::Ended, now);
     }
@@ -46,7 +46,7 @@
 fn evidence(runs: &[u64]) -> Evidence {
     let crashes = runs.iter().map(|run| RunKey(*run)).collect();
     Evidence {
-        request: REQUEST,
+        suspect: REQUEST,
         crashes,
         cleared: Vec::new(),
         longest_held: Duration::ZERO,
@@ -77,7 +77,7 @@
             CheckState::Due
         );
         assert_eq!(
-            poison.record_early_close(RequestKey(8), RunKey(run), at(run), at(run)),
+            poison.record_early_close(SuspectKey(8), RunKey(run), at(run), at(run)),
             CheckState::InProgress
         );
         assert_eq!(poison.record_check(RunKey(run), presence, at(run)), 0);
@@ -132,7 +132,7 @@
 fn target_that_answers_a_later_request_is_not_suspect() {
     let mut poison = Poison::default();
     (0..3).for_each(|run| cut_off_while_listening(&mut poison, run, at(1)));
-    (0..3).for_each(|run| poison.record_answer(RequestKey(8), RunKey(run), at(2), at(3)));
+    (0..3).for_each(|run| poison.record_answer(SuspectKey(8), RunKey(run), at(2), at(3)));
     (0..3).for_each(|run| _ = poison.record_check(RunKey(run), Presence::Gone, at(5)));
     assert_eq!((poison.is_convicted(REQUEST), poison.has_suspect_targets()), (false, false));
 }
@@ -154,7 +154,7 @@
 }
 
 /// Records that three targets crashed after they had the request for `age_ms` milliseconds.
-fn crash_after(poison: &mut Poison, key: RequestKey, age_ms: u64, now: u64) {
+fn crash_after(poison: &mut Poison, key: SuspectKey, age_ms: u64, now: u64) {
     for run in 0..3 {
         if poison.record_early_close(key, RunKey(run), at(now - age_ms), at(now)) == CheckState::Due
         {
@@ -171,7 +171,7 @@
 )]
 fn crash_has_one_cause_until_responses_are_known(now: u64, convicts: bool) {
     let mut poison = Poison::new(at(0));
-    let poll = RequestKey(8);
+    let poll = SuspectKey(8);
     crash_after(&mut poison, REQUEST, 20, now);
     crash_after(&mut poison, poll, 300, now);
     (10..12).for_each(|run| crash(&mut poison, poll, run, at(now)));
@@ -184,11 +184,11 @@
 fn one_check_counts_for_all_requests_at_the_target() {
     let mut poison = Poison::default();
     let first = poison.record_early_close(REQUEST, RunKey(1), at(1), at(1));
-    let second = poison.record_early_close(RequestKey(8), RunKey(1), at(1), at(1));
+    let second = poison.record_early_close(SuspectKey(8), RunKey(1), at(1), at(1));
     assert_eq!((first, second), (CheckState::Due, CheckState::InProgress));
     assert_eq!(poison.record_check(RunKey(1), Presence::Ended, at(2)), 2);
     // A request whose end is noticed after the check needs no check of its own.
-    assert_eq!(poison.record_early_close(RequestKey(9), RunKey(1), at(3), at(3)), CheckState::Done);
+    assert_eq!(poison.record_early_close(SuspectKey(9), RunKey(1), at(3), at(3)), CheckState::Done);
     assert_eq!(poison.suspected(), 3);
 }
 
@@ -258,7 +258,7 @@
 #[test]
 fn target_that_answers_after_its_reported_crash_had_not_crashed() {
     let mut poison = convicted();
-    let other = RequestKey(8);
+    let other = SuspectKey(8);
     poison.record_answer(other, RunKey(0), at(0), at(50));
     assert!(poison.is_convicted(REQUEST), "that request was not sent after the crash");
     poison.record_answer(other, RunKey(0), at(60), at(70));
@@ -284,7 +284,7 @@
 fn flood_of_suspects_takes_bounded_memory_and_no_conviction() {
     let mut poison = convicted();
     for n in 0..20_000u64 {
-        crash(&mut poison, RequestKey(100 + u128::from(n)), 1_000 + n / 64, at(n));
+        crash(&mut poison, SuspectKey(100 + u128::from(n)), 1_000 + n / 64, at(n));
     }
     assert!(poison.suspected() <= 4096 + MAX_CONVICTED, "{} suspected", poison.suspected());
     assert!(poison.is_convicted(REQUEST));
@@ -309,7 +309,7 @@
 fn conviction_looked_up_longest_ago_is_dropped_first() {
     let mut poison = convicted();
     for n in 0..2 * MAX_CONVICTED as u64 {
-        let key = RequestKey(100 + u128::from(n));
+        let key = SuspectKey(100 + u128::from(n));
         (0..3).for_each(|run| crash(&mut poison, key, 1_000 + 3 * n + run, at(n)));
         assert!(poison.is_convicted(REQUEST), "the request is looked up all the time");
     }
@@ -362,7 +362,7 @@
     let daemons = [rig.daemon(), rig.daemon()];
     for (n, (state, keeper)) in daemons.iter().enumerate() {
         assert!(keeper.read());
-        let key = RequestKey(n as u128);
+        let key = SuspectKey(n as u128);
         (0..3).for_each(|run| crash(&mut state.poison(), key, 10 * n as u64 + run, at(1)));
     }
     for (_, keeper) in &daemons {
@@ -391,7 +391,7 @@
 #[parameterized(
     damaged = { b"\x00no row", true },
     bad_key = { br#"{"form":1,"requests":[{"key":"x","crashes":[],"tried":false}]}"#, true },
-    newer = { br#"{"form":2,"anything":[]}"#, false },
+    newer = { br#"{"form":3,"anything":[]}"#, false },
 )]
 fn row_that_cant_be_read_is_no_obstacle(value: &[u8], is_replaced: bool) {
     let rig = Rig::new();
@@ -408,9 +408,108 @@
     let rig = Rig::new();
     let (state, keeper) = rig.daemon();
     for n in 0..MAX_CONVICTED as u64 {
-        let key = RequestKey(u128::MAX - u128::from(n));
+        let key = SuspectKey(u128::MAX - u128::from(n));
         (0..8).for_each(|run| crash(&mut state.poison(), key, u64::MAX - 8 * n - run, at(n)));
     }
     assert!(!keeper.step(true));
     assert!(rig.row().len() < MAX_ROW_BYTES, "{} bytes", rig.row().len());
 }
+
+fn part(id: u64) -> SuspectKey {
+    SuspectKey::of_part(&"models".into(), id)
+}
+
+/// Records that a run crashed while it had these requests or parts.
+fn crash_under(poison: &mut Poison, keys: &[SuspectKey], run: u64, now: Time) {
+    keys.iter().for_each(|key| _ = poison.record_early_close(*key, RunKey(run), now, now));
+    poison.record_check(RunKey(run), Presence::Ended, now);
+}
+
+#[parameterized(
+    three = { 3, false },
+    four = { 4, true },
+)]
+fn four_crashes_convict_a_part(crashes: u64, convicts: bool) {
+    let mut poison = Poison::default();
+    (0..crashes).for_each(|run| crash_under(&mut poison, &[part(1)], run, at(run)));
+    assert_eq!(poison.is_convicted(part(1)), convicts);
+}
+
+#[test]
+fn part_that_a_begun_response_contained_is_cleared() {
+    let mut poison = Poison::default();
+    (0..3).for_each(|run| crash_under(&mut poison, &[part(1), part(2)], run, at(run)));
+    poison.record_answer(part(2), RunKey(100), at(10), at(20));
+    crash_under(&mut poison, &[part(1), part(2)], 3, at(30));
+    assert_eq!([1, 2].map(|id| poison.is_convicted(part(id))), [true, false]);
+}
+
+#[test]
+fn part_with_more_crashes_explains_those_under_other_parts_and_requests() {
+    let mut poison = Poison::default();
+    let innocent = [part(2), SuspectKey(8)];
+    (0..4).for_each(|run| crash_under(&mut poison, &innocent, run, at(run)));
+    assert!(poison.is_convicted(part(2)), "nothing else explains it yet");
+    // The evidence on the cause comes from another daemon.
+    let cause = Evidence { suspect: part(1), ..evidence(&[0, 1, 2, 3, 4]) };
+    assert!(poison.merge(&[cause], at(10)).convicts);
+    assert!(poison.is_convicted(part(1)));
+    assert!(!innocent.iter().any(|key| poison.is_convicted(*key)));
+}
+
+#[test]
+fn part_that_was_answered_before_is_explained_by_one_that_was_never() {
+    let mut poison = Poison::default();
+    poison.record_answer(part(2), RunKey(100), at(0), at(0));
+    let (begin, both) = (2_000, [part(1), part(2)]);
+    (0..4).for_each(|run| crash_under(&mut poison, &both, run, at(begin + run)));
+    assert_eq!(both.map(|key| poison.is_convicted(key)), [true, false]);
+}
+
+#[test]
+fn trial_of_a_part_has_no_other_suspect() {
+    let mut poison = Poison::default();
+    (0..4).for_each(|run| crash_under(&mut poison, &[part(1)], run, at(run)));
+    (0..2).for_each(|run| crash_under(&mut poison, &[part(2)], 10 + run, at(run)));
+    let request = |parts: &[u64]| RequestSuspects {
+        request: REQUEST,
+        parts: parts.iter().map(|id| part(*id)).collect(),
+    };
+    assert!(poison.may_try(part(1), &request(&[3, 1])));
+    assert!(!poison.may_try(part(1), &request(&[2, 1])));
+}
+
+#[test]
+fn request_is_not_sent_again_after_a_second_crash_under_a_part() {
+    let suspects = RequestSuspects { request: REQUEST, parts: vec![part(1)] };
+    let mut poison = Poison::default();
+    crash_under(&mut poison, &[part(1)], 1, at(1));
+    assert!(!poison.withholds(&suspects));
+    crash_under(&mut poison, &[part(1)], 2, at(2));
+    assert!(poison.withholds(&suspects));
+}
+
+#[test]
+fn convicted_part_outlives_all_daemons_in_the_row() {
+    let (store, clock) = (FakeStore::new(), ManualClock::new());
+    clock.advance(Duration::from_secs(60));
+    let before = state(&clock);
+    let now = clock.now();
+    (0..4).for_each(|run| crash_under(&mut before.poison(), &[part(1)], run, now));
+    let keeper = PoisonKeeper::new(Arc::clone(&before), Arc::new(store.client()));
+    assert!(!keeper.step(true), "the row is written");
+    let after = state(&clock);
+    let keeper = PoisonKeeper::new(Arc::clone(&after), Arc::new(store.client()));
+    assert!(keeper.read());
+    assert!(after.poison().is_convicted(part(1)));
+}
+
+#[test]
+fn parts_that_a_caller_makes_up_take_bounded_memory() {
+    let mut poison = Poison::default();
+    for run in 0..2_000 {
+        let parts: Vec<SuspectKey> = (0..8).map(|n| part(run * 8 + n)).collect();
+        crash_under(&mut poison, &parts, run, at(run));
+    }
+    assert!(poison.suspected() <= 4096 + MAX_CONVICTED, "{}", poison.suspected());
+}
--- a/crates/tansyknot-fleet/tests/poison_key.rs
+++ b/crates/tansyknot-fleet/tests/poison_key.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use tansyknot_fleet::{
-    poison::key::{RequestKey, RunKey},
+    poison::key::{RunKey, SuspectKey},
     target::{StartTime, Target},
 };
 use tansyknot_http::{head, server::Request};
@@ -22,10 +22,10 @@
 
 #[test]
 fn headers_that_vary_by_attempt_are_not_part_of_the_key() {
-    let first = RequestKey::of(&request(HEAD, "body"));
+    let first = SuspectKey::of(&request(HEAD, "body"));
     let later =
         HEAD.replace("Attempt-Id: 1", "Attempt-Id: 2\r\nDeadline-Ms: 3\r\nLast-Event-Id: 4");
-    assert_eq!(RequestKey::of(&request(&later, "body")), first);
+    assert_eq!(SuspectKey::of(&request(&later, "body")), first);
 }
 
 #[parameterized(
@@ -38,9 +38,9 @@
     boundary = { "/query/7?x=1", "/query/7?x=", "1body" },
 )]
 fn different_request_has_a_different_key(from: &str, to: &str, body: &str) {
-    let first = RequestKey::of(&request(HEAD, "body"));
+    let first = SuspectKey::of(&request(HEAD, "body"));
     let other = request(&HEAD.replace(from, to), body);
-    assert_ne!(RequestKey::of(&other), first);
+    assert_ne!(SuspectKey::of(&other), first);
 }
 
 // A name and a start time that differ by the same amount must not give the same key.
@@ -53,3 +53,12 @@
     let runs = (10..40).flat_map(|n| (10..40).map(move |start| RunKey::of(&run(n, start))));
     assert_eq!(runs.collect::<BTreeSet<RunKey>>().len(), 900);
 }
+
+#[test]
+fn keys_of_parts_differ_from_those_of_requests_and_between_services() {
+    let key = |service: &str, id| SuspectKey::of_part(&service.into(), id);
+    let parts = [key("a", 1), key("a", 2), key("b", 1)];
+    assert_eq!(parts.iter().collect::<BTreeSet<_>>().len(), 3);
+    assert!(parts.iter().all(|part| part.is_part()));
+    assert!(!SuspectKey::of(&request(HEAD, "body")).is_part());
+}
--- a/crates/tansyknot-fleet/tests/support/crashes.rs
+++ b/crates/tansyknot-fleet/tests/support/crashes.rs
@@ -8,10 +8,10 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IteratorRandom};
-use tansyknot_core::clock::Time;
+use tansyknot_core::{clock::Time, name::ServiceName};
 use tansyknot_fleet::poison::{
     CRASHES_TO_CONVICT, CheckState, Presence,
-    key::{RequestKey, RunKey},
+    key::{RequestSuspects, RunKey, SuspectKey},
 };
 
 use super::{daemon_faults::DaemonFaults, network::Network};
@@ -36,12 +36,34 @@
 const MAX_SENDS: u32 = 2;
 /// The lowest key of poison requests; innocent requests have lower keys.
 const FIRST_POISON_KEY: u128 = 1 << 100;
+/// The lowest key of requests that contain a harmful part; no two are alike.
+const FIRST_KEY_WITH_PART: u128 = 1 << 110;
+/// The identifiers of parts of prompts: first parts, later ones, and harmful ones.
+const FIRST_PARTS: std::ops::Range<u64> = 0..3;
+const LATER_PARTS: std::ops::Range<u64> = 100..160;
+const FIRST_HARMFUL_PART: u64 = 1000;
+
+/// Returns the number of crashes from which on requests with this cause are to be stopped.
+fn allowed_crashes(cause: SuspectKey) -> usize {
+    if cause.is_part() { 5 } else { CRASHES_TO_CONVICT }
+}
+
+fn part_key(id: u64) -> SuspectKey {
+    SuspectKey::of_part(&ServiceName::from("s"), id)
+}
 
 /// The poison requests and other faults, as events per second and shares.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Faults {
     /// The number of different requests under which targets crash; all of them are repeated.
     pub(crate) poison_requests: u128,
+    /// The number of different parts of prompts under which targets crash; requests that contain one
+    /// come again and again, no two alike.
+    pub(crate) poison_parts: u64,
+    /// Whether innocent requests have prompts, whose parts others contain as well.
+    pub(crate) has_prompts: bool,
+    /// Whether the harmful part is the first one of its prompts.
+    pub(crate) comes_first: bool,
     /// Exits of targets for another reason.
     pub(crate) target_exits: f64,
     /// Targets that reset all their connections and stay up.
@@ -75,6 +97,9 @@
     /// Attempts of innocent requests, and those of them that were rejected.
     pub(crate) innocent: usize,
     pub(crate) rejected: usize,
+    /// The same, later than twice `MIN_UNDISTURBED` after the last part was convicted.
+    pub(crate) later_innocent: usize,
+    pub(crate) later_rejected: usize,
     /// The maximum number of sends of one poison request that began after its third crash.
     pub(crate) sends_after_third_crash: usize,
 }
@@ -87,26 +112,25 @@
 }
 
 /// A request at a target.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct SentRequest {
     daemon: usize,
     /// The run of the daemon.
     epoch: u64,
-    key: RequestKey,
+    suspects: RequestSuspects,
+    /// What crashes its target.
+    cause: Option<SuspectKey>,
     target: usize,
     run: u64,
     opened_at: Time,
+    /// When the target begins the response.
+    begins_at: Time,
+    has_begun: bool,
     ends_at: Time,
     sends: u32,
 }
 
-impl SentRequest {
-    fn is_poison(&self) -> bool {
-        self.key.0 >= FIRST_POISON_KEY
-    }
-}
-
-/// The crashes and sends of a poison request.
+/// The crashes and sends of a poison request, or of requests with a harmful part.
 #[derive(Default)]
 struct PoisonHistory {
     crashes: Vec<Time>,
@@ -122,11 +146,15 @@
     callers: Callers,
     targets: Vec<Target>,
     in_flight: Vec<SentRequest>,
-    histories: BTreeMap<RequestKey, PoisonHistory>,
+    histories: BTreeMap<SuspectKey, PoisonHistory>,
     daemon_faults: DaemonFaults,
     runs: u64,
+    /// The number of requests with a harmful part.
+    with_part: u128,
+    /// When the last harmful part had crashed as many targets as allowed.
+    convicted_at: Option<Time>,
     /// Poison requests with a third crash, and when daemons must have received it.
-    due: Vec<(Time, RequestKey)>,
+    due: Vec<(Time, SuspectKey)>,
     outcome: Outcome,
 }
 
@@ -138,7 +166,9 @@
         network.loss = faults.loss;
         network.jitter = faults.jitter;
         let target = |n| Target { run: n, up_at: Time::default() };
-        let key = |n| (RequestKey(FIRST_POISON_KEY + n), PoisonHistory::default());
+        let key = |n| (SuspectKey(FIRST_POISON_KEY + n), PoisonHistory::default());
+        let harmful = FIRST_HARMFUL_PART..FIRST_HARMFUL_PART + faults.poison_parts;
+        let parts = harmful.map(|id| (part_key(id), PoisonHistory::default()));
         Self {
             network,
             rng: StdRng::seed_from_u64(seed),
@@ -146,9 +176,11 @@
             callers,
             targets: (0..TARGETS as u64).map(target).collect(),
             in_flight: Vec::new(),
-            histories: (0..faults.poison_requests).map(key).collect(),
+            histories: (0..faults.poison_requests).map(key).chain(parts).collect(),
             daemon_faults: DaemonFaults::new(daemons),
             runs: TARGETS as u64,
+            with_part: 0,
+            convicted_at: None,
             due: Vec::new(),
             outcome: Outcome::default(),
         }
@@ -164,6 +196,7 @@
                 self.send_poison_requests();
             }
             self.send_innocent_requests();
+            self.begin_responses();
             self.finish_requests();
             self.check_convictions();
         }
@@ -242,40 +275,76 @@
         }
         {
             let mut poison = node.state.poison();
-            if poison.record_early_close(sent.key, RunKey(run), sent.opened_at, now)
-                == CheckState::Due
-            {
+            let mut record = |key| {
+                poison.record_early_close(key, RunKey(run), sent.opened_at, now) == CheckState::Due
+            };
+            let is_due = record(sent.suspects.request);
+            let parts = sent.suspects.parts.iter().filter(|_| !sent.has_begun);
+            parts.for_each(|part| _ = record(*part));
+            if is_due {
                 poison.record_check(RunKey(run), presence, now);
             }
         }
         if sent.sends < MAX_SENDS && node.runs_at(now) {
-            self.retry(sent.daemon, sent.key, now);
+            self.retry(sent.daemon, sent.suspects, now);
         }
     }
 
     /// Sends the poison requests that are due to daemons.
     fn send_poison_requests(&mut self) {
         let now = self.now();
-        let poisons: Vec<RequestKey> = self.histories.keys().copied().collect();
+        let poisons: Vec<SuspectKey> = self.histories.keys().copied().collect();
         for key in poisons {
             if now >= self.histories[&key].next_at {
                 let next_at = now + self.random_duration(self.callers.repeat_after_ms.clone());
                 self.histories.entry(key).and_modify(|history| history.next_at = next_at);
-                self.arrive(key, now);
+                let suspects = self.harmful_request(key);
+                self.arrive(suspects, now);
             }
         }
     }
 
+    /// Returns a request that is harmful itself, or contains a harmful part.
+    fn harmful_request(&mut self, key: SuspectKey) -> RequestSuspects {
+        if !key.is_part() {
+            return RequestSuspects { request: key, parts: Vec::new() };
+        }
+        self.with_part += 1;
+        let request = SuspectKey(FIRST_KEY_WITH_PART + self.with_part);
+        let (first, later) = self.sound_parts();
+        let parts = if self.faults.comes_first { vec![key, later] } else { vec![first, key] };
+        RequestSuspects { request, parts }
+    }
+
+    fn sound_parts(&mut self) -> (SuspectKey, SuspectKey) {
+        let first = part_key(self.rng.random_range(FIRST_PARTS));
+        (first, part_key(self.rng.random_range(LATER_PARTS)))
+    }
+
     /// Sends innocent requests to daemons.
     fn send_innocent_requests(&mut self) {
         let now = self.now();
         if self.occurs(self.callers.innocent_per_s) {
-            let key = RequestKey(self.rng.random_range(0..self.callers.innocent_keys));
-            self.arrive(key, now);
+            let request = SuspectKey(self.rng.random_range(0..self.callers.innocent_keys));
+            let parts = if self.faults.has_prompts {
+                let (first, later) = self.sound_parts();
+                vec![first, later]
+            } else {
+                Vec::new()
+            };
+            self.arrive(RequestSuspects { request, parts }, now);
         }
     }
 
-    fn arrive(&mut self, key: RequestKey, now: Time) {
+    /// Returns what of a request crashes its target.
+    fn cause(suspects: &RequestSuspects) -> Option<SuspectKey> {
+        let is_harmful = |part: &SuspectKey| (part.0 as u64) >= FIRST_HARMFUL_PART;
+        let part = suspects.parts.iter().copied().find(is_harmful);
+        let is_poison = (FIRST_POISON_KEY..FIRST_KEY_WITH_PART).contains(&suspects.request.0);
+        part.or(is_poison.then_some(suspects.request))
+    }
+
+    fn arrive(&mut self, suspects: RequestSuspects, now: Time) {
         let accepts_requests = |n: &usize| {
             let node = &self.network.nodes[*n];
             node.takes_requests && node.runs_at(now)
@@ -283,48 +352,79 @@
         let taking: Vec<usize> = (0..self.daemon_faults.len()).filter(accepts_requests).collect();
         let Some(daemon) = taking.into_iter().choose(&mut self.rng) else { return };
         let state = &self.network.nodes[daemon].state;
-        let is_convicted = state.poison().is_convicted(key);
-        let is_trial = is_convicted && state.begin_trial(key);
-        let is_rejected = is_convicted && !is_trial;
-        if key.0 < FIRST_POISON_KEY {
+        let convicted = state.poison().convicted_of(&suspects);
+        let is_trial = matches!(convicted[..], [key] if state.begin_trial(key, &suspects));
+        let is_rejected = !convicted.is_empty() && !is_trial;
+        if Self::cause(&suspects).is_none() {
             self.outcome.innocent += 1;
             self.outcome.rejected += usize::from(is_rejected);
+            let is_later = self.convicted_at.is_some_and(|at| now.since(at) > 2 * MIN_UNDISTURBED);
+            self.outcome.later_innocent += usize::from(is_later);
+            self.outcome.later_rejected += usize::from(is_later && is_rejected);
         }
         if !is_rejected {
-            self.send(daemon, key, 1, now);
+            self.send(daemon, suspects, 1, now);
         }
     }
 
-    fn retry(&mut self, daemon: usize, key: RequestKey, now: Time) {
-        if !self.network.nodes[daemon].state.poison().is_convicted(key) {
-            self.send(daemon, key, MAX_SENDS, now);
+    fn retry(&mut self, daemon: usize, suspects: RequestSuspects, now: Time) {
+        let may_send = {
+            let mut poison = self.network.nodes[daemon].state.poison();
+            poison.convicted_of(&suspects).is_empty() && !poison.withholds(&suspects)
+        };
+        if may_send {
+            self.send(daemon, suspects, MAX_SENDS, now);
         }
     }
 
-    fn send(&mut self, daemon: usize, key: RequestKey, sends: u32, now: Time) {
+    fn send(&mut self, daemon: usize, suspects: RequestSuspects, sends: u32, now: Time) {
         let up = (0..TARGETS).filter(|n| now >= self.targets[*n].up_at);
         let Some(target) = up.choose(&mut self.rng) else { return };
-        let is_poison = key.0 >= FIRST_POISON_KEY;
-        let duration =
-            if is_poison { self.random_duration(10..80) } else { self.random_duration(50..2_000) };
-        if let Some(history) = self.histories.get_mut(&key) {
+        let cause = Self::cause(&suspects);
+        let duration = match cause {
+            Some(_) => self.random_duration(10..80),
+            None => self.random_duration(50..2_000),
+        };
+        if let Some(history) = cause.and_then(|cause| self.histories.get_mut(&cause)) {
             let must_meet_bound = self.daemon_faults.is_undisturbed(daemon, MIN_UNDISTURBED, now);
             history.sends.push((now, must_meet_bound));
         }
         let (epoch, run) = (self.daemon_faults.epoch(daemon), self.targets[target].run);
         let ends_at = now + duration;
+        let begins_at = now + duration.mul_f64(self.rng.random_range(0.1..0.9));
         self.in_flight.push(SentRequest {
             daemon,
             epoch,
-            key,
+            suspects,
+            cause,
             target,
             run,
             opened_at: now,
+            begins_at,
+            has_begun: false,
             ends_at,
             sends,
         });
     }
 
+    /// Begins the responses that are due; a target crashes before it begins that to a harmful request.
+    fn begin_responses(&mut self) {
+        let now = self.now();
+        let is_due = |sent: &&mut SentRequest| {
+            sent.cause.is_none() && !sent.has_begun && now >= sent.begins_at
+        };
+        for sent in self.in_flight.iter_mut().filter(is_due) {
+            sent.has_begun = true;
+            let node = &self.network.nodes[sent.daemon];
+            if self.daemon_faults.epoch(sent.daemon) == sent.epoch && node.runs_at(now) {
+                let mut poison = node.state.poison();
+                let run = RunKey(sent.run);
+                let parts = sent.suspects.parts.iter();
+                parts.for_each(|part| poison.record_answer(*part, run, sent.opened_at, now));
+            }
+        }
+    }
+
     /// Ends the requests that are due: poison requests with their target, others with a full
     /// response.
     fn finish_requests(&mut self) {
@@ -336,31 +436,39 @@
             if sent.run != self.targets[sent.target].run {
                 continue;
             }
-            if sent.is_poison() {
-                self.crash(sent, now);
+            if let Some(cause) = sent.cause {
+                self.crash(sent, cause, now);
                 continue;
             }
             let node = &self.network.nodes[sent.daemon];
             if self.daemon_faults.epoch(sent.daemon) == sent.epoch && node.runs_at(now) {
-                node.state.poison().record_answer(sent.key, RunKey(sent.run), sent.opened_at, now);
+                let mut poison = node.state.poison();
+                let run = RunKey(sent.run);
+                let all = sent.suspects.all();
+                all.for_each(|key| poison.record_answer(key, run, sent.opened_at, now));
             }
         }
     }
 
-    fn crash(&mut self, sent: SentRequest, now: Time) {
-        let history = self.histories.entry(sent.key).or_default();
+    fn crash(&mut self, sent: SentRequest, cause: SuspectKey, now: Time) {
+        let history = self.histories.entry(cause).or_default();
         history.crashes.push(now);
-        if history.crashes.len() == CRASHES_TO_CONVICT {
-            self.due.push((now + KNOWN_WITHIN, sent.key));
+        if history.crashes.len() == allowed_crashes(cause) {
+            self.due.push((now + KNOWN_WITHIN, cause));
+            if cause.is_part() {
+                self.convicted_at = Some(now);
+            }
         }
+        let target = sent.target;
         self.in_flight.push(sent);
-        self.end_target(sent.target, now);
+        self.end_target(target, now);
     }
 
-    /// Returns whether daemons and the messages between them have no faults.
+    /// Returns whether daemons and the messages between them have no faults, and crashes under harmful
+    /// parts have one cause.
     fn is_fault_free(&self) -> bool {
-        let Faults { daemons, full_restarts, loss, .. } = self.faults;
-        daemons + full_restarts + loss == 0.0
+        let Faults { daemons, full_restarts, loss, poison_parts, .. } = self.faults;
+        daemons + full_restarts + loss == 0.0 && poison_parts <= 1
     }
 
     /// Checks that daemons receive a third crash in time, where they have no faults.
@@ -369,7 +477,7 @@
         if !self.is_fault_free() {
             return;
         }
-        let due: BTreeSet<RequestKey> =
+        let due: BTreeSet<SuspectKey> =
             self.due.extract_if(.., |(at, _)| now >= *at).map(|(_, key)| key).collect();
         for key in due {
             let all = self.network.nodes.len();
@@ -385,7 +493,7 @@
 
     fn check_sends(&mut self) {
         for (key, history) in &self.histories {
-            let Some(third) = history.crashes.get(CRASHES_TO_CONVICT - 1) else { continue };
+            let Some(third) = history.crashes.get(allowed_crashes(*key) - 1) else { continue };
             let begun = history.sends.iter().filter(|(at, _)| at > third).count();
             self.outcome.sends_after_third_crash = self.outcome.sends_after_third_crash.max(begun);
             if self.is_fault_free() && begun > MAX_FAULT_FREE_SENDS {
