Streams: one that ends with its connection before its first event is not complete

A target that crashes after the head of a response with neither length nor chunks closes the connection like one that has finished. Without an event the caller got a complete empty stream with status 200, and the parts of the prompt counted as answered. Now such a stream counts as cut off; after an event its end is that of the connection, and inside an event it is cut off, as before.

Measured: of the new tests the one without an event failed before; plain responses without a length, whole streams and those that end inside an event passed before as well.

--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -238,11 +238,16 @@
         sink: &mut StreamSink<'_, '_>,
     ) -> Result<(), Failure> {
         let (caller, timeouts) = (sink.caller, sink.timeouts);
+        // Only its events show that a stream without a declared end was not cut off.
+        let mut may_end = !matches!(body, Body::UntilClose(_));
         let mut pending = Vec::new();
         let mut buf = [0; READ_BUFFER_BYTES];
         control.set_deadline(timeouts.first_by.min(timeouts.deadline));
         loop {
             let n = body.read(&mut buf).map_err(|_| control.failure())?;
+            if n == 0 && !may_end {
+                return Err(Failure::ClosedEarly);
+            }
             if n == 0 {
                 return self.end(head, &pending, caller);
             }
@@ -256,6 +261,7 @@
             let from = pending.len().saturating_sub(n + events::EVENT_END.len() - 1);
             let Some(end) = events::last_event_end(&pending[from..]) else { continue };
             let end = from + end;
+            may_end = true;
             sink.observer.record(events::count(&pending[..end]));
             if !self.has_begun() {
                 (sink.on_first_event)();
