--- a/crates/tansyknotd/tests/soak/client.rs
+++ b/crates/tansyknotd/tests/soak/client.rs
@@ -101,7 +101,14 @@
     id: &str,
     model: Option<&str>,
 ) -> Option<Response> {
-    let req = Request::new(path, id, model, 4_000);
+    send_request(stream, &Request::new(path, id, model, 4_000))
+}
+
+/// Sends a request and reads the response; `None` if there is none.
+pub(crate) fn send_request(
+    stream: &mut BufReader<TcpStream>,
+    req: &Request<'_>,
+) -> Option<Response> {
     stream.get_mut().write_all(req.text().as_bytes()).ok()?;
     let mut line = String::new();
     stream.read_line(&mut line).ok()?;
--- a/crates/tansyknotd/tests/soak/crash.rs
+++ b/crates/tansyknotd/tests/soak/crash.rs
@@ -9,7 +9,8 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tansyknot_adapter_standins::{
-    crash::{self, CrashLog},
+    caller::Request,
+    crash::{self, CRASH_PART, CrashLog},
     operator::PLAIN,
 };
 
@@ -32,8 +33,27 @@
 /// Crashed targets have restarted after this time.
 const TARGET_RESTART_TIME: Duration = Duration::from_secs(2);
 
+/// What crashes the targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// One request, which is repeated.
+    Request,
+    /// A part of the prompts of requests of which no two are alike.
+    Part,
+}
+
+impl Cause {
+    /// Returns the number of crashes after which it must be known.
+    fn allowed_crashes(self) -> usize {
+        match self {
+            Cause::Request => 3,
+            Cause::Part => 5,
+        }
+    }
+}
+
 /// Runs one seed and returns the violations.
-pub(crate) fn run(seed: u64) -> Vec<String> {
+pub(crate) fn run(seed: u64, cause: Cause) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
     let world = World::start(seed);
     // All targets of the service must crash under the request, so that none of them can clear it. The
@@ -56,16 +76,16 @@
             let fault_seed = rng.random();
             scope
                 .spawn(move || leave::inject_fault(daemon, &mut StdRng::seed_from_u64(fault_seed)));
-            send_for(&world, &mut rng, Duration::from_millis(700));
+            send_for(&world, &mut rng, cause, Duration::from_millis(700));
         }
     });
     world.end_faults();
-    send_for(&world, &mut rng, PROPAGATION_TIME);
+    send_for(&world, &mut rng, cause, PROPAGATION_TIME);
     let before = crash_log.arrivals().len();
-    send_for(&world, &mut rng, REPEAT_DURATION);
+    send_for(&world, &mut rng, cause, REPEAT_DURATION);
     let late = crash_log.arrivals().len() - before;
     let mut violations = Vec::new();
-    if crash_log.crashes().len() >= 3 && late > MAX_LATE_SENDS {
+    if crash_log.crashes().len() >= cause.allowed_crashes() && late > MAX_LATE_SENDS {
         violations.push(format!("{late} late sends, {} crashes", crash_log.crashes().len()));
     }
     thread::sleep(TARGET_RESTART_TIME);
@@ -74,8 +94,8 @@
     violations
 }
 
-/// Sends the request repeatedly for a time, to random daemons.
-fn send_for(world: &World, rng: &mut StdRng, duration: Duration) {
+/// Sends harmful requests for a time, to random daemons.
+fn send_for(world: &World, rng: &mut StdRng, cause: Cause, duration: Duration) {
     let until = Instant::now() + duration;
     while Instant::now() < until {
         let callers = world.daemons[rng.random_range(0..world.daemons.len())].callers();
@@ -83,7 +103,14 @@
         thread::spawn(move || {
             // The response is not checked; a daemon that has ended sends none.
             let stream = client::connect(callers);
-            drop(stream.and_then(|mut s| client::send(&mut s, "/lookup/crash", &id, None)));
+            let prompt = format!("Prompt-Prefix: aa:20,{CRASH_PART}:10,{}:5\r\n", &id[2..]);
+            let path = format!("/lookup/{id}");
+            let (path, extra_headers) = match cause {
+                Cause::Request => ("/lookup/crash", ""),
+                Cause::Part => (path.as_str(), prompt.as_str()),
+            };
+            let req = Request { extra_headers, ..Request::new(path, &id, None, 4_000) };
+            drop(stream.and_then(|mut s| client::send_request(&mut s, &req)));
         });
         thread::sleep(Duration::from_millis(rng.random_range(40..200)));
     }
--- a/crates/tansyknotd/tests/soak/main.rs
+++ b/crates/tansyknotd/tests/soak/main.rs
@@ -24,6 +24,7 @@
     time::{Duration, Instant},
 };
 
+use crash::Cause;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use world::{StopMode, World};
 use yare::parameterized;
@@ -138,7 +139,18 @@
 #[test]
 fn poison_request_is_stopped_under_faults() {
     for seed in seeds(1..2) {
-        let violations = crash::run(seed);
+        let violations = crash::run(seed, Cause::Request);
+        assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
+        println!("seed {seed}: stopped");
+    }
+}
+
+// Guards against daemons that send requests with a harmful part of their prompts to one target after
+// another, because no two of the requests are alike.
+#[test]
+fn part_of_prompts_is_stopped_under_faults() {
+    for seed in seeds(1..2) {
+        let violations = crash::run(seed, Cause::Part);
         assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
         println!("seed {seed}: stopped");
     }
