Tests: changes of the configuration under random losses

A search over seeds: at most two daemons at a time, the planner more often than others, are refused by the store, get no response, are frozen or cut off for 1 to 7 s, in series and overlapping, with up to 20% of the datagrams lost and delays, a change each 0.3 s.

--- a/crates/tansyknot-fleet/tests/config_readers.rs
+++ b/crates/tansyknot-fleet/tests/config_readers.rs
@@ -5,13 +5,18 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use support::{catalog, network::Network};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use support::{catalog, network::Network, seeds};
 use tansyknot_core::clock::Time;
 use tansyknot_fleet::catalog::{Catalog, Route};
 use yare::parameterized;
 
 /// Half of the bound within which an accepted change must be in force.
 const MAX_DELAY: Duration = Duration::from_millis(1000);
+/// The bound itself.
+const CONFIG_WITHIN: Duration = Duration::from_millis(2000);
+/// The time after a disturbance within which a daemon must meet its bounds again.
+const RECOVER_WITHIN: Duration = Duration::from_millis(3000);
 const CHANGE_INTERVAL: Duration = Duration::from_millis(300);
 const STEP: Duration = Duration::from_millis(50);
 /// The time after which a daemon that has lost its network or processor counts as replaced, and a
@@ -48,6 +53,8 @@
     network: Network,
     accepted: BTreeMap<u64, Time>,
     lost: Vec<SocketAddr>,
+    /// Daemons that have got back what they had lost, and when they must meet the bound again.
+    recovering: BTreeMap<SocketAddr, Time>,
     worst: Duration,
 }
 
@@ -58,7 +65,13 @@
         network.share_snapshots();
         network.store.configure(version(1));
         network.run(Duration::from_secs(6));
-        Self { network, accepted: BTreeMap::new(), lost: Vec::new(), worst: Duration::ZERO }
+        Self {
+            network,
+            accepted: BTreeMap::new(),
+            lost: Vec::new(),
+            recovering: BTreeMap::new(),
+            worst: Duration::ZERO,
+        }
     }
 
     fn lose(&mut self, n: usize, loss: Loss) {
@@ -73,6 +86,21 @@
         }
     }
 
+    /// Gives a daemon back what it has lost. It must meet the bound again once it has had time to
+    /// recover.
+    fn regain(&mut self, n: usize, loss: Loss) {
+        let now = self.network.now();
+        let node = &mut self.network.nodes[n];
+        match loss {
+            Loss::Refused => node.set_disconnected(false),
+            Loss::Silent => node.set_silent(false),
+            Loss::Frozen => node.frozen_until = now,
+            Loss::CutOff => _ = self.network.isolated.remove(&node.address),
+        }
+        self.lost.retain(|address| *address != node.address);
+        self.recovering.insert(node.address, now + RECOVER_WITHIN);
+    }
+
     /// Returns the index of the planner.
     fn planner(&self) -> usize {
         let planner = self.network.planner().expect("a daemon holds the lease").address;
@@ -99,7 +127,9 @@
 
     fn check(&mut self) {
         let now = self.network.now();
+        let is_recovering = |a: &SocketAddr| self.recovering.get(a).is_some_and(|at| now < *at);
         let sound = self.network.nodes.iter().filter(|n| !self.lost.contains(&n.address));
+        let sound = sound.filter(|n| !is_recovering(&n.address));
         for node in sound {
             let in_force = node.state.catalog().map_or(0, |c| c.version);
             let oldest_missing = self.accepted.range(in_force + 1..).next();
@@ -162,3 +192,50 @@
     assert!(trial.worst <= MAX_DELAY, "{:?} after it was accepted", trial.worst);
     trial.check_content();
 }
+
+/// The number of daemons that have lost something at the same time.
+const MAX_LOST: usize = 2;
+const RUN_DURATION: Duration = Duration::from_secs(30);
+
+/// Makes random daemons, the planner more often than others, lose something for some seconds, while
+/// datagrams are lost and delayed and the configuration changes. Returns the worst delay at daemons that
+/// have had everything for a while.
+fn change_under_random_losses(seed: u64, daemons: usize) -> Duration {
+    let mut trial = Trial::new(daemons);
+    let mut rng = StdRng::seed_from_u64(seed);
+    trial.network.rng = StdRng::seed_from_u64(seed);
+    trial.network.loss = [0.0, 0.05, 0.2][rng.random_range(0..3)];
+    trial.network.jitter = [0, 100][rng.random_range(0..2)];
+    let mut lost: Vec<(usize, Loss, Time)> = Vec::new();
+    let until = trial.network.now() + RUN_DURATION;
+    while trial.network.now() < until {
+        let now = trial.network.now();
+        for (n, loss, _) in lost.extract_if(.., |(_, _, ends_at)| *ends_at <= now) {
+            trial.regain(n, loss);
+        }
+        let planner = trial.network.planner().map(|p| p.address);
+        let planner = trial.network.nodes.iter().position(|n| Some(n.address) == planner);
+        let any = rng.random_range(0..daemons);
+        let n = planner.filter(|_| rng.random_bool(0.5)).unwrap_or(any);
+        if lost.len() < MAX_LOST && !lost.iter().any(|(other, ..)| *other == n) {
+            let kinds = [Loss::Refused, Loss::Silent, Loss::Frozen, Loss::CutOff];
+            let loss = kinds[rng.random_range(0..kinds.len())];
+            trial.lose(n, loss);
+            lost.push((n, loss, now + Duration::from_millis(rng.random_range(1_000..7_000))));
+        }
+        trial.change_for(Duration::from_millis(rng.random_range(500..2_000)));
+    }
+    trial.worst
+}
+
+#[parameterized(
+    seven = { 7, 6 },
+    thirty = { 30, 2 },
+)]
+fn change_is_in_force_in_time_under_random_losses(daemons: usize, default_seeds: u64) {
+    for seed in seeds("READERS_SEEDS", default_seeds) {
+        let worst = change_under_random_losses(seed, daemons);
+        assert!(worst <= CONFIG_WITHIN, "seed {seed}: {worst:?} after it was accepted");
+        println!("seed {seed}: {worst:?}");
+    }
+}
