Poison: a part that is cleared has what it explained decided again

What was explained by a part's crashes was only decided again if one of them still counted. After an answer had cleared the part, others that shared its crashes stayed as they were until their next one.

--- a/crates/tansyknot-fleet/src/poison/account.rs
+++ b/crates/tansyknot-fleet/src/poison/account.rs
@@ -101,9 +101,9 @@
         self.crashes.difference(&self.cleared)
     }
 
-    /// Returns whether a run counts here that ended under `other` as well.
+    /// Returns whether a run ended under both, whether or not it counts.
     pub(super) fn shares_crash(&self, other: &Account) -> bool {
-        self.counted().any(|run| other.crashes.contains(run))
+        self.crashes.iter().any(|run| other.crashes.contains(run))
     }
 
     /// Returns how many runs count.
