--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -98,6 +98,7 @@
     POISON_ACQUITTED = 1605, Info, "A request is no longer rejected: a target has run it, a suspect target is alive, or too many requests are rejected.";
     TARGET_CRASHED = 1606, Warn, "A target ended while it had requests, which are now suspected.";
     POISON_ROW_BAD = 1607, Warn, "The store's row of poison requests can't be read.";
+    TARGET_CHECKED = 1608, Info, "A target that cut off requests was checked: `result` says whether it has ended.";
     FLEET_CONFIG = 1611, Info, "A configuration version is in force.";
     FLEET_STORE_LOST = 1612, Warn, "The platform's store has stopped responding; the last view stays in use.";
     FLEET_STORE_BACK = 1613, Info, "The platform's store responds again.";
--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use tansyknot_core::{clock::BootInstant, metric, telemetry::Recorder};
+use tansyknot_core::{clock::BootInstant, event, metric, telemetry::Recorder};
 
 use crate::{
     connection::{self, CONNECT_TIMEOUT, PROBE_TIMEOUT, TargetStream},
@@ -156,7 +156,20 @@
 
     /// Probes whether a process listens at a target's address.
     pub fn probe(&self, target: &Target) -> Presence {
-        let presence = match self.state.reachability().path(target) {
+        let path = self.state.reachability().path(target);
+        let presence = self.probe_along(path, target);
+        let path = if path == Path::Direct { "direct" } else { "tunnel" };
+        event::TARGET_CHECKED.emit(&[
+            ("target", &target.name),
+            ("address", &target.address),
+            ("result", &presence.name()),
+            ("path", &path),
+        ]);
+        presence
+    }
+
+    fn probe_along(&self, path: Path, target: &Target) -> Presence {
+        let presence = match path {
             Path::Direct => connection::probe(target.address, PROBE_TIMEOUT),
             Path::Tunnel => Presence::Unknown,
         };
--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -97,6 +97,28 @@
     pub lacking: Vec<Evidence>,
 }
 
+/// Why a request is no longer convicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Acquittal {
+    /// A target has answered it, or is alive.
+    Cleared,
+    /// A part of prompts explains its crashes better.
+    Explained,
+    /// Too many requests are convicted.
+    Evicted,
+}
+
+impl Acquittal {
+    /// Returns the name that logs use.
+    fn name(self) -> &'static str {
+        match self {
+            Acquittal::Cleared => "cleared",
+            Acquittal::Explained => "explained",
+            Acquittal::Evicted => "evicted",
+        }
+    }
+}
+
 impl Poison {
     /// Creates the state of a daemon that starts at `started`, without evidence.
     pub fn new(started: Time) -> Self {
@@ -384,7 +406,8 @@
             return true;
         }
         if crashes < needed && was_convicted {
-            self.acquit(key);
+            let is_explained = self.count(key) >= key.crashes_to_convict();
+            self.acquit(key, if is_explained { Acquittal::Explained } else { Acquittal::Cleared });
         }
         false
     }
@@ -471,10 +494,10 @@
         }
     }
 
-    fn acquit(&mut self, key: SuspectKey) {
+    fn acquit(&mut self, key: SuspectKey, reason: Acquittal) {
         self.convicted.remove(&key);
         self.trials.forget(key);
-        event::POISON_ACQUITTED.emit(&[("key", &key)]);
+        event::POISON_ACQUITTED.emit(&[("key", &key), ("reason", &reason.name())]);
     }
 
     /// Removes the least recently used convicted request, if there are too many.
@@ -484,7 +507,7 @@
         }
         let last_used = |key: &&SuspectKey| self.accounts.get(key).map_or(0, |a| a.last_used);
         if let Some(key) = self.convicted.keys().min_by_key(last_used).copied() {
-            self.acquit(key);
+            self.acquit(key, Acquittal::Evicted);
             self.remove_account(key);
         }
     }
--- a/crates/tansyknot-fleet/src/poison/crash_check.rs
+++ b/crates/tansyknot-fleet/src/poison/crash_check.rs
@@ -45,6 +45,16 @@
     pub fn is_end(self) -> bool {
         matches!(self, Presence::Ended | Presence::Gone)
     }
+
+    /// Returns the name that logs use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Presence::Ended => "ended",
+            Presence::Gone => "gone",
+            Presence::Listening => "listening",
+            Presence::Unknown => "unknown",
+        }
+    }
 }
 
 /// Whether a target is to be checked.
