Poison: requests that this daemon has abandoned are suspected as well

Cause: evidence depended on how the daemon's own connection ended. Only one that the target had closed accused the request. If the daemon had closed it (the caller left, the target was too slow, the path was lost, the response was malformed), the target's end a moment later found no request there.

Change: an abandoned request stays suspect at its run for up to 6 s. An answer clears it only if it is to a request sent 2 s later or more, because the target may run an abandoned request on. The run's end accuses it, however it is learned: by a check (at most three in 1.5 s a target, none where other connections watch it), the list, a connection that closes, or another daemon's evidence. The list is searched for suspect targets when it changes.

Unit tests of what accuses and clears, and of the rate of checks.

--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -406,6 +406,11 @@
         self.members.get(target).is_some_and(|m| m.takes_work(now))
     }
 
+    /// Returns how many requests of this daemon a target has.
+    pub fn own_requests(&self, target: &TargetName) -> u32 {
+        self.members.get(target).map_or(0, Member::own_requests)
+    }
+
     /// Returns the status in the list of a target that may have ended.
     pub fn list_status(&self, target: &TargetName, address: SocketAddr) -> ListStatus {
         let Some(m) = self.members.get(target) else { return ListStatus::Removed };
--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -50,7 +50,7 @@
 };
 
 use config::RecentVersions;
-use crashes::ResendTimes;
+use crashes::{ListSearch, ResendTimes};
 use publishing::Published;
 use stats::CoordinationStats;
 
@@ -67,6 +67,7 @@
     published: Mutex<Published>,
     stats: Mutex<CoordinationStats>,
     resend_times: Mutex<ResendTimes>,
+    list_search: Mutex<ListSearch>,
     quota_accounts: Mutex<QuotaAccounts>,
     scheduler: Mutex<Scheduler>,
     announced_loads: Mutex<AnnouncedLoads>,
@@ -111,6 +112,7 @@
             published: Mutex::default(),
             stats: Mutex::default(),
             resend_times: Mutex::default(),
+            list_search: Mutex::default(),
             quota_accounts: Mutex::default(),
             scheduler: Mutex::default(),
             announced_loads: Mutex::default(),
--- a/crates/tansyknot-fleet/src/peering/crashes.rs
+++ b/crates/tansyknot-fleet/src/peering/crashes.rs
@@ -30,6 +30,9 @@
 /// How often targets with an unconfirmed crash are checked. A check reads the local list, which
 /// takes microseconds.
 const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How often the list is searched for suspect targets while it has not changed: an entry that is
+/// retained for now goes without a new version of the list.
+const UNCHANGED_LIST_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// How long to wait for new evidence if no target is under a crash check.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 
@@ -51,6 +54,26 @@
     }
 }
 
+/// When the list was last searched for suspect targets, and its version then.
+#[derive(Default)]
+pub(super) struct ListSearch {
+    last: Option<(u64, Time)>,
+}
+
+impl ListSearch {
+    /// Returns whether the list is to be searched again, and if so records it as searched.
+    fn is_due(&mut self, version: u64, now: Time) -> bool {
+        let is_current = |(last_version, at): (u64, Time)| {
+            last_version == version && now.since(at) < UNCHANGED_LIST_CHECK_INTERVAL
+        };
+        if self.last.is_some_and(is_current) {
+            return false;
+        }
+        self.last = Some((version, now));
+        true
+    }
+}
+
 impl PeerNode {
     /// Sends new evidence to the other daemons as soon as it is found, until the process ends.
     pub fn run_crash_reports(&self) {
@@ -65,10 +88,18 @@
     }
 
     /// Checks whether suspect targets have ended: targets that closed connections early and whose
-    /// address still accepted connections at the first check.
+    /// address still accepted connections at the first check, and targets at which requests were
+    /// abandoned.
     pub fn check_suspect_targets(&self) {
-        let suspects = self.state.poison().suspect_targets(self.state.now());
-        for SuspectTarget { run, identity, is_check_due } in suspects {
+        let now = self.state.now();
+        let suspects = self.state.poison().suspect_targets(now);
+        let version = self.state.fleet().list_version();
+        let is_search_due =
+            self.list_search.lock().expect("no holder of the lock panics").is_due(version, now);
+        for SuspectTarget { run, identity, is_check_due, has_only_abandoned } in suspects {
+            if !is_check_due && !is_search_due {
+                continue;
+            }
             let status = self.state.fleet().list_status(&identity.name, identity.address);
             let presence = match status {
                 ListStatus::Draining => {
@@ -76,6 +107,10 @@
                     continue;
                 }
                 ListStatus::Removed => Presence::Gone,
+                // The connections of other requests would show the target's end.
+                ListStatus::Listed if has_only_abandoned && self.has_requests_at(&identity) => {
+                    continue;
+                }
                 ListStatus::Listed if is_check_due => self.probe(&identity),
                 ListStatus::Listed => continue,
             };
@@ -84,6 +119,10 @@
         }
     }
 
+    fn has_requests_at(&self, identity: &TargetIdentity) -> bool {
+        self.state.fleet().own_requests(&identity.name) > 0
+    }
+
     fn probe(&self, identity: &TargetIdentity) -> Presence {
         let target = self.state.fleet().target(&identity.name).cloned();
         target.map_or(Presence::Unknown, |target| self.paths.probe(&target))
--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -176,6 +176,25 @@
         self.crash_checks.add(key, run, now.since(opened), now)
     }
 
+    /// Records that this daemon has abandoned a request at a target, to which it was sent at `opened`:
+    /// the caller has left, the target was too slow, or the path to it was lost. If the target ends
+    /// while it may still run the request, the request is suspected like one that was cut off.
+    pub fn record_abandoned(
+        &mut self,
+        key: SuspectKey,
+        run: RunKey,
+        place: &TargetIdentity,
+        opened: Time,
+        now: Time,
+    ) {
+        let lived = now.since(opened);
+        match self.ended.get(&run) {
+            Some(ended) if *ended >= opened => self.record_crash(key, run, lived, now),
+            Some(_) => {}
+            None => self.crash_checks.add_abandoned(key, run, lived, place, now),
+        }
+    }
+
     /// Returns whether a request's thread is checking a target.
     pub fn is_being_checked(&self, run: RunKey) -> bool {
         self.crash_checks.is_being_checked(run)
@@ -190,6 +209,12 @@
             self.crash_checks.finish_check(run);
             return 0;
         }
+        self.confirm_end(run, presence, now)
+    }
+
+    /// Records that a run has ended, and suspects the requests that it may have been running; returns
+    /// their number.
+    fn confirm_end(&mut self, run: RunKey, presence: Presence, now: Time) -> usize {
         let suspects = self.crash_checks.confirm_end(run, presence, now);
         suspects.iter().for_each(|s| self.record_crash(s.key, run, s.lived, now));
         suspects.iter().filter(|s| !s.key.is_part()).count()
@@ -210,7 +235,7 @@
         self.crash_checks.has_rechecks()
     }
 
-    /// Returns the targets that may have ended although a check did not show it.
+    /// Returns the targets that may have ended although no check has shown it.
     pub fn suspect_targets(&mut self, now: Time) -> Vec<SuspectTarget> {
         self.crash_checks.suspect_targets(now)
     }
@@ -296,7 +321,10 @@
 
     /// Merges the evidence on one request; returns whether that convicts it.
     fn merge_one(&mut self, item: &Evidence, now: Time) -> bool {
-        item.crashes.iter().for_each(|run| self.record_end(*run, now));
+        for run in &item.crashes {
+            self.confirm_end(*run, Presence::Ended, now);
+            self.record_end(*run, now);
+        }
         self.account(item.suspect).merge(item);
         if self.served.was_answered_recently(item.suspect, now) {
             self.clear(item.suspect, now);
--- a/crates/tansyknot-fleet/src/poison/crash_check.rs
+++ b/crates/tansyknot-fleet/src/poison/crash_check.rs
@@ -16,7 +16,7 @@
 const SUSPECT_DURATION: Duration = Duration::from_secs(6);
 /// When no process listens at the address, the target's end is taken as the cause for requests that
 /// were cut off within this time. A request that was cut off earlier failed for another reason, and
-/// the target went on running.
+/// the target went on running. A target that answers others may run an abandoned request for as long.
 const MAX_CUT_OFF_AGE: Duration = Duration::from_secs(2);
 /// When a target is checked again, counted from its last cut-off: a listener may be closed last.
 const RECHECK_DELAYS: [Duration; 3] =
@@ -96,15 +96,47 @@
     pub identity: TargetIdentity,
     /// Whether it is to be checked again now.
     pub is_check_due: bool,
+    /// Whether it has closed no connection early: this daemon has abandoned all of the requests.
+    pub has_only_abandoned: bool,
 }
 
-/// A request that a target has cut off, or a part of its prompt.
+/// How the connection of a request ended while the target may have been running the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ending {
+    /// The target closed it.
+    CutOff,
+    /// This daemon closed it, or lost the path to the target; the target may run the request on.
+    Abandoned,
+}
+
+/// A request that a target has cut off or this daemon has abandoned, or a part of its prompt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Suspect {
     pub(super) key: SuspectKey,
     /// How long the target had the request.
     pub(super) lived: Duration,
-    cut_off_at: Time,
+    ending: Ending,
+    ended_at: Time,
+}
+
+impl Suspect {
+    /// Returns how long the end of the target accuses the request, if that end is found like this.
+    fn max_age(&self, presence: Presence) -> Duration {
+        match self.ending {
+            Ending::CutOff if presence == Presence::Ended => MAX_CUT_OFF_AGE,
+            // The target may have been unresponsive since then: its answers would have cleared it.
+            Ending::CutOff | Ending::Abandoned => SUSPECT_DURATION,
+        }
+    }
+
+    /// Returns whether an answer to a request that was sent at `opened` shows that the target lived on
+    /// after this one.
+    fn is_cleared_by(&self, opened: Time) -> bool {
+        match self.ending {
+            Ending::CutOff => self.ended_at < opened,
+            Ending::Abandoned => self.ended_at + MAX_CUT_OFF_AGE < opened,
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -112,33 +144,46 @@
     suspects: Vec<Suspect>,
     /// Whether a request's thread is checking the target.
     is_being_checked: bool,
-    /// The target's identity, set when a first check has not shown its end.
+    /// The target's identity, set when the target is to be checked again.
     place: Option<TargetIdentity>,
     rechecks: usize,
+    /// When the delays of the rechecks began.
+    rechecks_since: Time,
 }
 
 impl CrashCheck {
-    /// Returns when the last request was cut off.
-    fn last_cut_off(&self) -> Time {
-        self.suspects.iter().map(|s| s.cut_off_at).max().unwrap_or_default()
+    /// Returns when the connection of the last request ended.
+    fn last_ended(&self) -> Time {
+        self.suspects.iter().map(|s| s.ended_at).max().unwrap_or_default()
+    }
+
+    fn has_only_abandoned(&self) -> bool {
+        self.suspects.iter().all(|s| s.ending == Ending::Abandoned)
+    }
+
+    fn restart_rechecks(&mut self, now: Time) {
+        self.rechecks = 0;
+        self.rechecks_since = now;
     }
 
     /// Returns whether the target is to be checked again, and counts that check as done.
     fn take_recheck(&mut self, now: Time) -> bool {
         let due = RECHECK_DELAYS.get(self.rechecks);
-        let is_due = due.is_some_and(|after| now.since(self.last_cut_off()) >= *after);
+        let is_due = due.is_some_and(|after| now.since(self.rechecks_since) >= *after);
         self.rechecks += usize::from(is_due);
         is_due
     }
 }
 
-/// Requests that targets have cut off while it is unknown whether those targets have ended.
+/// Requests that targets have cut off, or that this daemon has abandoned, while it is unknown whether
+/// those targets have ended.
 ///
 /// One thread checks a target for all of its requests: a crash cuts off all requests of a target at
 /// once, and a target that resets hundreds of connections should not get hundreds more. A check
 /// that finds a listener proves little, because a port may accept connections after the process
 /// behind it has ended. So a crash check stays open until the target answers a request that was
-/// sent later, or until it expires.
+/// sent later, or until it expires. A target may still run what was abandoned, so for such requests
+/// the answer has to be to one sent some time later.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashChecks {
     open: BTreeMap<RunKey, CrashCheck>,
@@ -153,17 +198,42 @@
         lived: Duration,
         now: Time,
     ) -> CheckState {
-        self.expire(now);
-        let check = self.open.entry(run).or_default();
-        if check.suspects.len() < MAX_SUSPECTS {
-            check.suspects.push(Suspect { key, lived, cut_off_at: now });
-        }
+        let check = self.push(run, Suspect { key, lived, ending: Ending::CutOff, ended_at: now });
         let look = if check.is_being_checked { CheckState::InProgress } else { CheckState::Due };
         check.is_being_checked = true;
-        check.rechecks = 0;
+        check.restart_rechecks(now);
         look
     }
 
+    /// Adds a request that this daemon has abandoned at a target after `lived`. The target is checked
+    /// later, and at a bounded rate: callers that leave are no sign of a crash.
+    pub(super) fn add_abandoned(
+        &mut self,
+        key: SuspectKey,
+        run: RunKey,
+        lived: Duration,
+        place: &TargetIdentity,
+        now: Time,
+    ) {
+        let ending = Ending::Abandoned;
+        let check = self.push(run, Suspect { key, lived, ending, ended_at: now });
+        check.place.get_or_insert_with(|| place.clone());
+        let has_rechecks_left = check.rechecks < RECHECK_DELAYS.len();
+        if check.rechecks_since == Time::default() || !has_rechecks_left {
+            check.restart_rechecks(now);
+        }
+    }
+
+    fn push(&mut self, run: RunKey, suspect: Suspect) -> &mut CrashCheck {
+        self.expire(suspect.ended_at);
+        let check = self.open.entry(run).or_default();
+        if check.suspects.len() >= MAX_SUSPECTS {
+            check.suspects.remove(0);
+        }
+        check.suspects.push(suspect);
+        check
+    }
+
     /// Returns whether a target is suspect.
     pub(super) fn is_suspect(&self, run: RunKey) -> bool {
         self.open.contains_key(&run)
@@ -182,9 +252,8 @@
         presence: Presence,
         now: Time,
     ) -> Vec<Suspect> {
-        let max_age = if presence == Presence::Ended { MAX_CUT_OFF_AGE } else { SUSPECT_DURATION };
         let mut suspects = self.open.remove(&run).map_or_else(Vec::new, |check| check.suspects);
-        suspects.retain(|s| now.since(s.cut_off_at) < max_age);
+        suspects.retain(|s| now.since(s.ended_at) < s.max_age(presence));
         suspects
     }
 
@@ -210,7 +279,7 @@
     /// Records that a target has answered a request that was sent at `opened`: it was alive then.
     pub(super) fn record_answer(&mut self, run: RunKey, opened: Time) {
         let Some(check) = self.open.get_mut(&run) else { return };
-        check.suspects.retain(|s| s.cut_off_at >= opened);
+        check.suspects.retain(|s| !s.is_cleared_by(opened));
         if check.suspects.is_empty() && !check.is_being_checked {
             self.open.remove(&run);
         }
@@ -227,21 +296,20 @@
         let unchecked = self.open.iter_mut().filter(|(_, check)| !check.is_being_checked);
         let suspect_target = |(run, check): (&RunKey, &mut CrashCheck)| {
             let identity = check.place.clone()?;
-            Some(SuspectTarget { run: *run, identity, is_check_due: check.take_recheck(now) })
+            let has_only_abandoned = check.has_only_abandoned();
+            let is_check_due = check.take_recheck(now);
+            Some(SuspectTarget { run: *run, identity, is_check_due, has_only_abandoned })
         };
         unchecked.filter_map(suspect_target).collect()
     }
 
     /// Removes crash checks that have expired, and the oldest ones if there are too many.
     fn expire(&mut self, now: Time) {
-        self.open
-            .retain(|_, d| d.is_being_checked || now.since(d.last_cut_off()) < SUSPECT_DURATION);
+        self.open.retain(|_, d| d.is_being_checked || now.since(d.last_ended()) < SUSPECT_DURATION);
         while self.open.len() >= MAX_SUSPECT_TARGETS {
             let unchecked = self.open.iter().filter(|(_, d)| !d.is_being_checked);
-            let Some(oldest) = unchecked.min_by_key(|(_, d)| d.last_cut_off()).map(|(run, _)| *run)
-            else {
-                return;
-            };
+            let first = unchecked.min_by_key(|(_, d)| (!d.has_only_abandoned(), d.last_ended()));
+            let Some(oldest) = first.map(|(run, _)| *run) else { return };
             self.open.remove(&oldest);
         }
     }
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -45,7 +45,7 @@
         let bytes = self.request_bytes(request, target);
         let deadline = request.give_up_at();
         let began = self.state.now();
-        let events = request.relay.events;
+        let (events, transmissions) = (request.relay.events, request.transmissions);
         // A conviction or a signal may have arrived since the target was selected.
         let may_send = || !self.is_rejected(request) && self.is_send_allowed(request, target);
         let caller = Some(request.caller.stream);
@@ -78,7 +78,9 @@
             }
         };
         // A probe of the target shows first whether the fault is its own.
-        self.record_poison_evidence(request, target, began, events, &outcome);
+        if request.transmissions > transmissions {
+            self.record_poison_evidence(request, target, began, events, &outcome);
+        }
         self.update_target_health(request, target, began, &outcome);
         outcome
     }
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -24,7 +24,7 @@
     }
 
     /// Records what a send over a connection opened at `opened` has shown about the request, whose
-    /// caller had received `events` before.
+    /// caller had received `events` before. The target has received at least a part of the request.
     pub(super) fn record_poison_evidence(
         &self,
         request: &ActiveRequest<'_>,
@@ -41,10 +41,43 @@
                 let has_begun = request.relay.events > events;
                 self.probe(request, target, opened, has_begun);
             }
-            SendOutcome::ServerError(_) | SendOutcome::MayHaveRun(_) | SendOutcome::NotRun(_) => {}
+            SendOutcome::MayHaveRun(_) => {
+                let has_begun = request.relay.events > events;
+                self.record_abandoned(request, target, opened, has_begun);
+            }
+            SendOutcome::ServerError(_) | SendOutcome::NotRun(_) => {}
         }
     }
 
+    /// Records that this daemon has closed the connection of a request that a target may be running.
+    fn record_abandoned(
+        &self,
+        request: &ActiveRequest<'_>,
+        target: &Target,
+        opened: Time,
+        has_begun: bool,
+    ) {
+        let (run_key, now) = (RunKey::of(target), self.state.now());
+        if !self.accuses_requests(target, now) {
+            return;
+        }
+        let place = TargetIdentity::of(target);
+        {
+            let mut poison = self.state.poison();
+            for key in request.suspects.accused(has_begun) {
+                poison.record_abandoned(key, run_key, &place, opened, now);
+            }
+        }
+        self.state.poison_changed.notify();
+    }
+
+    /// Returns whether the end of a target accuses the requests that it had: it has not announced its
+    /// end, and is not a brittle one, which ends because of the number of its requests.
+    fn accuses_requests(&self, target: &Target, now: Time) -> bool {
+        let fleet = self.state.fleet();
+        fleet.accepts_work(&target.name, now) && !fleet.is_brittle(&target.service, now)
+    }
+
     /// Records that a target has answered `suspects` of a request that was sent at `opened`.
     pub(super) fn record_answered(
         &self,
@@ -62,26 +95,18 @@
 
     /// Probes whether a target that closed its connection early has ended, and waits for the
     /// result. If another thread already probes the target, only waits.
-    ///
-    /// A leaving target is not probed: it has announced its end, so no request is the cause.
     fn probe(&self, request: &ActiveRequest<'_>, target: &Target, opened: Time, has_begun: bool) {
         let run_key = RunKey::of(target);
         let now = self.state.now();
-        if !self.state.fleet().accepts_work(&target.name, now) {
-            return;
-        }
-        // A brittle target ends because of the number of its requests.
-        if self.state.fleet().is_brittle(&target.service, now) {
+        if !self.accuses_requests(target, now) {
             return;
         }
         let check = {
             let mut poison = self.state.poison();
-            // A target that has begun a response has read the prompt and lived on.
-            let parts = request.suspects.parts.iter().filter(|_| !has_begun);
-            let request_check =
-                poison.record_early_close(request.suspects.request, run_key, opened, now);
-            parts.for_each(|part| _ = poison.record_early_close(*part, run_key, opened, now));
-            request_check
+            let mut record = |key| poison.record_early_close(key, run_key, opened, now);
+            let check = record(request.suspects.request);
+            request.suspects.accused_parts(has_begun).for_each(|part| _ = record(part));
+            check
         };
         match check {
             CheckState::Due => {
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -137,6 +137,75 @@
     assert_eq!((poison.is_convicted(REQUEST), poison.has_suspect_targets()), (false, false));
 }
 
+/// Abandons the request at three targets that answer another request `answered_after` ms later, if
+/// at all, and end at `ended_at` ms; returns whether the request is convicted.
+fn abandoned(answered_after: Option<u64>, ended_at: u64) -> bool {
+    let mut poison = Poison::default();
+    for run in (0..3).map(RunKey) {
+        poison.record_abandoned(REQUEST, run, &identity(), at(0), at(100));
+        if let Some(after) = answered_after {
+            let opened = at(100 + after);
+            poison.record_answer(SuspectKey(8), run, opened, opened);
+        }
+        poison.record_check(run, Presence::Ended, at(ended_at));
+    }
+    poison.is_convicted(REQUEST)
+}
+
+// A daemon that blamed only what the target itself had cut off sent a request whose callers leave to
+// one target after the other.
+#[parameterized(
+    ends_soon = { None, 400, true },
+    answers_another_one_meanwhile = { Some(100), 1_000, true },
+    answers_another_one_much_later = { Some(2_500), 3_000, false },
+    silent_until_its_end = { None, 5_000, true },
+    ends_much_later = { None, 7_000, false },
+)]
+fn target_may_end_under_a_request_that_was_abandoned(
+    answered_after: Option<u64>,
+    ended_at: u64,
+    convicts: bool,
+) {
+    assert_eq!(abandoned(answered_after, ended_at), convicts);
+}
+
+/// Returns evidence that three runs have ended, each under another request.
+fn crashes_under_others() -> [Evidence; 3] {
+    [0, 1, 2].map(|run| Evidence { suspect: SuspectKey(10 + u128::from(run)), ..evidence(&[run]) })
+}
+
+#[test]
+fn end_of_a_target_that_another_daemon_reports_accuses_abandoned_requests() {
+    let mut poison = Poison::default();
+    for run in 0..3 {
+        poison.record_abandoned(REQUEST, RunKey(run), &identity(), at(0), at(100));
+    }
+    poison.merge(&crashes_under_others(), at(200));
+    assert!(poison.is_convicted(REQUEST));
+}
+
+// A run that had ended before the request was sent belongs to an address that another run has taken.
+#[parameterized(before = { 50, 100, false }, while_it_was_there = { 100, 50, true })]
+fn end_that_is_known_already_accuses_what_was_sent_before(ended: u64, opened: u64, convicts: bool) {
+    let mut poison = Poison::default();
+    poison.merge(&crashes_under_others(), at(ended));
+    for run in 0..3 {
+        poison.record_abandoned(REQUEST, RunKey(run), &identity(), at(opened), at(200));
+    }
+    assert_eq!(poison.is_convicted(REQUEST), convicts);
+}
+
+#[test]
+fn abandoned_requests_cause_few_checks_however_many_there_are() {
+    let mut poison = Poison::default();
+    let mut checks = 0;
+    for ms in (0..10_000).step_by(20) {
+        poison.record_abandoned(SuspectKey(ms.into()), RunKey(1), &identity(), at(ms), at(ms));
+        checks += poison.suspect_targets(at(ms)).iter().filter(|t| t.is_check_due).count();
+    }
+    assert!((15..=21).contains(&checks), "{checks} checks in 10 s");
+}
+
 #[test]
 fn draining_target_is_not_suspect() {
     let mut poison = Poison::default();
