Responses: one that ends with its connection is complete only if its target lives on

What callers saw: a part of a body as a whole response (200), where the target crashed after a head without a length. For the daemons each crash was an answer that cleared the request.

Cause: the end of a body without a length was concluded from the end of the connection, which a crash causes as well.

Change: the target is checked before such a response, or the end of such a stream, is passed on. If it has ended, the response was cut off: 502, or the stream goes on elsewhere if it may. If it listens, the response is passed on, and the request counts as answered once the target has answered a later one. A target that has announced its end completes its responses.

Cost: one connection for each response without a length, and a round trip.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -100,6 +100,12 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
+
+    /// Returns whether the body ends with the connection, so that its end doesn't show whether it is
+    /// complete.
+    pub fn is_framed_by_close(&self) -> bool {
+        self.framing == Framing::UntilClose
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -27,7 +27,7 @@
 use tansyknot_core::{clock::Time, event, metric, telemetry::Recorder};
 
 use account::Account;
-use crash_check::CrashChecks;
+use crash_check::{CrashChecks, Ending, Suspect};
 use evidence::{Digest, Evidence};
 use key::{RequestSuspects, RunKey, SuspectKey};
 use served::Served;
@@ -169,11 +169,41 @@
         opened: Time,
         now: Time,
     ) -> CheckState {
+        self.record_close(Ending::CutOff, key, run, opened, now)
+    }
+
+    /// Records that a target closed the connection of a request, which was opened at `opened`, after a
+    /// response whose end is that of the connection; returns whether the target is to be checked. The
+    /// request counts as answered once the target has answered a later one.
+    pub fn record_close_after_response(
+        &mut self,
+        key: SuspectKey,
+        run: RunKey,
+        opened: Time,
+        now: Time,
+    ) -> CheckState {
+        self.record_close(Ending::Answered, key, run, opened, now)
+    }
+
+    fn record_close(
+        &mut self,
+        ending: Ending,
+        key: SuspectKey,
+        run: RunKey,
+        opened: Time,
+        now: Time,
+    ) -> CheckState {
+        let lived = now.since(opened);
         if self.ended.contains_key(&run) {
-            self.record_crash(key, run, now.since(opened), now);
+            self.record_crash(key, run, lived, now);
             return CheckState::Done;
         }
-        self.crash_checks.add(key, run, now.since(opened), now)
+        self.crash_checks.add_closed(run, Suspect { key, lived, ending, ended_at: now })
+    }
+
+    /// Returns whether a run is known to have ended.
+    pub fn has_ended(&self, run: RunKey) -> bool {
+        self.ended.contains_key(&run)
     }
 
     /// Records that this daemon has abandoned a request at a target, to which it was sent at `opened`:
@@ -273,8 +303,9 @@
     /// next crash would convict the request. A run that answers is alive even if it was taken for
     /// ended, so its supposed crash counts for no request.
     pub fn record_answer(&mut self, key: SuspectKey, run: RunKey, opened: Time, now: Time) {
-        self.served.add(key, now);
-        self.crash_checks.record_answer(run, opened);
+        let answered_before = self.crash_checks.record_answer(run, opened);
+        let answered = || std::iter::once(key).chain(answered_before.iter().copied());
+        answered().for_each(|key| self.served.add(key, now));
         if self.accounts.is_empty() {
             return;
         }
@@ -282,7 +313,7 @@
             self.ended.remove(&run);
             self.clear_run(run, now);
         }
-        self.clear(key, now);
+        answered().for_each(|key| self.clear(key, now));
     }
 
     /// Clears a run that is alive from the evidence on all requests.
--- a/crates/tansyknot-fleet/src/poison/crash_check.rs
+++ b/crates/tansyknot-fleet/src/poison/crash_check.rs
@@ -107,6 +107,8 @@
     CutOff,
     /// This daemon closed it, or lost the path to the target; the target may run the request on.
     Abandoned,
+    /// The target closed it after a response that is complete unless the target has ended.
+    Answered,
 }
 
 /// A request that a target has cut off or this daemon has abandoned, or a part of its prompt.
@@ -115,17 +117,17 @@
     pub(super) key: SuspectKey,
     /// How long the target had the request.
     pub(super) lived: Duration,
-    ending: Ending,
-    ended_at: Time,
+    pub(super) ending: Ending,
+    pub(super) ended_at: Time,
 }
 
 impl Suspect {
     /// Returns how long the end of the target accuses the request, if that end is found like this.
     fn max_age(&self, presence: Presence) -> Duration {
         match self.ending {
-            Ending::CutOff if presence == Presence::Ended => MAX_CUT_OFF_AGE,
+            Ending::CutOff | Ending::Answered if presence == Presence::Ended => MAX_CUT_OFF_AGE,
             // The target may have been unresponsive since then: its answers would have cleared it.
-            Ending::CutOff | Ending::Abandoned => SUSPECT_DURATION,
+            Ending::CutOff | Ending::Answered | Ending::Abandoned => SUSPECT_DURATION,
         }
     }
 
@@ -133,7 +135,7 @@
     /// after this one.
     fn is_cleared_by(&self, opened: Time) -> bool {
         match self.ending {
-            Ending::CutOff => self.ended_at < opened,
+            Ending::CutOff | Ending::Answered => self.ended_at < opened,
             Ending::Abandoned => self.ended_at + MAX_CUT_OFF_AGE < opened,
         }
     }
@@ -190,15 +192,11 @@
 }
 
 impl CrashChecks {
-    /// Adds a request that a target has cut off after `lived`.
-    pub(super) fn add(
-        &mut self,
-        key: SuspectKey,
-        run: RunKey,
-        lived: Duration,
-        now: Time,
-    ) -> CheckState {
-        let check = self.push(run, Suspect { key, lived, ending: Ending::CutOff, ended_at: now });
+    /// Adds a request whose connection a target has closed; returns whether the target is to be
+    /// checked.
+    pub(super) fn add_closed(&mut self, run: RunKey, suspect: Suspect) -> CheckState {
+        let now = suspect.ended_at;
+        let check = self.push(run, suspect);
         let look = if check.is_being_checked { CheckState::InProgress } else { CheckState::Due };
         check.is_being_checked = true;
         check.restart_rechecks(now);
@@ -277,12 +275,15 @@
     }
 
     /// Records that a target has answered a request that was sent at `opened`: it was alive then.
-    pub(super) fn record_answer(&mut self, run: RunKey, opened: Time) {
-        let Some(check) = self.open.get_mut(&run) else { return };
-        check.suspects.retain(|s| !s.is_cleared_by(opened));
+    /// Returns the earlier requests to which it has given complete responses.
+    pub(super) fn record_answer(&mut self, run: RunKey, opened: Time) -> Vec<SuspectKey> {
+        let Some(check) = self.open.get_mut(&run) else { return Vec::new() };
+        let cleared = check.suspects.extract_if(.., |s| s.is_cleared_by(opened));
+        let answered = cleared.filter(|s| s.ending == Ending::Answered).map(|s| s.key).collect();
         if check.suspects.is_empty() && !check.is_being_checked {
             self.open.remove(&run);
         }
+        answered
     }
 
     /// Returns whether there are targets to check again.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -461,6 +461,7 @@
             permit_request: None,
             permit: None,
             may_have_run: false,
+            is_response_framed_by_close: false,
             tried: Vec::new(),
             relay: EventRelay::default(),
             buffer: Reservation::new(Arc::clone(&self.buffers)),
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -173,6 +173,7 @@
             }
         }
         request.runs += 1;
+        request.is_response_framed_by_close = head.is_framed_by_close();
         let result = if response_relay::is_stream(&head) && head.status == 200 {
             let body = exchange.body(&head);
             let model = request.params.model.clone();
@@ -194,6 +195,7 @@
             let result = request
                 .relay
                 .forward_events(&head, body, &control, sink)
+                .and_then(|()| self.check_end(request, target, began))
                 .map(|()| SendOutcome::Relayed(head.status));
             observer.finish();
             result
@@ -205,6 +207,7 @@
                 &control,
                 &mut request.buffer,
             )
+            .and_then(|response| self.check_end(request, target, began).map(|()| response))
             .and_then(|response| self.relay_response(request, &head, response))
         };
         match result {
@@ -220,6 +223,19 @@
         }
     }
 
+    /// Fails if a response was cut off by the end of its target. A response that ends with its
+    /// connection does not show that by itself.
+    fn check_end(
+        &self,
+        request: &ActiveRequest<'_>,
+        target: &Target,
+        began: Time,
+    ) -> Result<(), Failure> {
+        let is_complete = !request.is_response_framed_by_close
+            || self.is_complete_response(request, target, began);
+        if is_complete { Ok(()) } else { Err(Failure::ClosedEarly) }
+    }
+
     fn relay_response(
         &self,
         request: &mut ActiveRequest<'_>,
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -34,6 +34,8 @@
         outcome: &SendOutcome,
     ) {
         match outcome {
+            // Its end has been recorded.
+            SendOutcome::Relayed(_) if request.is_response_framed_by_close => {}
             SendOutcome::Relayed(_) => {
                 self.record_answered(request.suspects.all(), target, opened);
             }
@@ -108,6 +110,38 @@
             request.suspects.accused_parts(has_begun).for_each(|part| _ = record(part));
             check
         };
+        self.complete_check(check, target, run_key);
+    }
+
+    /// Probes whether a target has ended that closed the connection after a response without a
+    /// declared end; returns whether the response is complete, as far as is known. A target that has
+    /// announced its end completes its responses.
+    pub(super) fn is_complete_response(
+        &self,
+        request: &ActiveRequest<'_>,
+        target: &Target,
+        opened: Time,
+    ) -> bool {
+        let (run_key, now) = (RunKey::of(target), self.state.now());
+        if !self.state.fleet().accepts_work(&target.name, now) {
+            return true;
+        }
+        if !self.accuses_requests(target, now) {
+            return !self.paths.probe(target).is_end();
+        }
+        let check = {
+            let mut poison = self.state.poison();
+            let mut record = |key| poison.record_close_after_response(key, run_key, opened, now);
+            let check = record(request.suspects.request);
+            let has_begun = request.relay.events > 0;
+            request.suspects.accused_parts(has_begun).for_each(|part| _ = record(part));
+            check
+        };
+        self.complete_check(check, target, run_key);
+        !self.state.poison().has_ended(run_key)
+    }
+
+    fn complete_check(&self, check: CheckState, target: &Target, run_key: RunKey) {
         match check {
             CheckState::Due => {
                 let presence = self.paths.probe(target);
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -285,6 +285,9 @@
     /// The permit for a target with a limit.
     pub(super) permit: Option<Permit>,
     pub(super) may_have_run: bool,
+    /// Whether the last response ended with its connection, and so doesn't show by itself that the
+    /// target lived on.
+    pub(super) is_response_framed_by_close: bool,
     pub(super) tried: Vec<TargetName>,
     pub(super) relay: EventRelay,
     /// The bytes of responses that the daemon holds for it.
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -184,6 +184,28 @@
     assert!(poison.is_convicted(REQUEST));
 }
 
+/// Records responses of three runs that end with their connections.
+fn close_after_responses(poison: &mut Poison, presence: Presence) {
+    for run in (0..3).map(RunKey) {
+        let check = poison.record_close_after_response(REQUEST, run, at(0), at(100));
+        assert_eq!(check, CheckState::Due);
+        poison.record_check(run, presence, at(101));
+    }
+}
+
+#[test]
+fn response_that_ends_with_its_connection_is_an_answer_only_if_its_target_lives_on() {
+    let mut poison = Poison::default();
+    close_after_responses(&mut poison, Presence::Ended);
+    assert!(poison.is_convicted(REQUEST));
+
+    let mut poison = Poison::default();
+    close_after_responses(&mut poison, Presence::Listening);
+    poison.record_answer(SuspectKey(8), RunKey(0), at(150), at(200));
+    (10..13).for_each(|run| crash(&mut poison, REQUEST, run, at(300)));
+    assert!(!poison.is_convicted(REQUEST), "it was answered recently");
+}
+
 // A run that had ended before the request was sent belongs to an address that another run has taken.
 #[parameterized(before = { 50, 100, false }, while_it_was_there = { 100, 50, true })]
 fn end_that_is_known_already_accuses_what_was_sent_before(ended: u64, opened: u64, convicts: bool) {
