Poison: the end of a brittle target accuses requests unless it has just refused others

What callers saw: once one target of a service had named itself brittle, a request under which targets crash went to one after the other.

Cause: the end of a target of a brittle service accused nobody, since such a target ends because of the number of its requests.

Change: it accuses its requests unless the target has refused one within 1.5 s: it ends by refusals, which it names and daemons share.

--- a/crates/tansyknot-fleet/src/fleet/brittle.rs
+++ b/crates/tansyknot-fleet/src/fleet/brittle.rs
@@ -21,6 +21,10 @@
 /// How long no daemon sends requests to a brittle target after it has refused one.
 const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
 
+/// A target that ends this long after it has refused requests may have ended because of them: their
+/// number within a second counts, and another daemon's report of one arrives some ms late.
+const REFUSALS_END_TARGET_WITHIN: Duration = Duration::from_millis(1500);
+
 /// The brittle services, and this daemon's allowances at their targets.
 #[derive(Debug, Default)]
 pub(super) struct BrittleServices {
@@ -38,6 +42,12 @@
         self.brittle.until.get(service).is_some_and(|until| now < *until)
     }
 
+    /// Returns whether the end of a target may be due to requests that it has refused.
+    pub fn may_have_ended_by_refusals(&self, run: RunKey, now: Time) -> bool {
+        let refused = self.backpressure.last_refusal(run);
+        refused.is_some_and(|at| now.since(at) < REFUSALS_END_TARGET_WITHIN)
+    }
+
     /// Updates what is known of the service of a target after a signal of its run.
     pub(super) fn update_brittleness(&mut self, target: &TargetName, run: RunKey, now: Time) {
         let Some(m) = self.members.get_mut(target).filter(|m| m.run == run) else { return };
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -74,10 +74,11 @@
     }
 
     /// Returns whether the end of a target accuses the requests that it had: it has not announced its
-    /// end, and is not a brittle one, which ends because of the number of its requests.
+    /// end, and is not a brittle one that has just refused others.
     fn accuses_requests(&self, target: &Target, now: Time) -> bool {
         let fleet = self.state.fleet();
-        fleet.accepts_work(&target.name, now) && !fleet.is_brittle(&target.service, now)
+        let run = RunKey::of(target);
+        fleet.accepts_work(&target.name, now) && !fleet.may_have_ended_by_refusals(run, now)
     }
 
     /// Records that a target has answered `suspects` of a request that was sent at `opened`.
--- a/crates/tansyknot-fleet/tests/brittle.rs
+++ b/crates/tansyknot-fleet/tests/brittle.rs
@@ -12,12 +12,13 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use support::{network::Network, target};
 use tansyknot_core::{
-    clock::Time,
+    clock::{ManualClock, Time},
     name::{ModelName, ServiceName, TargetName},
 };
 use tansyknot_fleet::{
     backpressure::{Interval, RunOutcome, SignalField, Signals},
     fleet::{CacheNeed, Pick, TargetRequirements},
+    poison::key::RunKey,
     target::{StartTime, Target},
 };
 use yare::parameterized;
@@ -304,3 +305,25 @@
         assert!(faults || used >= 0.85 * load.min(1.0), "seed {seed}: {used:.2} was used");
     }
 }
+
+// The end of a brittle target accused no request at all, so that poison requests were not noticed.
+#[parameterized(
+    refused_just_before = { RunOutcome::Refused, 500, true },
+    refused_long_before = { RunOutcome::Refused, 5_000, false },
+    refused_nothing = { RunOutcome::Ran, 500, false },
+)]
+fn brittle_target_may_end_because_of_requests_that_it_has_just_refused(
+    outcome: RunOutcome,
+    ends_after_ms: u64,
+    expected: bool,
+) {
+    let clock = ManualClock::default();
+    let state = support::state(&clock);
+    let entry = target("t0", &["m0"], &[]);
+    let now = state.now();
+    state.fleet().apply_full_list(vec![entry.clone()], 1, None, now);
+    let signals = Signals { brittle: SignalField::Value(MAX_REFUSALS), ..Signals::default() };
+    state.fleet().record_signals(&entry, &signals, outcome, Interval { sent: now, received: now });
+    let ended = now + Duration::from_millis(ends_after_ms);
+    assert_eq!(state.fleet().may_have_ended_by_refusals(RunKey::of(&entry), ended), expected);
+}
