Paths: a target that other daemons can't reach either has ended

What callers saw: a daemon that reached targets only through others sent a request under which targets crash to one after the other.

Cause: a check through other daemons began with 'unknown' and kept that where they said that the target is down. Besides, a daemon that served tunnels took three crashes in a row for a cut of its own links and gave no verdict.

Change: the verdict is the result of the check. A daemon that would report itself cut off after a failed connection tries another target of the service first.

--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -182,7 +182,7 @@
         let deadline = BootInstant::now() + TUNNEL_TIMEOUT;
         match self.open_tunnel(target, TunnelUse::Probe, deadline) {
             Ok(_) => Presence::Listening,
-            Err(TunnelFailure::TargetDown) => presence,
+            Err(TunnelFailure::TargetDown) => Presence::Ended,
             Err(TunnelFailure::NoPeer) if !self.is_cut_off(target) => presence,
             Err(TunnelFailure::Isolated | TunnelFailure::NoPeer) => Presence::Unknown,
         }
--- a/crates/tansyknot-fleet/src/reachability.rs
+++ b/crates/tansyknot-fleet/src/reachability.rs
@@ -119,6 +119,11 @@
         self.services.values().map(|s| s.failed.len()).sum()
     }
 
+    /// Returns whether a target of a service has no direct path.
+    pub fn has_failed(&self, service: &ServiceName, target: &TargetName) -> bool {
+        self.services.get(service).is_some_and(|s| s.failed.contains(target))
+    }
+
     /// Returns whether a path has failed, so that targets are to be probed.
     pub fn has_failed_paths(&self) -> bool {
         !self.services.is_empty()
--- a/crates/tansyknot-fleet/src/tunnel/server.rs
+++ b/crates/tansyknot-fleet/src/tunnel/server.rs
@@ -113,7 +113,7 @@
             Err(_) => {
                 self.state.record_connect_failure(&target);
                 let is_cut_off = self.state.reachability().is_cut_off(&target.service);
-                Err(if is_cut_off {
+                Err(if is_cut_off && !self.reaches_another(&target) {
                     TunnelReply::CutOff(None)
                 } else {
                     TunnelReply::TargetUnreachable
@@ -122,6 +122,23 @@
         }
     }
 
+    /// Tries to connect to another target of the service of `target`, which has just failed. Several
+    /// targets that end one after the other look like a cut otherwise.
+    fn reaches_another(&self, target: &Target) -> bool {
+        let names = self.state.fleet().target_names(&target.service);
+        let untried = {
+            let reachability = self.state.reachability();
+            names.into_iter().find(|name| !reachability.has_failed(&target.service, name))
+        };
+        let other = untried.and_then(|name| self.state.fleet().target(&name).cloned());
+        let Some(other) = other else { return false };
+        let is_connected = connection::connect(other.address, TARGET_CONNECT_TIMEOUT).is_ok();
+        if is_connected {
+            self.state.record_connected(&other);
+        }
+        is_connected
+    }
+
     fn target(&self, request: &TunnelRequest) -> Result<Arc<Target>, TunnelReply> {
         let now = self.state.now();
         let fleet = self.state.fleet();
