Poison: an answer clears a request only of crashes under the same software

What callers saw: a request under which targets of one software version crash, and which those of another answer, went to one target after the other.

Cause: an answer within 5 s excused every crash, whichever run had given it.

Change: the key of a run names its software, so that daemons can compare runs without their entries. An answer clears crashes of the same version, and of runs whose version is not known. The row's form is 3; runs in older rows have no known version.

--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -29,7 +29,7 @@
 use account::Account;
 use crash_check::{CrashChecks, Ending, Suspect};
 use evidence::{Digest, Evidence};
-use key::{RequestSuspects, RunKey, SuspectKey};
+use key::{RequestSuspects, RunKey, SoftwareKey, SuspectKey};
 use served::Served;
 use trial::Trials;
 
@@ -278,12 +278,12 @@
     /// Records that a run of a target has ended while it had a request or part, which it had for `lived`.
     fn record_crash(&mut self, key: SuspectKey, run: RunKey, lived: Duration, now: Time) {
         self.record_end(run, now);
-        if self.served.was_answered_recently(key, now) {
+        if self.served.was_answered_recently(key, run.software(), now) {
             return;
         }
         // The trial of a part that was answered before may fail once by coincidence: many sound requests
         // may contain it.
-        let was_answered = key.is_part() && self.served.answered_at(key).is_some();
+        let was_answered = key.is_part() && self.served.answered_at(key, run.software()).is_some();
         let is_in_trial =
             self.trials.has_begun(key) && (!was_answered || self.trials.was_last(key));
         let account = self.account(key);
@@ -299,13 +299,13 @@
     /// Records that a run of a target has answered a request completely, or has begun the response to
     /// one that contains a part, over a connection opened at `opened`.
     ///
-    /// The request or part is cleared because a target could run it. This is sent to other daemons if the
-    /// next crash would convict the request. A run that answers is alive even if it was taken for
+    /// The request or part is cleared of the crashes of runs with the same software, because a target
+    /// could run it. This is sent to other daemons if the next crash would convict the request. A run that answers is alive even if it was taken for
     /// ended, so its supposed crash counts for no request.
     pub fn record_answer(&mut self, key: SuspectKey, run: RunKey, opened: Time, now: Time) {
         let answered_before = self.crash_checks.record_answer(run, opened);
         let answered = || std::iter::once(key).chain(answered_before.iter().copied());
-        answered().for_each(|key| self.served.add(key, now));
+        answered().for_each(|key| self.served.add(key, run.software(), now));
         if self.accounts.is_empty() {
             return;
         }
@@ -313,7 +313,7 @@
             self.ended.remove(&run);
             self.clear_run(run, now);
         }
-        answered().for_each(|key| self.clear(key, now));
+        answered().for_each(|key| self.clear(key, run.software(), now));
     }
 
     /// Clears a run that is alive from the evidence on all requests.
@@ -326,13 +326,13 @@
         }
     }
 
-    /// Clears all evidence on a request that is known so far.
-    fn clear(&mut self, key: SuspectKey, now: Time) {
+    /// Clears the evidence on a request that is known so far, of runs with this software.
+    fn clear(&mut self, key: SuspectKey, software: SoftwareKey, now: Time) {
         let Some(account) = self.accounts.get_mut(&key) else { return };
         if account.count() >= CRASHES_TO_REPORT_CLEARED {
             self.unsent.insert(key);
         }
-        account.clear_all();
+        account.clear_software(software);
         self.judge(key, now);
     }
 
@@ -357,8 +357,11 @@
             self.record_end(*run, now);
         }
         self.account(item.suspect).merge(item);
-        if self.served.was_answered_recently(item.suspect, now) {
-            self.clear(item.suspect, now);
+        let software = self.accounts.get(&item.suspect).map(Account::software);
+        for software in software.unwrap_or_default() {
+            if self.served.was_answered_recently(item.suspect, software, now) {
+                self.clear(item.suspect, software, now);
+            }
         }
         // The daemon that sent the evidence lacks what clears the request, and others may lack it
         // too.
@@ -503,17 +506,23 @@
     /// Returns the number of crashes that convicts a request or part. A part that targets have answered
     /// before needs more: it is harmful only if it has become so.
     fn crashes_to_convict(&self, key: SuspectKey) -> usize {
-        let was_answered = key.is_part() && self.served.answered_at(key).is_some();
+        let was_answered = key.is_part() && self.was_answered(key);
         key.crashes_to_convict() + if was_answered { CRASHES_AFTER_ANSWER } else { 0 }
     }
 
+    /// Returns whether software under which targets have crashed with `key` is known to have answered
+    /// it.
+    fn was_answered(&self, key: SuspectKey) -> bool {
+        let software = self.accounts.get(&key).map(Account::software).unwrap_or_default();
+        software.into_iter().any(|software| self.served.answered_at(key, software).is_some())
+    }
+
     /// Returns whether `part` is a better explanation of crashes than `key`. Of two parts, one that no
     /// target is known to have answered explains one that was answered before; else the one under
     /// which more targets have crashed. A part explains a request under which no more have.
     fn explains(&self, part: SuspectKey, key: SuspectKey) -> bool {
-        let was_answered = |key| self.served.answered_at(key).is_some();
-        if key.is_part() && was_answered(part) != was_answered(key) {
-            return was_answered(key);
+        if key.is_part() && self.was_answered(part) != self.was_answered(key) {
+            return self.was_answered(key);
         }
         match self.count(part).cmp(&self.count(key)) {
             Ordering::Greater => true,
--- a/crates/tansyknot-fleet/src/poison/account.rs
+++ b/crates/tansyknot-fleet/src/poison/account.rs
@@ -5,7 +5,7 @@
 
 use super::{
     evidence::Evidence,
-    key::{RunKey, SuspectKey},
+    key::{RunKey, SoftwareKey, SuspectKey},
 };
 
 /// The maximum number of crashes that are stored for a request: more than convict it, so that they
@@ -71,12 +71,18 @@
         !shared.is_empty()
     }
 
-    /// Clears all runs that are known so far.
-    pub(super) fn clear_all(&mut self) {
-        self.cleared.extend(&self.crashes);
+    /// Clears all runs that may have this software and are known so far.
+    pub(super) fn clear_software(&mut self, software: SoftwareKey) {
+        let runs = self.crashes.iter().filter(|run| run.software().may_be(software));
+        self.cleared.extend(runs.copied().collect::<Vec<RunKey>>());
         self.trim();
     }
 
+    /// Returns the software of the runs that count.
+    pub(super) fn software(&self) -> BTreeSet<SoftwareKey> {
+        self.counted().map(|run| run.software()).collect()
+    }
+
     /// Removes cleared runs if there are too many. All daemons have been sent that they are
     /// cleared.
     fn trim(&mut self) {
--- a/crates/tansyknot-fleet/src/poison/key.rs
+++ b/crates/tansyknot-fleet/src/poison/key.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use tansyknot_core::name::ServiceName;
+use tansyknot_core::name::{ServiceName, SoftwareVersion};
 use tansyknot_http::server::Request;
 use xxhash_rust::xxh3::{self, Xxh3};
 
@@ -121,17 +121,51 @@
 }
 
 /// A key of one run of a target, from its start to its end: a hash of the target's name and its
-/// start time.
+/// start time, and one of the version of its software in the highest bits. A daemon that receives
+/// evidence can so tell which runs had the same software without their entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RunKey(pub u64);
 
+/// The bits of a [`RunKey`] below the hash of the software.
+const RUN_BITS: u32 = 48;
+const RUN_MASK: u64 = (1 << RUN_BITS) - 1;
+
 impl RunKey {
     /// Returns the key of the current run of a target.
     pub fn of(target: &Target) -> Self {
         let mut hasher = Xxh3::new();
         update(&mut hasher, target.name.as_str().as_bytes());
         hasher.update(&target.started_at.map_or(0, |born| born.0).to_le_bytes());
-        Self(hasher.digest())
+        let software = target.software.as_ref().map_or("", SoftwareVersion::as_str);
+        let software = SoftwareKey::of(software);
+        Self((hasher.digest() & RUN_MASK) | (u64::from(software.0) << RUN_BITS))
+    }
+
+    /// Returns this key as that of a run whose software is not known.
+    #[must_use]
+    pub(super) fn without_software(self) -> Self {
+        Self(self.0 & RUN_MASK)
+    }
+
+    /// Returns the key of the software that the run has.
+    pub fn software(self) -> SoftwareKey {
+        SoftwareKey((self.0 >> RUN_BITS) as u16)
+    }
+}
+
+/// A hash of a version of the targets' software; 0 if the version is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SoftwareKey(u16);
+
+impl SoftwareKey {
+    fn of(version: &str) -> Self {
+        let hash = xxh3::xxh3_64(version.as_bytes()) >> RUN_BITS;
+        Self(hash as u16 | 1)
+    }
+
+    /// Returns whether both may be of the same version.
+    pub fn may_be(self, other: Self) -> bool {
+        self == other || self.0 == 0 || other.0 == 0
     }
 }
 
--- a/crates/tansyknot-fleet/src/poison/row.rs
+++ b/crates/tansyknot-fleet/src/poison/row.rs
@@ -13,7 +13,9 @@
 };
 
 /// The version of the row's format; it changes with the row's meaning.
-const FORMAT_VERSION: u32 = 2;
+const FORMAT_VERSION: u32 = 3;
+/// The first version in which the keys of runs name their software.
+const FIRST_VERSION_WITH_SOFTWARE: u32 = 3;
 /// The first version with parts of prompts; all keys of earlier ones are those of requests.
 const FIRST_VERSION_WITH_PARTS: u32 = 2;
 /// The maximum number of crashes that are written for a request: all that are stored, because each
@@ -78,7 +80,11 @@
         return Err(Unreadable::Newer(form));
     }
     let doc: RowDoc = serde_json::from_slice(bytes)?;
-    let all = doc.requests.iter().map(evidence).collect::<Result<Vec<Evidence>, _>>()?;
+    let mut all = doc.requests.iter().map(evidence).collect::<Result<Vec<Evidence>, _>>()?;
+    if form < FIRST_VERSION_WITH_SOFTWARE {
+        let runs = all.iter_mut().flat_map(|item| &mut item.crashes);
+        runs.for_each(|run| *run = run.without_software());
+    }
     if form >= FIRST_VERSION_WITH_PARTS {
         return Ok(all);
     }
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -8,8 +8,12 @@
 use support::{
     state,
     store::{FakeStore, StoreFault},
+    target,
+};
+use tansyknot_core::{
+    clock::{Clock, ManualClock, Time},
+    name::SoftwareVersion,
 };
-use tansyknot_core::clock::{Clock, ManualClock, Time};
 use tansyknot_fleet::{
     platform_api::{RowName, Store},
     poison::{
@@ -18,6 +22,7 @@
         keeper::PoisonKeeper,
         key::{RequestSuspects, RunKey, SuspectKey},
     },
+    target::Target,
 };
 use yare::parameterized;
 
@@ -184,6 +189,45 @@
     assert!(poison.is_convicted(REQUEST));
 }
 
+/// Returns the keys of three runs of targets with this software.
+fn runs_with_software(version: &str) -> [RunKey; 3] {
+    ["a", "b", "c"].map(|name| {
+        let software = Some(SoftwareVersion::from(version));
+        RunKey::of(&Target { software, ..target(&format!("{version}{name}"), &[], &[]) })
+    })
+}
+
+// A request was sent on as long as targets with other software answered it.
+#[parameterized(
+    same_software = { "v1", false },
+    other_software = { "v2", true },
+)]
+fn answer_clears_a_request_only_of_crashes_under_the_same_software(version: &str, convicts: bool) {
+    let mut poison = Poison::default();
+    poison.record_answer(REQUEST, runs_with_software(version)[0], at(1), at(2));
+    for run in runs_with_software("v1") {
+        poison.record_early_close(REQUEST, run, at(3), at(4));
+        poison.record_check(run, Presence::Ended, at(4));
+    }
+    poison.record_answer(REQUEST, runs_with_software(version)[1], at(5), at(6));
+    assert_eq!(poison.is_convicted(REQUEST), convicts);
+}
+
+#[test]
+fn request_convicted_by_the_row_of_an_earlier_release_is_cleared_by_any_answer() {
+    let row = br#"{"form":2,"requests":[{"key":"7","crashes":["ff01000000000001",
+        "ff02000000000002","ff03000000000003"],"lived_ms":5,"tried":false}]}"#;
+    let clock = ManualClock::default();
+    let state = state(&clock);
+    let client = FakeStore::default().client();
+    client.write_row(RowName::Poison, 0, row).expect("the store works");
+    assert!(PoisonKeeper::new(Arc::clone(&state), Arc::new(client)).read());
+    let now = state.now();
+    assert!(state.poison().is_convicted(REQUEST));
+    state.poison().record_answer(REQUEST, runs_with_software("v1")[0], now, now);
+    assert!(!state.poison().is_convicted(REQUEST));
+}
+
 /// Records responses of three runs that end with their connections.
 fn close_after_responses(poison: &mut Poison, presence: Presence) {
     for run in (0..3).map(RunKey) {
@@ -482,7 +526,7 @@
 #[parameterized(
     damaged = { b"\x00no row", true },
     bad_key = { br#"{"form":1,"requests":[{"key":"x","crashes":[],"tried":false}]}"#, true },
-    newer = { br#"{"form":3,"anything":[]}"#, false },
+    newer = { br#"{"form":4,"anything":[]}"#, false },
 )]
 fn row_that_cant_be_read_is_no_obstacle(value: &[u8], is_replaced: bool) {
     let rig = Rig::new();
