Poison: parts of prompts do not explain the crashes of a harmful request away

Cause: a part explains a request under which no more targets have crashed. The parts of the request's own prompt had as many crashes, from that request alone.

Change: a request accuses its parts only at its first two crashes. A full account drops an explained crash for a new one. A request with five crashes needs two without a better explanation, not three.

Evidence: a unit test fails without the first part of the change.

--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -44,6 +44,9 @@
 pub const PART_CRASHES_TO_CONVICT: usize = 4;
 /// How many more crashes convict a part that targets have answered before.
 const CRASHES_AFTER_ANSWER: usize = 2;
+/// A request with this many crashes needs one less that no part explains: a harmful part is convicted by
+/// then, so that fewer of the further crashes are its.
+const CRASHES_DESPITE_PART: usize = 5;
 /// A part with this many crashes can explain those under other suspects.
 const CRASHES_TO_EXPLAIN: usize = 3;
 /// That a request or part is cleared is sent to the other daemons if so many crashes counted before:
@@ -52,6 +55,9 @@
 /// A request is not sent again after a crash if so many targets have crashed under a part of its
 /// prompt.
 const CRASHES_TO_WITHHOLD: usize = 2;
+/// A request accuses the parts of its prompt until so many targets have crashed under it: one that comes
+/// again and again is itself the likelier cause, and parts with as many crashes would explain it.
+const CRASHES_THAT_ACCUSE_PARTS: usize = 2;
 /// The maximum number of suspected requests and parts, about 150 bytes each. A crash makes as many requests
 /// suspected as a target has slots, up to 64.
 const MAX_SUSPECTED: usize = 4096;
@@ -159,6 +165,14 @@
         is_open && self.trials.begin(key, *since, now)
     }
 
+    /// Returns what the end of a target accuses of a request that it had, to which it had begun to
+    /// respond or not. A target that has begun a response has read the prompt and lived on.
+    pub fn accused(&self, suspects: &RequestSuspects, has_begun: bool) -> Vec<SuspectKey> {
+        let accuses_parts = !has_begun && self.count(suspects.request) < CRASHES_THAT_ACCUSE_PARTS;
+        let parts = suspects.parts.iter().copied().filter(|_| accuses_parts);
+        std::iter::once(suspects.request).chain(parts).collect()
+    }
+
     /// Records that a target closed the connection of a request early, which was opened at
     /// `opened`; returns whether the target is to be checked. [`Poison::record_check`] records the
     /// result of the check.
@@ -239,12 +253,6 @@
             self.crash_checks.finish_check(run);
             return 0;
         }
-        self.confirm_end(run, presence, now)
-    }
-
-    /// Records that a run has ended, and suspects the requests that it may have been running; returns
-    /// their number.
-    fn confirm_end(&mut self, run: RunKey, presence: Presence, now: Time) -> usize {
         let suspects = self.crash_checks.confirm_end(run, presence, now);
         suspects.iter().for_each(|s| self.record_crash(s.key, run, s.lived, now));
         suspects.iter().filter(|s| !s.key.is_part()).count()
@@ -286,6 +294,7 @@
         let was_answered = key.is_part() && self.served.answered_at(key, run.software()).is_some();
         let is_in_trial =
             self.trials.has_begun(key) && (!was_answered || self.trials.was_last(key));
+        self.make_room(key);
         let account = self.account(key);
         account.add_crash(run, lived);
         if is_in_trial {
@@ -353,9 +362,13 @@
     /// Merges the evidence on one request; returns whether that convicts it.
     fn merge_one(&mut self, item: &Evidence, now: Time) -> bool {
         for run in &item.crashes {
-            self.confirm_end(*run, Presence::Ended, now);
+            let abandoned = self.crash_checks.take_abandoned(*run, now);
+            abandoned.iter().for_each(|s| self.record_crash(s.key, *run, s.lived, now));
             self.record_end(*run, now);
         }
+        if item.crashes.iter().any(|run| !self.has_crash(item.suspect, *run)) {
+            self.make_room(item.suspect);
+        }
         self.account(item.suspect).merge(item);
         let software = self.accounts.get(&item.suspect).map(Account::software);
         for software in software.unwrap_or_default() {
@@ -452,7 +465,7 @@
     /// before.
     fn decide(&mut self, key: SuspectKey, now: Time) -> bool {
         let was_convicted = self.convicted.contains_key(&key);
-        let needed = CRASHES_TO_CONVICT;
+        let needed = self.unexplained_to_convict(key);
         if self.unexplained(key) >= needed && !was_convicted && self.has_just_started(now) {
             self.clear_shared_with_convicted(key);
         }
@@ -474,6 +487,12 @@
         false
     }
 
+    /// Returns how many crashes without a better explanation convict `key`.
+    fn unexplained_to_convict(&self, key: SuspectKey) -> usize {
+        let has_many = !key.is_part() && self.count(key) >= CRASHES_DESPITE_PART;
+        CRASHES_TO_CONVICT - usize::from(has_many)
+    }
+
     /// Returns the number of crashes that count for `key` and that no other part explains better; 0 if
     /// there are too few to convict it. Those under a failed trial have no other explanation.
     fn unexplained(&self, key: SuspectKey) -> usize {
@@ -493,6 +512,26 @@
         runs.len()
     }
 
+    fn has_crash(&self, key: SuspectKey, run: RunKey) -> bool {
+        self.accounts.get(&key).is_some_and(|account| account.has_crash(run))
+    }
+
+    /// Removes a crash that a part explains from a full account, so that others can be added: further
+    /// crashes show whether the request is harmful as well.
+    fn make_room(&mut self, key: SuspectKey) {
+        let Some(account) = self.accounts.get(&key).filter(|account| account.is_full()) else {
+            return;
+        };
+        let parts = self.strong_with_same_crash(key).filter(|part| part.is_part());
+        let run = parts
+            .filter(|part| self.explains(*part, key))
+            .flat_map(|part| self.accounts[&part].counted().copied())
+            .find(|run| account.has_crash(*run));
+        if let (Some(run), Some(account)) = (run, self.accounts.get_mut(&key)) {
+            account.remove_crash(run);
+        }
+    }
+
     /// Returns the other requests and parts with many crashes that a target crashed under together with
     /// `key`.
     fn strong_with_same_crash(&self, key: SuspectKey) -> impl Iterator<Item = SuspectKey> {
--- a/crates/tansyknot-fleet/src/poison/account.rs
+++ b/crates/tansyknot-fleet/src/poison/account.rs
@@ -34,12 +34,27 @@
     /// Records that a run ended that had the request for `lived`. With this many crashes that
     /// count, the request is convicted anyway, and no more are stored.
     pub(super) fn add_crash(&mut self, run: RunKey, lived: Duration) {
-        if self.count() < MAX_CRASHES {
+        if !self.is_full() {
             self.crashes.insert(run);
             self.longest_held = self.longest_held.max(lived);
         }
     }
 
+    /// Returns whether no more crashes are stored.
+    pub(super) fn is_full(&self) -> bool {
+        self.count() >= MAX_CRASHES
+    }
+
+    /// Returns whether a run ended under the request, whether or not it counts.
+    pub(super) fn has_crash(&self, run: RunKey) -> bool {
+        self.crashes.contains(&run)
+    }
+
+    /// Removes a crash, to store another one.
+    pub(super) fn remove_crash(&mut self, run: RunKey) {
+        self.crashes.remove(&run);
+    }
+
     /// Records that a run ended under a trial of the request, which rules out coincidence.
     pub(super) fn fail_trial(&mut self) {
         self.tried = true;
--- a/crates/tansyknot-fleet/src/poison/crash_check.rs
+++ b/crates/tansyknot-fleet/src/poison/crash_check.rs
@@ -115,7 +115,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Suspect {
     pub(super) key: SuspectKey,
-    /// How long the target had the request.
+    /// How long the target had the request, at least.
     pub(super) lived: Duration,
     pub(super) ending: Ending,
     pub(super) ended_at: Time,
@@ -255,6 +255,14 @@
         suspects
     }
 
+    /// Removes the abandoned requests that the end of a target accuses, which another daemon has
+    /// reported, and returns them. What the target has cut off is left to this daemon's own check.
+    pub(super) fn take_abandoned(&mut self, run: RunKey, now: Time) -> Vec<Suspect> {
+        let Some(check) = self.open.get_mut(&run) else { return Vec::new() };
+        let abandoned = check.suspects.extract_if(.., |s| s.ending == Ending::Abandoned);
+        abandoned.filter(|s| now.since(s.ended_at) < SUSPECT_DURATION).collect()
+    }
+
     /// Discards the crash check of a target.
     pub(super) fn discard(&mut self, run: RunKey) {
         self.open.remove(&run);
--- a/crates/tansyknot-fleet/src/poison/key.rs
+++ b/crates/tansyknot-fleet/src/poison/key.rs
@@ -91,17 +91,6 @@
         Self { request: SuspectKey::of(req), parts }
     }
 
-    /// Returns the keys that the end of a target accuses, which had begun its response or not.
-    pub fn accused(&self, has_begun: bool) -> impl Iterator<Item = SuspectKey> {
-        std::iter::once(self.request).chain(self.accused_parts(has_begun))
-    }
-
-    /// Returns the parts among these. A target that has begun a response has read the prompt and lived
-    /// on.
-    pub fn accused_parts(&self, has_begun: bool) -> impl Iterator<Item = SuspectKey> {
-        self.parts.iter().copied().filter(move |_| !has_begun)
-    }
-
     /// Returns the keys of all suspects.
     pub fn all(&self) -> impl Iterator<Item = SuspectKey> {
         std::iter::once(self.request).chain(self.parts.iter().copied())
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -7,7 +7,7 @@
     request::{ActiveRequest, SendOutcome},
 };
 use crate::{
-    exchange::Failure,
+    exchange::{BodyEnd, Failure},
     paths::CRASH_PROBE_TIMEOUT,
     poison::{
         self, CheckState, Presence, TargetIdentity,
@@ -35,7 +35,7 @@
     ) {
         match outcome {
             // Its end has been recorded.
-            SendOutcome::Relayed(_) if request.is_response_framed_by_close => {}
+            SendOutcome::Relayed(_) if request.body_end == BodyEnd::Close => {}
             SendOutcome::Relayed(_) => {
                 self.record_answered(request.suspects.all(), target, opened);
             }
@@ -66,7 +66,7 @@
         let place = TargetIdentity::of(target);
         {
             let mut poison = self.state.poison();
-            for key in request.suspects.accused(has_begun) {
+            for key in poison.accused(&request.suspects, has_begun) {
                 poison.record_abandoned(key, run_key, &place, opened, now);
             }
         }
@@ -106,10 +106,9 @@
         }
         let check = {
             let mut poison = self.state.poison();
-            let mut record = |key| poison.record_early_close(key, run_key, opened, now);
-            let check = record(request.suspects.request);
-            request.suspects.accused_parts(has_begun).for_each(|part| _ = record(part));
-            check
+            let accused = poison.accused(&request.suspects, has_begun);
+            let record = |key| poison.record_early_close(key, run_key, opened, now);
+            first_check(accused.into_iter().map(record))
         };
         self.complete_check(check, target, run_key);
     }
@@ -132,11 +131,9 @@
         }
         let check = {
             let mut poison = self.state.poison();
-            let mut record = |key| poison.record_close_after_response(key, run_key, opened, now);
-            let check = record(request.suspects.request);
-            let has_begun = request.relay.events > 0;
-            request.suspects.accused_parts(has_begun).for_each(|part| _ = record(part));
-            check
+            let accused = poison.accused(&request.suspects, request.relay.events > 0);
+            let record = |key| poison.record_close_after_response(key, run_key, opened, now);
+            first_check(accused.into_iter().map(record))
         };
         self.complete_check(check, target, run_key);
         !self.state.poison().has_ended(run_key)
@@ -197,3 +194,10 @@
         }
     }
 }
+
+/// Records all suspects of a request and returns the check that the first one needs: it is for all.
+fn first_check(mut records: impl Iterator<Item = CheckState>) -> CheckState {
+    let check = records.next().unwrap_or(CheckState::Done);
+    records.for_each(drop);
+    check
+}
--- a/crates/tansyknot-fleet/tests/poison.rs
+++ b/crates/tansyknot-fleet/tests/poison.rs
@@ -624,6 +624,22 @@
     assert!(poison.withholds(&suspects));
 }
 
+// A request that came again and again was acquitted in the moment of its conviction: the parts of its
+// own prompt had as many crashes, and explained them.
+#[test]
+fn request_that_crashes_targets_again_and_again_is_not_explained_by_its_own_parts() {
+    let mut poison = Poison::new(at(0));
+    let suspects = RequestSuspects { request: REQUEST, parts: vec![part(1), part(2)] };
+    for run in 0..3 {
+        let now = at(10_000 + run);
+        for key in poison.accused(&suspects, false) {
+            crash(&mut poison, key, run, now);
+        }
+    }
+    assert!(poison.is_convicted(REQUEST));
+    assert!(!poison.is_convicted(part(1)));
+}
+
 #[test]
 fn convicted_part_outlives_all_daemons_in_the_row() {
     let (store, clock) = (FakeStore::new(), ManualClock::new());
