Soak: targets end in the drawn way under the poison request, and callers leave

Each seed draws what clients see of the end (port first, port stays, a response without a length, silence), how long after the request it comes, and whether targets name themselves brittle; half of the callers leave after 20 to 200 ms.

A comment is wrapped.

--- a/crates/tansyknot-fleet/src/poison.rs
+++ b/crates/tansyknot-fleet/src/poison.rs
@@ -309,8 +309,8 @@
     /// one that contains a part, over a connection opened at `opened`.
     ///
     /// The request or part is cleared of the crashes of runs with the same software, because a target
-    /// could run it. This is sent to other daemons if the next crash would convict the request. A run that answers is alive even if it was taken for
-    /// ended, so its supposed crash counts for no request.
+    /// could run it. This is sent to other daemons if the next crash would convict the request. A run
+    /// that answers is alive even if it was taken for ended, so its supposed crash counts for no request.
     pub fn record_answer(&mut self, key: SuspectKey, run: RunKey, opened: Time, now: Time) {
         let answered_before = self.crash_checks.record_answer(run, opened);
         let answered = || std::iter::once(key).chain(answered_before.iter().copied());
--- a/crates/tansyknotd/tests/soak/crash.rs
+++ b/crates/tansyknotd/tests/soak/crash.rs
@@ -2,6 +2,7 @@
 //! After the faults no daemon may send it to targets, and other requests must be served.
 
 use std::{
+    io::Write,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -10,7 +11,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tansyknot_adapter_standins::{
     caller::Request,
-    crash::{self, CRASH_PART, CrashLog},
+    crash::{self, CRASH_PART, CrashLog, CrashOptions, CrashSequence},
     operator::PLAIN,
 };
 
@@ -52,6 +53,26 @@
     }
 }
 
+/// Draws how targets end under the request. Parts of prompts are convicted by targets that close their
+/// connections before a response.
+fn crash_options(rng: &mut StdRng, cause: Cause) -> CrashOptions {
+    if cause == Cause::Part {
+        return CrashOptions::default();
+    }
+    const SEQUENCES: [CrashSequence; 4] = [
+        CrashSequence::PortClosesFirst,
+        CrashSequence::PortStaysOpen,
+        CrashSequence::InUnframedResponse,
+        CrashSequence::Silence,
+    ];
+    CrashOptions {
+        sequence: SEQUENCES[rng.random_range(0..SEQUENCES.len())],
+        delay: Duration::from_millis(rng.random_range(10..400)),
+        is_brittle: rng.random_bool(0.3),
+        ..CrashOptions::default()
+    }
+}
+
 /// Runs one seed and returns the violations.
 pub(crate) fn run(seed: u64, cause: Cause) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -67,7 +88,8 @@
     if world.daemons.iter().filter(has_list).count() < world.daemons.len() {
         return vec!["a daemon still lists removed targets".to_owned()];
     }
-    let crash_log = Arc::new(CrashLog::default());
+    let options = crash_options(&mut rng, cause);
+    let crash_log = Arc::new(CrashLog::with_options(options));
     (0..TARGETS).for_each(|_| crash::start(&world.store, &crash_log));
     thread::scope(|scope| {
         let until = Instant::now() + FAULT_DURATION;
@@ -86,7 +108,8 @@
     let late = crash_log.arrivals().len() - before;
     let mut violations = Vec::new();
     if crash_log.crashes().len() >= cause.allowed_crashes() && late > MAX_LATE_SENDS {
-        violations.push(format!("{late} late sends, {} crashes", crash_log.crashes().len()));
+        let crashes = crash_log.crashes().len();
+        violations.push(format!("{late} late sends, {crashes} crashes, {options:?}"));
     }
     thread::sleep(TARGET_RESTART_TIME);
     let unserved = world.daemons.iter().enumerate().filter(|(_, d)| !serves_harmless(d));
@@ -100,6 +123,9 @@
     while Instant::now() < until {
         let callers = world.daemons[rng.random_range(0..world.daemons.len())].callers();
         let id = format!("p-{:x}", rng.random::<u64>());
+        // Callers that wait for a response, and callers that leave.
+        let patience =
+            rng.random_bool(0.5).then(|| Duration::from_millis(rng.random_range(20..200)));
         thread::spawn(move || {
             // The response is not checked; a daemon that has ended sends none.
             let stream = client::connect(callers);
@@ -110,7 +136,16 @@
                 Cause::Part => (path.as_str(), prompt.as_str()),
             };
             let req = Request { extra_headers, ..Request::new(path, &id, None, 4_000) };
-            drop(stream.and_then(|mut s| client::send_request(&mut s, &req)));
+            match patience {
+                None => drop(stream.and_then(|mut s| client::send_request(&mut s, &req))),
+                Some(patience) => {
+                    let sent = stream.and_then(|mut s| {
+                        s.get_mut().write_all(req.text().as_bytes()).ok().map(|()| s)
+                    });
+                    thread::sleep(patience);
+                    drop(sent);
+                }
+            }
         });
         thread::sleep(Duration::from_millis(rng.random_range(40..200)));
     }
