--- a/review/standins/src/bin/refused.rs
+++ b/review/standins/src/bin/refused.rs
@@ -18,7 +18,7 @@
 };
 
 /// Runners of the service, of which one fails a part of its requests for 6 s.
-const RUNNERS: usize = 7;
+const RUNNERS: usize = 9;
 /// One in this many of its requests: 33 in 100.
 const FAIL_ONE_IN: u64 = 3;
 const REQUESTS: usize = 300;
