--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the second review into a target directory of its own, without a network.
+set -eu
+cd "$(dirname "$0")/standins-2"
+CARGO_TARGET_DIR=target cargo build --offline --locked --release
