Drop the case that an earlier review shows, and number the others anew

What review/4 showed, a cut answer without a length that is relayed as whole after a removal at short notice, is shown by review/2. Its folder and driver go. The case of memory moves from review/6 to review/4, as the graver one of the two that are left; review/5 stays.

--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -35,11 +35,7 @@
 }
 
 /// Sends a request on an open channel and reads its answer for at most `budget`.
-pub fn exchange_on(
-    stream: &mut TcpStream,
-    request: &[u8],
-    budget: Duration,
-) -> io::Result<Answer> {
+pub fn exchange_on(stream: &mut TcpStream, request: &[u8], budget: Duration) -> io::Result<Answer> {
     let began = Instant::now();
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(budget))?;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,9 +1,8 @@
-//! Drivers and stand-ins of the cases `review/4` to `review/6`.
+//! Drivers and stand-ins of the cases `review/4` and `review/5`.
 
 mod client;
 mod memory;
 mod runner;
-mod short_notice;
 mod slow_runner;
 mod world;
 
@@ -13,7 +12,6 @@
 
 fn run(name: &str, record: Record) -> io::Result<bool> {
     match name {
-        "short-notice" => short_notice::run(record),
         "memory" => memory::run(record),
         "slow-runner" => slow_runner::run(record),
         _ => Err(io::Error::other("unknown case")),
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -71,7 +71,9 @@
     let mut passed_on = Vec::new();
     for runner in &runners {
         for line in runner.process.lines.try_iter() {
-            passed_on.extend(line.strip_prefix("reading ").and_then(|l| l.split(' ').next()).map(str::to_owned));
+            passed_on.extend(
+                line.strip_prefix("reading ").and_then(|l| l.split(' ').next()).map(str::to_owned),
+            );
             record.line(&format!("runner {}: {line}", runner.id));
         }
     }
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -1,8 +1,6 @@
 //! A runner process. It prints its address, and a line for each request that it runs or has finished.
 //!
 //! Modes:
-//! - `framed`: answers declare their end; each takes 6 s.
-//! - `unframed`: the same, but every twentieth answer has no length and ends with its channel.
 //! - `slow-reader`: reads the bodies of requests slowly, then answers at once.
 //! - `prompt`: reads at once, and answers at once.
 
@@ -10,34 +8,15 @@
     io::{self, BufRead, BufReader, Read, Write},
     net::{TcpListener, TcpStream},
     os::fd::AsRawFd,
-    sync::atomic::{AtomicUsize, Ordering},
     thread,
     time::Duration,
 };
 
-/// The pieces of an answer in the modes `framed` and `unframed`, and the pause before each.
-pub const PIECES: usize = 60;
-const PIECE_PAUSE: Duration = Duration::from_millis(100);
-/// In mode `unframed`, one answer of so many has no length.
-const ANSWERS_PER_UNFRAMED: usize = 20;
 /// What a runner in mode `slow-reader` reads at once, and the pause before each read: 250 KB a second
 /// of each request.
 const SLOW_READ_BYTES: usize = 5_000;
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(20);
 
-/// Returns the whole body that a runner sends for a request.
-pub fn whole_body(id: &str, is_stream: bool) -> String {
-    (1..=PIECES).map(|n| piece(id, is_stream, n)).collect()
-}
-
-fn piece(id: &str, is_stream: bool, n: usize) -> String {
-    if is_stream {
-        format!("id: {n}\ndata: {id} {n} of {PIECES}\n\n")
-    } else {
-        format!("{id} line {n} of {PIECES}\n")
-    }
-}
-
 pub fn run(id: &str, mode: &str) -> io::Result<()> {
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
     limit_segments(&listener)?;
@@ -103,7 +82,7 @@
         "/-/report" => answer(stream, 200, "", REPORT),
         "/health" => answer(stream, 200, &format!("Instance-Id: {id}\r\n"), "{}"),
         path if path.starts_with("/-/") => answer(stream, 404, "", "{}"),
-        _ => serve_request(stream, &request, id, mode),
+        _ => serve_request(stream, &request, id),
     }
 }
 
@@ -153,50 +132,11 @@
     stream.write_all(text.as_bytes())
 }
 
-fn serve_request(
-    mut stream: &TcpStream,
-    request: &Request,
-    id: &str,
-    mode: &str,
-) -> io::Result<()> {
+fn serve_request(stream: &TcpStream, request: &Request, id: &str) -> io::Result<()> {
     let attempt = request.header("attempt-id").unwrap_or("");
     println!("runs {attempt}");
     let seal = format!("Attempt-Id: {attempt}\r\nServer-Seal: seal.{id}.{attempt}\r\n");
-    if !matches!(mode, "framed" | "unframed") {
-        answer(stream, 200, &seal, "{}")?;
-        println!("answered {attempt}");
-        return Ok(());
-    }
-    static ANSWERS: AtomicUsize = AtomicUsize::new(0);
-    let number = ANSWERS.fetch_add(1, Ordering::SeqCst) + 1;
-    let is_framed = mode == "framed" || number % ANSWERS_PER_UNFRAMED != 0;
-    let is_stream = request.header("model").is_some();
-    let content_type = if is_stream { "text/event-stream" } else { "text/plain" };
-    let framing = match (is_framed, is_stream) {
-        (false, _) => String::new(),
-        (true, true) => "Transfer-Encoding: chunked\r\n".to_owned(),
-        (true, false) => format!("Content-Length: {}\r\n", whole_body(attempt, false).len()),
-    };
-    if !is_framed {
-        println!("answers {attempt} without a length");
-    }
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n{framing}{seal}Connection: close\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes())?;
-    let last_event: usize =
-        request.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
-    for n in last_event + 1..=PIECES {
-        thread::sleep(PIECE_PAUSE);
-        let text = piece(attempt, is_stream, n);
-        match is_framed && is_stream {
-            true => stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?,
-            false => stream.write_all(text.as_bytes())?,
-        }
-    }
-    if is_framed && is_stream {
-        stream.write_all(b"0\r\n\r\n")?;
-    }
+    answer(stream, 200, &seal, "{}")?;
     println!("answered {attempt}");
     Ok(())
 }
--- a/review/standins-2/src/slow_runner.rs
+++ b/review/standins-2/src/slow_runner.rs
@@ -41,7 +41,8 @@
             thread::spawn(move || {
                 let id = format!("lookup-{n}");
                 let budget_ms = BUDGET.as_millis() as u64;
-                let request = Request { body: &body, ..Request::new("/lookup/", &id, None, budget_ms) };
+                let request =
+                    Request { body: &body, ..Request::new("/lookup/", &id, None, budget_ms) };
                 record.line(&format!("caller: {id} sent to {daemon}/lookup/, {BODY_BYTES} bytes"));
                 (id.clone(), client::exchange(daemon, request.text().as_bytes(), BUDGET))
             })
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -99,7 +99,7 @@
     pub ready: SocketAddr,
 }
 
-/// What the runners' check-ins say; a runner that is missing here is silent.
+/// What the runners' check-ins say.
 type Entries = Arc<Mutex<HashMap<String, Value>>>;
 
 pub struct World {
@@ -138,7 +138,13 @@
     }
 
     /// Starts a runner process in `mode` and writes its entry.
-    pub fn runner(&self, id: &str, service: &str, mode: &str, models: &[&str]) -> io::Result<Runner> {
+    pub fn runner(
+        &self,
+        id: &str,
+        service: &str,
+        mode: &str,
+        models: &[&str],
+    ) -> io::Result<Runner> {
         let program = env::current_exe()?;
         let mut command = Command::new(program);
         command.args(["runner", id, mode]);
@@ -148,42 +154,28 @@
         let models = models.iter().map(|m| (*m).to_owned()).collect();
         let runner =
             Runner { process, id: id.to_owned(), address, service: service.to_owned(), models };
-        self.check_in(&runner, "ready", None);
+        self.check_in(&runner);
         Ok(runner)
     }
 
     /// Writes a runner's entry, and lets its later check-ins say the same.
-    pub fn check_in(&self, runner: &Runner, state: &str, remaining_ms: Option<u64>) {
+    fn check_in(&self, runner: &Runner) {
         let models: Vec<Value> = runner
             .models
             .iter()
             .map(|name| json!({ "name": name, "version": 1, "adapters": [] }))
             .collect();
-        let mut entry = json!({
+        let entry = json!({
             "service": runner.service, "address": runner.address.to_string(), "zone": "z1",
-            "version": "v1", "slots": 64, "state": state, "seq-no": 0, "cold-left-ms": 0,
+            "version": "v1", "slots": 64, "state": "ready", "seq-no": 0, "cold-left-ms": 0,
             "stage": "combined", "models": models, "at-hand": { "in-memory": [], "on-disk": [] },
         });
-        if let Some(ms) = remaining_ms {
-            entry["remaining-ms"] = json!(ms);
-        }
-        self.record.line(&format!("store: entry of {} says {state} {remaining_ms:?}", runner.id));
+        self.record.line(&format!("store: entry of {}, at {}", runner.id, runner.address));
         self.store.put("servers", &runner.id, &entry);
         let mut entries = self.entries.lock().expect("no holder of the lock panics");
         entries.insert(runner.id.clone(), entry);
     }
 
-    /// Ends the check-ins of a runner; its entry expires after three intervals.
-    pub fn silence(&self, runner: &Runner) {
-        self.entries.lock().expect("no holder of the lock panics").remove(&runner.id);
-        let (store, id, record) = (self.store.clone(), runner.id.clone(), self.record.clone());
-        thread::spawn(move || {
-            thread::sleep(CHECK_IN * 3);
-            store.remove("servers", &id);
-            record.line(&format!("store: entry of {id} has expired"));
-        });
-    }
-
     /// Starts daemon number `n` as the deploy file does, on a loopback address of its own.
     pub fn daemon(&self, n: u8) -> io::Result<Daemon> {
         let settings = self.dir.join(format!("daemon-{n}.yaml"));
