--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Drivers and stand-ins of the cases `review/4` and `review/5`.
+//! Drivers and stand-ins of the cases `review/5` and `review/6`.
 
 mod client;
 mod memory;
