--- a/review/case.sh
+++ b/review/case.sh
@@ -2,7 +2,7 @@
 # result, and exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 run_case() {
     cd "$(dirname "$0")/../.." || exit 2
-    driver=review/standins-2/target/release/review-standins-2
+    driver=target/review-2/release/review-standins-2
     [ -x "$driver" ] && [ -x target/deploy/tansyknotd ] || { echo "not built"; exit 2; }
     CASE_TMP=$(mktemp -d) || exit 2
     export CASE_TMP
