Logs and metrics: targets that begin no response, and requests that wait there when they leave

Cause: no line of a request says how old the list was when it was sent, nor how long after its target's selection, and a target that reads nothing cannot be told from one that is slow.

Change: trails have both. 1674, 1675 and the gauge targets_unresponsive show targets that have begun no response for longer than a repeatable request waits for one, 1676 requests that wait at a target that leaves. Nothing is decided by them yet.

--- a/crates/tansyknot-core/src/event.rs
+++ b/crates/tansyknot-core/src/event.rs
@@ -134,6 +134,9 @@
     TARGET_SLOW = 1671, Warn, "A target is slow or fails many requests, as the observations of all daemons show; it gets fewer.";
     TARGET_RECOVERED = 1672, Info, "A target that was slow or failed many requests is nearly typical again.";
     LENGTH_HINT_BAD = 1673, Warn, "A caller's `Length-Hint` is not a number and is ignored; further ones are not logged.";
+    TARGET_UNRESPONSIVE = 1674, Warn, "A target has begun no response for longer than a responsive one takes, although requests wait for one.";
+    TARGET_RESPONSIVE = 1675, Info, "A target that was unresponsive responds again.";
+    TARGET_LEFT_REQUESTS = 1676, Warn, "A target leaves while requests wait for the beginning of their responses; it may read some of them later.";
     PATHS_CUT_OFF = 1681, Warn, "This daemon reaches no target of a service by itself; it connects to them through other daemons.";
     PATHS_RESTORED = 1682, Info, "This daemon reaches the targets of a service by itself again.";
     TUNNEL_REJECTED = 1683, Warn, "A connection that asked for a tunnel was closed: its sender is no daemon of the fleet.";
--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -119,6 +119,7 @@
     SERVICES_CUT_OFF = "services_cut_off", Gauge, "daemon", "Services of which this daemon reaches no target by itself.";
     PATHS_FAILED = "paths_failed", Gauge, "daemon", "Targets that this daemon does not reach by itself.";
     TARGETS_SUSPECT = "targets_suspect", Gauge, "daemon", "Targets that this daemon avoids because it could not reach them or they did not respond.";
+    TARGETS_UNRESPONSIVE = "targets_unresponsive", Gauge, "daemon", "Targets that have begun no response to this daemon for longer than a responsive one takes, although requests wait for one.";
     TARGETS_SLOW = "targets_slow", Gauge, "daemon", "Targets that the planner has announced as slow (1.1 times the typical time) or failing (2 in 100 requests); 0 unless `scheduling.target_choice` is `expected_time`.";
     LIST_VERSION = "list_version", Gauge, "daemon", "The newest version of the store in this daemon's view of the list of targets.";
     LIST_CALL_AGE = "list_call_age_seconds", Gauge, "daemon", "Time since this daemon's own last call for the list of targets; -1 before the first call, large at daemons that follow the planner.";
--- a/crates/tansyknot-fleet/src/fleet.rs
+++ b/crates/tansyknot-fleet/src/fleet.rs
@@ -6,6 +6,7 @@
 mod member;
 mod pick;
 mod places;
+mod response_waits;
 mod room;
 mod signal;
 mod unplaced;
@@ -49,6 +50,7 @@
 use member::{Held, Member};
 pub use places::FreePlaces;
 use places::ServiceTimes;
+pub use response_waits::{ResponseWait, WaitEnd};
 pub use room::CacheNeed;
 use unplaced::Announcement;
 use warm_up::WarmUps;
@@ -196,6 +198,8 @@
     admission: Admission,
     service_times: ServiceTimes,
     room: RoomAccounting,
+    /// The number of the last request that waited for the beginning of its response.
+    last_response_wait: u64,
     /// Whether the tokens at a target are to be reported before the next heartbeat.
     is_report_due: bool,
     /// The changes that are sent to the other daemons if this daemon is the planner.
--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -291,6 +291,9 @@
             self.backpressure.rename(before, m.run);
         }
         m.set_draining(self.backpressure.is_leaving(m.run));
+        if m.entry.state == TargetState::Draining && has_changed {
+            m.log_departure(now);
+        }
         self.warm_ups.record_entry(m.run, &m.entry.service, m.entry.warm_up_left, now);
         has_changed.then(|| {
             if differs_in_models { entry.into_models_change() } else { Change::Put(entry) }
@@ -381,7 +384,10 @@
         let removed = RemovedTarget { version: removal.version.max(before), at: now };
         self.removed_targets.insert(removal.name.clone(), removed);
         let known = self.members.remove(&removal.name);
-        known.iter().for_each(|m| self.software.record_gone(&m.entry, now));
+        if let Some(m) = &known {
+            m.log_departure(now);
+            self.software.record_gone(&m.entry, now);
+        }
         let was_known = known.is_some();
         // Daemons that read the list while the target had an entry must receive the removal.
         (was_known || before < removal.version).then_some(Change::Removed(removal))
--- a/crates/tansyknot-fleet/src/fleet/member.rs
+++ b/crates/tansyknot-fleet/src/fleet/member.rs
@@ -7,7 +7,7 @@
     name::{AdapterName, ModelName},
 };
 
-use super::TargetRequirements;
+use super::{TargetRequirements, response_waits::ResponseWaits};
 use crate::{
     backpressure::Interval,
     dissemination::message::{TargetLoad, TargetOverride},
@@ -50,6 +50,8 @@
     pub(super) has_responded: bool,
     /// The response without a rate limit whose request was sent last.
     pub(super) last_unlimited: Option<Interval>,
+    /// This daemon's requests that it has not begun to answer.
+    pub(super) response_waits: ResponseWaits,
     /// Requests of the other daemons there, as last reported by the planner.
     pub(super) other_requests: u32,
     /// The tokens of the other daemons' requests, and until when they count.
@@ -98,6 +100,7 @@
             reported_tokens: 0,
             has_responded: false,
             last_unlimited: None,
+            response_waits: ResponseWaits::default(),
             other_requests: 0,
             other_tokens: (0, Time::default()),
             suspect_until: Time::default(),
--- a/crates/tansyknot-fleet/src/follow/list.rs
+++ b/crates/tansyknot-fleet/src/follow/list.rs
@@ -127,16 +127,11 @@
         self.needs_all_fields = true;
     }
 
-    /// Returns the last moment as of which the list is known.
-    fn known_at(&self) -> Option<Time> {
-        self.state.planner_view().list_as_of().max(self.state.store_contacts().list)
-    }
-
     /// Returns whether the list has been unknown for so long that entries may have expired while
     /// the store was unavailable. If updates from the planner have kept it known, only this daemon
     /// lost the store.
     fn may_have_expired(&self, now: Time) -> bool {
-        self.known_at().is_none_or(|at| now.since(at) >= self.state.freshness.expiry)
+        self.state.list_as_of().is_none_or(|at| now.since(at) >= self.state.freshness.expiry)
     }
 
     /// Returns the delay after a failed call.
@@ -170,7 +165,7 @@
         };
         let is_full = self.reads_full_list || self.state.fleet().has_gap();
         let version = self.version.filter(|_| !is_full);
-        ListCall { began, mark, from: replay_from(version, self.known_at(), began) }
+        ListCall { began, mark, from: replay_from(version, self.state.list_as_of(), began) }
     }
 
     /// Processes the result of a call.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -3,6 +3,7 @@
 
 mod access;
 mod attempt;
+mod awaited;
 mod crash;
 mod handover;
 mod log_limit;
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -11,15 +11,18 @@
 
 use super::{
     MAX_SENDS, Server,
+    awaited::AwaitedResponse,
     handover::Handover,
     origin::NewStream,
     request::{ActiveRequest, NotRun, SendOutcome},
 };
 use crate::{
+    catalog::Route,
     condition::interval::MIN_INTERVALS,
     connection::TargetStream,
-    dissemination::scheduling::ObservedOutcome,
+    dissemination::{message, scheduling::ObservedOutcome},
     exchange::{BodyEnd, Exchange, Failure, ResponseHead},
+    fleet::WaitEnd,
     platform_api::{ForwardParams, ResponseClass},
     reachability::Path,
     response_relay::{self, EventObserver, ResponseTimeouts, StreamSink},
@@ -57,7 +60,14 @@
             Ok(exchange) => {
                 let software = target.software.as_ref().map_or("unknown", SoftwareVersion::as_str);
                 let via = via.map_or_else(String::new, |peer| format!(" via {peer}"));
-                request.note(format_args!("{} ({software}) sent{via}", target.name));
+                let now = self.state.now();
+                let opened_in = now.since(began).as_millis();
+                let list_age = self.state.list_as_of().map_or(Duration::MAX, |at| now.since(at));
+                request.note(format_args!(
+                    "{} ({software}) sent{via} {opened_in} ms after its selection, list {} ms old",
+                    target.name,
+                    message::millis(list_age)
+                ));
                 request.transmissions += 1;
                 self.receive_or_hand_over(request, target, exchange, began)
             }
@@ -137,9 +147,14 @@
         let timeouts = self.timeouts(request);
         let control = exchange.control();
         control.set_deadline(timeouts.first_by);
+        let wait = AwaitedResponse::begin(&self.state, target, first_timeout(&request.route));
         let head = match exchange.head() {
-            Ok(head) => head,
+            Ok(head) => {
+                wait.end(WaitEnd::Responded);
+                head
+            }
             Err(f) => {
+                wait.end(wait_end(f));
                 request.note(format_args!("{} {f}", target.name));
                 request.runs += 1;
                 return SendOutcome::MayHaveRun(f);
@@ -272,8 +287,7 @@
             };
         }
         let left = deadline.duration_since(now);
-        let first_timeout =
-            request.route.objective.mul_f64(FIRST_TIMEOUT_OBJECTIVES).max(MIN_FIRST_TIMEOUT);
+        let first_timeout = first_timeout(&request.route);
         let gap = request
             .route
             .gap_objective
@@ -351,6 +365,19 @@
     }
 }
 
+/// Returns how long a responsive target takes at most to begin its response to a request of a route.
+fn first_timeout(route: &Route) -> Duration {
+    route.objective.mul_f64(FIRST_TIMEOUT_OBJECTIVES).max(MIN_FIRST_TIMEOUT)
+}
+
+/// Returns what a failure to receive the head of a response shows.
+fn wait_end(f: Failure) -> WaitEnd {
+    match f {
+        Failure::ClosedEarly | Failure::Malformed | Failure::Foreign => WaitEnd::Responded,
+        _ => WaitEnd::Abandoned,
+    }
+}
+
 /// Returns whether a request that is at a target may still be retried at another one.
 fn may_retry_elsewhere(request: &ActiveRequest<'_>) -> bool {
     request.is_repeatable()
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -381,6 +381,12 @@
         interval.clamp(self.freshness.list_poll_interval, self.freshness.max_list_age)
     }
 
+    /// Returns the last moment as of which the list is known.
+    pub fn list_as_of(&self) -> Option<Time> {
+        let from_planner = self.planner_view().list_as_of();
+        from_planner.max(self.store_contacts().list)
+    }
+
     /// Returns how long the view of the list stays fresh enough without a call to the store.
     pub fn list_fresh_for(&self, now: Time) -> Duration {
         let has_gap = self.fleet().has_gap();
--- a/crates/tansyknotd/src/fleet/pages.rs
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -71,14 +71,16 @@
         let age = |at: Option<Time>| at.map_or(-1.0, |at| now.since(at).as_secs_f64());
         let contacts = *self.state.store_contacts();
         let advertised_version = self.state.planner_view().config_version();
-        let (daemons, targets, retained, suspect, slow, list_version, without_room) = {
+        let (daemons, targets, retained, suspect, unresponsive, slow, list_version, without_room) = {
             let fleet = self.state.fleet();
             let retained = fleet.retained().count();
             let suspect = fleet.suspect_targets(now);
+            let unresponsive = fleet.unresponsive_targets(now);
             let slow = fleet.slow_targets(now);
             let (daemons, targets) = (fleet.daemon_count(), fleet.targets().count());
             let without_room = fleet.unplaced_count(now);
-            (daemons, targets, retained, suspect, slow, fleet.list_version(), without_room)
+            let list_version = fleet.list_version();
+            (daemons, targets, retained, suspect, unresponsive, slow, list_version, without_room)
         };
         let (catalog, view) = self.state.active_catalog_and_keys();
         let keys_as_of = catalog.filter(|c| c.teams.is_some()).and_then(|c| view.as_of(c.version));
@@ -98,6 +100,7 @@
             (metric::TARGETS, targets as f64),
             (metric::TARGETS_KEPT, retained as f64),
             (metric::TARGETS_SUSPECT, suspect as f64),
+            (metric::TARGETS_UNRESPONSIVE, unresponsive as f64),
             (metric::TARGETS_SLOW, slow as f64),
             (metric::NO_ROOM_MODELS, without_room as f64),
             (metric::LIST_VERSION, list_version as f64),
