Tests: requests pile up at a target that stops reading (known red)

A simulation of daemons, their planner and targets with listen queues in virtual time, drawn from seeds, and requests over sockets to a runner that accepts no connections.

--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod planner;
 pub(crate) mod shared_store;
 pub(crate) mod signals;
+pub(crate) mod stalls;
 pub(crate) mod store;
 pub(crate) mod teams;
 pub(crate) mod zones;
