Responses without end: bounds on what is read without progress, and parts instead of one buffer

What operators would see: a target that sends bytes without end, in a head or a body, costs a daemon more memory than its host has, and is read at full speed until the request's first timeout.

Cause: the size line of a chunk had no bound, here and in callers' requests; each interim response began the bound of a head anew; comments counted as events of a stream; and a plain body was one buffer that doubled, of which the allocator keeps each size that it has had in each thread.

Change: the coding of chunks is decoded in tansyknot-http, a line that can't become valid ends the body as malformed; interim responses count towards the bound of the head; comments are sent with the next event, 256 KiB at most, and do not extend the time for it; plain bodies are held in parts of 64 KiB; while a buffer grows, both its sizes count.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -12,13 +12,12 @@
     time::Duration,
 };
 
-use chunked_transfer::Decoder;
 use rustix::{
     event::{PollFd, PollFlags, Timespec},
     io::Errno,
 };
 use tansyknot_core::clock::BootInstant;
-use tansyknot_http::disconnect;
+use tansyknot_http::{chunked::ChunkedReader, disconnect};
 use thiserror::Error;
 
 use crate::connection::TargetStream;
@@ -29,7 +28,7 @@
 pub(crate) const MAX_POLL_WAIT: Duration = Duration::from_millis(500);
 /// Size of the read buffer in bytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
-/// Maximum size of a response head in bytes.
+/// Maximum size of a response head in bytes, with the interim responses before it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of header lines in a response head.
 const MAX_HEADERS: usize = 64;
@@ -224,15 +223,19 @@
     /// Fails if the target does not respond in time, closes the connection or sends a malformed
     /// head, or if the caller leaves.
     pub fn head(&mut self) -> Result<ResponseHead, Failure> {
+        let mut interim_bytes = 0;
         loop {
             if let Some((head, length)) = parse_head(&self.buf)? {
                 self.buf.drain(..length);
-                if (100..200).contains(&head.status) {
+                if !(100..200).contains(&head.status) {
+                    return Ok(head);
+                }
+                interim_bytes += length;
+                if interim_bytes <= MAX_HEAD_BYTES {
                     continue;
                 }
-                return Ok(head);
             }
-            if self.buf.len() > MAX_HEAD_BYTES {
+            if interim_bytes + self.buf.len() > MAX_HEAD_BYTES {
                 return Err(Failure::Malformed);
             }
             if self.fill()? == 0 {
@@ -246,7 +249,7 @@
         match head.framing {
             Framing::Empty => Body::Length(self, 0),
             Framing::Length(length) => Body::Length(self, length),
-            Framing::Chunked => Body::Chunked(Box::new(Decoder::new(self)), false),
+            Framing::Chunked => Body::Chunked(Box::new(ChunkedReader::new(self))),
             Framing::UntilClose => {
                 self.eof_is_failure = false;
                 Body::UntilClose(self)
@@ -342,8 +345,8 @@
 pub enum Body<'a> {
     /// The body has this many bytes left.
     Length(Exchange<'a>, u64),
-    /// The body is chunked; the flag tells whether the last chunk was read.
-    Chunked(Box<Decoder<Exchange<'a>>>, bool),
+    /// The body is chunked.
+    Chunked(Box<ChunkedReader<Exchange<'a>>>),
     /// The body ends with the connection.
     UntilClose(Exchange<'a>),
 }
@@ -358,12 +361,11 @@
                 *left -= n as u64;
                 Ok(n)
             }
-            Body::Chunked(_, true) => Ok(0),
-            Body::Chunked(decoder, ended) => {
-                let n = decoder.read(out)?;
-                *ended = n == 0;
-                Ok(n)
-            }
+            Body::Chunked(reader) => reader.read(out).inspect_err(|e| {
+                if e.kind() == io::ErrorKind::InvalidData {
+                    reader.source().control.failure.set(Some(Failure::Malformed));
+                }
+            }),
             Body::UntilClose(exchange) => exchange.read(out),
         }
     }
--- a/crates/tansyknot-fleet/src/response_buffers.rs
+++ b/crates/tansyknot-fleet/src/response_buffers.rs
@@ -19,6 +19,9 @@
 /// Bytes of each request's responses that are not taken from the total, so that usual responses are
 /// relayed while large ones have used it up.
 pub const UNSHARED_BYTES: u64 = 64 << 10;
+/// The largest part of a body that is held as a whole. The allocator keeps larger blocks after their
+/// end, and growing them takes twice their size.
+const MAX_PART_BYTES: usize = 64 << 10;
 /// The size of the kernel's buffer for bytes that a caller has not read, or a daemon has not read
 /// from a target; Linux uses twice as much. It allows 50 Mbit/s at a round trip of 10 ms. Without a
 /// limit, the buffers of one connection grow to several megabytes.
@@ -119,16 +122,35 @@
     pub fn extend(&mut self, buf: &mut Vec<u8>, more: &[u8]) -> bool {
         let needed = buf.len() + more.len();
         if needed > buf.capacity() {
-            let capacity = needed.max(buf.capacity() * 2);
-            if !self.grow((capacity - buf.capacity()) as u64) {
+            let (before, capacity) = (buf.capacity(), needed.max(buf.capacity() * 2));
+            // Both buffers are held while the bytes are copied.
+            if !self.grow(capacity as u64) {
                 return false;
             }
             buf.reserve_exact(capacity - buf.len());
+            self.shrink_to(self.bytes - before as u64);
         }
         buf.extend_from_slice(more);
         true
     }
 
+    /// Appends `more` to a body in parts; returns `false` if the total does not allow it.
+    pub fn extend_parts(&mut self, parts: &mut Vec<Vec<u8>>, mut more: &[u8]) -> bool {
+        while !more.is_empty() {
+            match parts.last_mut().filter(|part| part.len() < MAX_PART_BYTES) {
+                Some(part) => {
+                    let n = more.len().min(MAX_PART_BYTES - part.len());
+                    if !self.extend(part, &more[..n]) {
+                        return false;
+                    }
+                    more = &more[n..];
+                }
+                None => parts.push(Vec::new()),
+            }
+        }
+        true
+    }
+
     fn grow(&mut self, by: u64) -> bool {
         let bytes = self.bytes + by;
         let is_granted = self.buffers.take(shared(bytes) - shared(self.bytes));
--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -11,7 +11,7 @@
 use tansyknot_core::clock::BootInstant;
 use tansyknot_http::{
     events, head,
-    respond::{self, ConnectionAction, FullResponse, StreamedResponse},
+    respond::{self, ConnectionAction, StreamedResponse},
 };
 
 use crate::{
@@ -24,6 +24,8 @@
 const MAX_BODY_BYTES: u64 = 32 << 20;
 /// Maximum size of an event in bytes; a longer one is malformed.
 const MAX_EVENT_BYTES: usize = 4 << 20;
+/// Maximum bytes of comments before an event. A stream of comments alone makes no progress.
+const MAX_COMMENT_BYTES: usize = 256 << 10;
 /// Maximum bytes of a stream that are written without a check of the deadline.
 const MAX_WRITE_BYTES: usize = 64 << 10;
 /// Size of the read buffer of a stream in bytes.
@@ -43,6 +45,17 @@
     head.header("content-type").is_some_and(|v| v.starts_with("text/event-stream"))
 }
 
+/// A full response of a target.
+#[derive(Clone, Debug)]
+pub struct TargetResponse {
+    /// The HTTP status code.
+    pub status: u16,
+    content_type: String,
+    headers: Vec<(String, String)>,
+    /// The body, in parts.
+    body: Vec<Vec<u8>>,
+}
+
 /// Reads a full response.
 ///
 /// # Errors
@@ -53,26 +66,28 @@
     mut body: Body<'_>,
     control: &Control,
     buffer: &mut Reservation,
-) -> Result<FullResponse, Failure> {
-    let mut bytes = Vec::new();
+) -> Result<TargetResponse, Failure> {
+    let mut parts = Vec::new();
+    let mut length = 0;
     let mut chunk = [0; READ_BUFFER_BYTES];
     loop {
         let n = body.read(&mut chunk).map_err(|_| control.failure())?;
         if n == 0 {
             break;
         }
-        if (bytes.len() + n) as u64 > MAX_BODY_BYTES {
+        length += n as u64;
+        if length > MAX_BODY_BYTES {
             return Err(Failure::Malformed);
         }
-        if !buffer.extend(&mut bytes, &chunk[..n]) {
+        if !buffer.extend_parts(&mut parts, &chunk[..n]) {
             return Err(Failure::NoBuffer);
         }
     }
-    Ok(FullResponse {
+    Ok(TargetResponse {
         status: head.status,
         content_type: content_type(head),
         headers: headers(head),
-        body: bytes,
+        body: parts,
     })
 }
 
@@ -183,11 +198,12 @@
 /// Fails if the caller leaves or does not read.
 pub fn write_response(
     caller: CallerConnection<'_>,
-    response: &FullResponse,
+    response: &TargetResponse,
     deadline: BootInstant,
 ) -> Result<(), Failure> {
     let mut out = UntilDeadline { caller: caller.stream, deadline };
-    respond::write_response(&mut out, response, caller.after)
+    let head = (response.status, response.content_type.as_str(), response.headers.as_slice());
+    respond::write_parts(&mut out, head, &response.body, caller.after)
         .map_err(|e| caller_failure(&e, caller.stream))
 }
 
@@ -249,7 +265,7 @@
                 return Err(Failure::ClosedEarly);
             }
             if n == 0 {
-                return self.end(head, &pending, caller);
+                return self.end(head, &pending, sink);
             }
             if !sink.buffer.extend(&mut pending, &buf[..n]) {
                 return Err(Failure::NoBuffer);
@@ -261,6 +277,13 @@
             let from = pending.len().saturating_sub(n + events::EVENT_END.len() - 1);
             let Some(end) = events::last_event_end(&pending[from..]) else { continue };
             let end = from + end;
+            if !events::has_fields(&pending[..end]) {
+                // Comments are sent with the next event.
+                if end > MAX_COMMENT_BYTES {
+                    return Err(Failure::Malformed);
+                }
+                continue;
+            }
             may_end = true;
             sink.observer.record(events::count(&pending[..end]));
             if !self.has_begun() {
@@ -276,13 +299,17 @@
         &mut self,
         head: &ResponseHead,
         pending: &[u8],
-        caller: CallerConnection<'_>,
+        sink: &StreamSink<'_, '_>,
     ) -> Result<(), Failure> {
-        if !pending.is_empty() {
+        let caller = sink.caller;
+        if pending.is_empty() {
+            // A stream without events is still a valid response.
+            return self.begin(head, caller).map_err(|e| caller_failure(&e, caller.stream));
+        }
+        if events::last_event_end(pending) != Some(pending.len()) {
             return Err(Failure::ClosedEarly);
         }
-        // A stream without events is still a valid response.
-        self.begin(head, caller).map_err(|e| caller_failure(&e, caller.stream))
+        self.send(head, pending, caller, sink.timeouts.write_by)
     }
 
     fn begin(&mut self, head: &ResponseHead, caller: CallerConnection<'_>) -> io::Result<()> {
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -40,7 +40,7 @@
     poison::key::RequestSuspects,
     residency::ZoneSet,
     response_buffers::{Reservation, ResponseBuffers, ResponseLimits},
-    response_relay::{self, CallerConnection, EventRelay},
+    response_relay::{self, CallerConnection, EventRelay, TargetResponse},
     state::State,
     stream_origin::{NoPeers, Origin, OriginDirectory},
     target::Target,
@@ -272,7 +272,7 @@
     fn write_response(
         &self,
         request: &ActiveRequest<'_>,
-        response: &FullResponse,
+        response: &TargetResponse,
     ) -> Result<(), Failure> {
         let write_by = self.buffers.write_deadline(request.deadline);
         response_relay::write_response(request.caller, response, write_by)
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -7,7 +7,6 @@
     metric,
     name::{ModelName, SoftwareVersion},
 };
-use tansyknot_http::respond::FullResponse;
 
 use super::{
     MAX_SENDS, Server,
@@ -25,7 +24,7 @@
     fleet::{ResponseLimits, WaitEnd},
     platform_api::{ForwardParams, ResponseClass},
     reachability::Path,
-    response_relay::{self, EventObserver, ResponseTimeouts, StreamSink},
+    response_relay::{self, EventObserver, ResponseTimeouts, StreamSink, TargetResponse},
     target::Target,
 };
 
@@ -255,7 +254,7 @@
         &self,
         request: &mut ActiveRequest<'_>,
         head: &ResponseHead,
-        response: FullResponse,
+        response: TargetResponse,
     ) -> Result<SendOutcome, Failure> {
         if request.relay.has_begun() {
             // A response that is no stream cannot continue a stream that has begun.
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -9,10 +9,7 @@
     metric,
     name::{ServiceName, TargetName},
 };
-use tansyknot_http::{
-    respond::{ConnectionAction, FullResponse},
-    server::Request,
-};
+use tansyknot_http::{respond::ConnectionAction, server::Request};
 
 use super::{
     access::{Cost, Identity},
@@ -27,7 +24,7 @@
     poison::key::RequestSuspects,
     residency::ZoneSet,
     response_buffers::Reservation,
-    response_relay::{CallerConnection, EventRelay},
+    response_relay::{CallerConnection, EventRelay, TargetResponse},
     stream_origin::Origin,
     target::Target,
 };
@@ -228,7 +225,7 @@
     /// The response was relayed, with this status.
     Relayed(u16),
     /// The target responded with an error of its own; another attempt may succeed.
-    ServerError(FullResponse),
+    ServerError(TargetResponse),
     /// The target did not run the request.
     NotRun(NotRun),
     /// The target may have run the request.
@@ -292,7 +289,7 @@
     /// The bytes of responses that the daemon holds for it.
     pub(super) buffer: Reservation,
     /// The last error response of a target, relayed if no later send succeeds.
-    pub(super) fallback: Option<FullResponse>,
+    pub(super) fallback: Option<TargetResponse>,
     pub(super) waited: Duration,
     /// Expected time until a load or permit that the request cannot wait for, sent as
     /// `Retry-After`.
--- a/crates/tansyknot-http/src/body.rs
+++ b/crates/tansyknot-http/src/body.rs
@@ -2,10 +2,9 @@
 
 use std::io::{self, Read};
 
-use chunked_transfer::Decoder;
 use tansyknot_core::refusal::{Reason, Refusal};
 
-use crate::{head::Framing, receive::Receiver};
+use crate::{chunked::ChunkedReader, head::Framing, receive::Receiver};
 
 /// Reads the entire body.
 ///
@@ -23,8 +22,8 @@
         }
         Framing::Chunked => {
             let mut body = Vec::new();
-            let decoder = Decoder::new(rx);
-            decoder.take(limit + 1).read_to_end(&mut body).map_err(|e| read_refusal(&e))?;
+            let reader = ChunkedReader::new(rx);
+            reader.take(limit + 1).read_to_end(&mut body).map_err(|e| read_refusal(&e))?;
             if body.len() as u64 > limit { Err(too_large(limit)) } else { Ok(body) }
         }
     }
--- a/crates/tansyknot-http/src/events.rs
+++ b/crates/tansyknot-http/src/events.rs
@@ -9,6 +9,12 @@
     Some(at + EVENT_END.len())
 }
 
+/// Returns whether `bytes`, which consist of complete blocks, have a field of an event. Blocks without
+/// one are comments.
+pub fn has_fields(bytes: &[u8]) -> bool {
+    bytes.split(|b| *b == b'\n').any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Returns the number of events in `events`, which consists of complete events.
 pub fn count(events: &[u8]) -> u64 {
     events.windows(EVENT_END.len()).filter(|w| *w == EVENT_END).count() as u64
--- a/crates/tansyknot-http/src/lib.rs
+++ b/crates/tansyknot-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server side towards callers: reads requests within limits and writes responses.
 
 pub mod body;
+pub mod chunked;
 pub mod disconnect;
 pub mod events;
 pub mod head;
--- a/crates/tansyknot-http/src/respond.rs
+++ b/crates/tansyknot-http/src/respond.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Write},
     net::{Shutdown, TcpStream},
+    slice,
 };
 
 use chunked_transfer::Encoder;
@@ -43,16 +44,34 @@
     response: &FullResponse,
     after: ConnectionAction,
 ) -> io::Result<()> {
-    let is_copied = response.body.len() <= MAX_COPIED_BODY_BYTES;
-    let mut buf = Vec::with_capacity(256 + if is_copied { response.body.len() } else { 0 });
-    write_head(&mut buf, response.status, &response.content_type, &response.headers, after);
-    buf.extend_from_slice(format!("content-length: {}\r\n\r\n", response.body.len()).as_bytes());
+    let FullResponse { status, content_type, headers, body } = response;
+    write_parts(stream, (*status, content_type, headers), slice::from_ref(body), after)
+}
+
+/// Writes a complete response whose body is in several parts, like [`write_response`]. `head` has its
+/// status, content type and additional headers.
+///
+/// # Errors
+///
+/// Fails if the caller has disconnected or does not read.
+pub fn write_parts(
+    stream: &mut impl Write,
+    head: (u16, &str, &[(String, String)]),
+    parts: &[Vec<u8>],
+    after: ConnectionAction,
+) -> io::Result<()> {
+    let length: usize = parts.iter().map(Vec::len).sum();
+    let is_copied = length <= MAX_COPIED_BODY_BYTES;
+    let mut buf = Vec::with_capacity(256 + if is_copied { length } else { 0 });
+    let (status, content_type, headers) = head;
+    write_head(&mut buf, status, content_type, headers, after);
+    buf.extend_from_slice(format!("content-length: {length}\r\n\r\n").as_bytes());
     if is_copied {
-        buf.extend_from_slice(&response.body);
+        parts.iter().for_each(|part| buf.extend_from_slice(part));
         return stream.write_all(&buf);
     }
     stream.write_all(&buf)?;
-    stream.write_all(&response.body)
+    parts.iter().try_for_each(|part| stream.write_all(part))
 }
 
 fn write_head(
