Requests: the last look before a send asks the list as well

What callers saw: nothing yet; found by reading, as the same cause as requests that are read late (what was checked when a target was selected is used later).

Cause: opening a connection takes up to 0.3 s, through another daemon 0.25 s more. The last look before the first byte asked for the target's own signals and drained zones, not for its entry.

Change: may_send takes the target as it was selected, and refuses one that drains, is gone or has another run by then. The request is selected for again; nothing was sent.

Measured: the three cases of the test fail with the look as it was and pass now.

--- a/crates/tansyknot-fleet/src/fleet/signal.rs
+++ b/crates/tansyknot-fleet/src/fleet/signal.rs
@@ -119,9 +119,14 @@
         })
     }
 
-    /// Returns whether a run allows a request at the time of sending. A run that limits the rate of
-    /// requests accepts only those that have a permit.
-    pub fn may_send(&self, run: RunKey, permit: Option<Permit>, now: Time) -> bool {
+    /// Returns whether a target, as it was selected, still accepts the request at the time of sending.
+    /// One that limits the rate of requests accepts only those that have a permit.
+    pub fn may_send(&self, target: &Target, permit: Option<Permit>, now: Time) -> bool {
+        let run = RunKey::of(target);
+        let member = self.members.get(&target.name);
+        if !member.is_some_and(|m| m.run == run && m.takes_work(now)) {
+            return false;
+        }
         let signalled = self.backpressure.availability_at_send(run, now);
         match self.with_warm_up(signalled, run, now) {
             Availability::Open => true,
--- a/crates/tansyknot-fleet/src/serve/permit.rs
+++ b/crates/tansyknot-fleet/src/serve/permit.rs
@@ -68,11 +68,11 @@
         }
     }
 
-    /// Returns whether the target and its zone still allow the request once the connection is open.
+    /// Returns whether the target and its zone still allow the request once the connection is open: the
+    /// list or its signals may have changed since it was selected.
     pub(super) fn is_send_allowed(&self, request: &ActiveRequest<'_>, target: &Target) -> bool {
         let now = self.state.now();
         let fleet = self.state.fleet();
-        !fleet.zone_drains().contains(&target.zone)
-            && fleet.may_send(RunKey::of(target), request.permit, now)
+        !fleet.zone_drains().contains(&target.zone) && fleet.may_send(target, request.permit, now)
     }
 }
--- a/crates/tansyknot-fleet/tests/obeyed.rs
+++ b/crates/tansyknot-fleet/tests/obeyed.rs
@@ -165,10 +165,25 @@
 )]
 fn request_that_was_on_its_way_there_is_not_sent(signals: Signals, outcome: RunOutcome) {
     let mut fleet = synced_fleet();
-    let run = RunKey::of(&entry("t1", 1));
-    assert!(fleet.may_send(run, None, at(0)));
+    let t1 = entry("t1", 1);
+    assert!(fleet.may_send(&t1, None, at(0)));
     record_response(&mut fleet, signals, outcome, at(1));
-    assert!(!fleet.may_send(run, None, at(2)));
+    assert!(!fleet.may_send(&t1, None, at(2)));
+}
+
+#[parameterized(
+    draining = { TargetChange::Put(Box::new(Target {
+        state: TargetState::Draining, version: 2, ..entry("t1", 1)
+    })) },
+    gone = { TargetChange::Removed(Removal { name: TargetName::from("t1"), version: 2 }) },
+    another_run = { TargetChange::Put(Box::new(Target { version: 2, ..entry("t1", 2) })) },
+)]
+fn request_on_its_way_to_a_target_that_leaves_meanwhile_is_sent(change: TargetChange) {
+    let mut fleet = synced_fleet();
+    let t1 = entry("t1", 1);
+    assert!(fleet.may_send(&t1, None, at(0)));
+    fleet.apply_change(change, at(1));
+    assert!(!fleet.may_send(&t1, None, at(2)));
 }
 
 #[test]
--- a/crates/tansyknot-fleet/tests/support/signals/request.rs
+++ b/crates/tansyknot-fleet/tests/support/signals/request.rs
@@ -229,7 +229,7 @@
         match flight.stage {
             Stage::Connecting | Stage::Responded(..) if !is_running => self.flights.push(flight),
             Stage::Connecting => {
-                let may_send = node.state.fleet().may_send(run, flight.req.permit, now);
+                let may_send = node.state.fleet().may_send(&flight.target, flight.req.permit, now);
                 if !may_send {
                     return self.retry(flight, now);
                 }
--- a/crates/tansyknot-fleet/tests/support/zones.rs
+++ b/crates/tansyknot-fleet/tests/support/zones.rs
@@ -384,7 +384,7 @@
         let may_send = {
             let fleet = node.state.fleet();
             !fleet.zone_drains().contains(&flight.target.zone)
-                && fleet.may_send(run, flight.req.permit, now)
+                && fleet.may_send(&flight.target, flight.req.permit, now)
         };
         if !may_send {
             node.state.fleet().end_request(&flight.target.name, Some(&flight.req.model), 0);
--- a/crates/tansyknot-fleet/tests/warm_up.rs
+++ b/crates/tansyknot-fleet/tests/warm_up.rs
@@ -83,9 +83,9 @@
 fn new_target_gets_no_request_without_a_permit_until_it_has_warmed_up() {
     let mut fleet = fleet(vec![entry("t1", 3000)]);
     assert_eq!(pick(&mut fleet, at(10)), "t1 with a permit");
-    let run = RunKey::of(&entry("t1", 0));
-    assert!(!fleet.may_send(run, None, at(2_999)));
-    assert!(fleet.may_send(run, None, at(3_000)));
+    let t1 = entry("t1", 0);
+    assert!(!fleet.may_send(&t1, None, at(2_999)));
+    assert!(fleet.may_send(&t1, None, at(3_000)));
     assert_eq!(pick(&mut fleet, at(3_000)), "t1");
 }
 
