Requests: sending a long one ends at its deadline, and when its caller leaves

Cause: a request was written with a timeout for each write, so that a target which takes a little of it begins the time anew.

Change: a request is written as far as the kernel takes it, and waits for more with the request's deadline, watching the caller, as for the response.

--- a/crates/tansyknot-fleet/src/connection.rs
+++ b/crates/tansyknot-fleet/src/connection.rs
@@ -1,13 +1,13 @@
 //! Connections to targets, direct or through another daemon.
 
 use std::{
-    io::{self, Read, Write},
+    io::{self, Read},
     net::{SocketAddr, TcpStream},
     os::fd::{AsFd, BorrowedFd},
     time::Duration,
 };
 
-use rustix::net::sockopt;
+use rustix::net::{self, SendFlags, sockopt};
 
 use crate::{
     exchange::Failure, paths::Tunnel, poison::Presence, response_buffers::SOCKET_BUFFER_BYTES,
@@ -48,9 +48,9 @@
         configure(&self.stream, write_timeout)
     }
 
-    /// Sends bytes to the target.
-    pub(crate) fn send(&self, bytes: &[u8]) -> io::Result<()> {
-        (&self.stream).write_all(bytes)
+    /// Sends as many bytes to the target as the kernel takes at once; returns their number.
+    pub(crate) fn try_send(&self, bytes: &[u8]) -> io::Result<usize> {
+        Ok(net::send(&self.stream, bytes, SendFlags::DONTWAIT | SendFlags::NOSIGNAL)?)
     }
 
     /// Reads what the target has sent; returns the number of bytes, zero at the end of the stream.
--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -191,7 +191,7 @@
         }
         let control =
             Control { deadline: Rc::new(Cell::new(deadline)), failure: Rc::new(Cell::new(None)) };
-        let exchange = Self {
+        let mut exchange = Self {
             stream,
             caller,
             timeout_policy: None,
@@ -199,10 +199,26 @@
             control,
             eof_is_failure: true,
         };
-        exchange.stream.send(request).map_err(|_| Failure::ClosedEarly)?;
+        exchange.send(request)?;
         Ok(exchange)
     }
 
+    /// Sends the request until the deadline, or until the caller leaves: a target may read a long one
+    /// slowly.
+    fn send(&mut self, mut bytes: &[u8]) -> Result<(), Failure> {
+        while !bytes.is_empty() {
+            match self.stream.try_send(bytes) {
+                Ok(sent) => bytes = &bytes[sent..],
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.await_ready(PollFlags::OUT)?;
+                }
+                Err(_) => return Err(Failure::ClosedEarly),
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the control over the reads of this exchange.
     pub fn control(&self) -> Control {
         self.control.clone()
@@ -268,14 +284,15 @@
     /// Waits for bytes and reads them; returns their number, zero at the end of the stream.
     fn receive(&mut self, out: &mut [u8]) -> Result<usize, Failure> {
         loop {
-            let received = self.await_bytes().and_then(|()| self.stream.receive(out));
+            let received = self.await_ready(PollFlags::IN).and_then(|()| self.stream.receive(out));
             if let Some(n) = received.inspect_err(|f| self.control.failure.set(Some(*f)))? {
                 return Ok(n);
             }
         }
     }
 
-    fn await_bytes(&mut self) -> Result<(), Failure> {
+    /// Waits until the target's connection is ready for reads or writes, as `flags` say.
+    fn await_ready(&mut self, flags: PollFlags) -> Result<(), Failure> {
         loop {
             let left = self.control.deadline.get().duration_since(BootInstant::now());
             if left.is_zero() {
@@ -288,7 +305,7 @@
             }
             let timeout = timespec(left.min(MAX_POLL_WAIT));
             let mut fds = Vec::with_capacity(2);
-            fds.push(PollFd::new(&self.stream, PollFlags::IN));
+            fds.push(PollFd::new(&self.stream, flags));
             fds.extend(self.caller.map(|caller| PollFd::new(caller, PollFlags::IN)));
             match rustix::event::poll(&mut fds, Some(&timeout)) {
                 Err(Errno::INTR) => continue,
