Streams: one that can't begin for want of a descriptor does not look complete

Cause: the encoder of chunks writes the last one when it is dropped. A second copy of the caller's descriptor was made after the head had left; where that failed, the encoder was dropped without the shutdown that should come before.

Change: the one copy that is needed is made before the head, chunks are framed here, and the last one is written only by the end of a response.

One descriptor a stream less.

--- a/crates/tansyknot-fleet/src/connection.rs
+++ b/crates/tansyknot-fleet/src/connection.rs
@@ -116,11 +116,16 @@
     }
 }
 
-fn connect_failure(e: &io::Error) -> Failure {
+/// Returns whether the process, or its host, has no file descriptor left.
+pub(crate) fn lacks_descriptors(e: &io::Error) -> bool {
     const EMFILE: i32 = 24;
     const ENFILE: i32 = 23;
-    match e.raw_os_error() {
-        Some(EMFILE | ENFILE) => Failure::NoSocket,
+    matches!(e.raw_os_error(), Some(EMFILE | ENFILE))
+}
+
+fn connect_failure(e: &io::Error) -> Failure {
+    match e {
+        e if lacks_descriptors(e) => Failure::NoSocket,
         _ if e.kind() == io::ErrorKind::ConnectionRefused => Failure::Refused,
         _ if e.kind() == io::ErrorKind::ConnectionReset => Failure::Refused,
         _ => Failure::NotConnected,
--- a/crates/tansyknot-http/src/respond.rs
+++ b/crates/tansyknot-http/src/respond.rs
@@ -6,8 +6,6 @@
     slice,
 };
 
-use chunked_transfer::Encoder;
-
 /// A response with a complete body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FullResponse {
@@ -34,6 +32,9 @@
 /// written by itself, as its copy would double the memory for a caller that reads slowly.
 const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
 
+const LINE_END: &[u8] = b"\r\n";
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
 /// Writes a complete response, with one call unless its body is large.
 ///
 /// # Errors
@@ -92,23 +93,21 @@
     }
 }
 
-/// A streamed response; each write is sent immediately as one chunk.
+/// A streamed response; each write is sent immediately as one chunk. Unless it is ended, the caller
+/// sees that it is incomplete.
 pub struct StreamedResponse {
     stream: TcpStream,
-    body: Option<Body>,
-}
-
-enum Body {
-    Chunked(Encoder<TcpStream>),
-    /// For HTTP/1.0 callers: the end of the connection ends the body.
-    Plain(TcpStream),
+    /// Whether the body is chunked. For HTTP/1.0 callers, the end of the connection ends it.
+    is_chunked: bool,
+    has_ended: bool,
 }
 
 /// Writes the head of a streamed response.
 ///
 /// # Errors
 ///
-/// Fails if the caller has disconnected.
+/// Fails if the caller has disconnected, or, before the head is written, if the process has no file
+/// descriptor left.
 pub fn start_stream(
     stream: &TcpStream,
     status: u16,
@@ -124,14 +123,10 @@
         buf.extend_from_slice(b"transfer-encoding: chunked\r\n");
     }
     buf.extend_from_slice(b"\r\n");
-    let mut out = stream.try_clone()?;
-    out.write_all(&buf)?;
-    let body = if http_1_1 {
-        Body::Chunked(Encoder::with_flush_after_write(out))
-    } else {
-        Body::Plain(out)
-    };
-    Ok(StreamedResponse { stream: stream.try_clone()?, body: Some(body) })
+    let mut out =
+        StreamedResponse { stream: stream.try_clone()?, is_chunked: http_1_1, has_ended: false };
+    out.stream.write_all(&buf)?;
+    Ok(out)
 }
 
 impl StreamedResponse {
@@ -141,25 +136,31 @@
     ///
     /// Fails if the caller has disconnected or does not read.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
-        match &mut self.body {
-            Some(Body::Chunked(encoder)) => encoder.write_all(bytes),
-            Some(Body::Plain(out)) => out.write_all(bytes),
-            None => Err(io::ErrorKind::BrokenPipe.into()),
+        if !self.is_chunked {
+            return self.stream.write_all(bytes);
+        }
+        if bytes.is_empty() {
+            // An empty chunk would end the body.
+            return Ok(());
         }
+        let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+        chunk.reserve_exact(bytes.len() + LINE_END.len());
+        chunk.extend_from_slice(bytes);
+        chunk.extend_from_slice(LINE_END);
+        self.stream.write_all(&chunk)
     }
 
     /// Ends the body as complete.
     pub fn end(mut self) {
-        // Dropping the encoder writes the last chunk.
-        self.body = None;
+        // If the caller does not get the last chunk, the body is incomplete for it.
+        self.has_ended = !self.is_chunked || self.stream.write_all(LAST_CHUNK).is_ok();
     }
 }
 
 impl Drop for StreamedResponse {
     fn drop(&mut self) {
-        if self.body.is_some() {
-            // A missing last chunk shows the caller that the body is incomplete. The connection is
-            // shut down first because the encoder writes that chunk when it is dropped.
+        if !self.has_ended {
+            // A missing last chunk shows the caller that the body is incomplete.
             let _ = self.stream.shutdown(Shutdown::Write);
         }
     }
