Responses: a 503 that does not state that the request was not run is no promise

Cause: the statuses that callers take for a promise were tested after all those from 500 on.

Change: 503 is tested with 408, 421 and 429, before the others; the failure has a name of its own.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -54,6 +54,9 @@
     /// The bytes are not a valid response.
     #[error("malformed")]
     Malformed,
+    /// The status says that the request was not run, but the target does not state it.
+    #[error("unproven refusal")]
+    Unproven,
     /// The response belongs to another request.
     #[error("foreign answer")]
     Foreign,
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -260,14 +260,14 @@
             // A response that is no stream cannot continue a stream that has begun.
             return Err(Failure::Malformed);
         }
+        if matches!(head.status, 408 | 421 | 429 | 503) {
+            // Callers take these statuses for a promise that the request has not run. The target has
+            // not stated that.
+            return Err(Failure::Unproven);
+        }
         if head.status >= 500 {
             return Ok(SendOutcome::ServerError(response));
         }
-        if matches!(head.status, 408 | 421 | 429) {
-            // Without an explicit statement that the request was not run, these statuses do not
-            // prove it.
-            return Err(Failure::Malformed);
-        }
         self.write_response(request, &response)?;
         Ok(SendOutcome::Relayed(head.status))
     }
