Streams: chunks are framed by the library again, over one copy of the descriptor

The encoder writes over a shared copy of the caller's descriptor, so that the last chunk is still written by the end alone and nothing can fail between the head and the response.

--- a/crates/tansyknot-http/src/respond.rs
+++ b/crates/tansyknot-http/src/respond.rs
@@ -4,8 +4,11 @@
     io::{self, Write},
     net::{Shutdown, TcpStream},
     slice,
+    sync::Arc,
 };
 
+use chunked_transfer::Encoder;
+
 /// A response with a complete body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FullResponse {
@@ -32,9 +35,6 @@
 /// written by itself, as its copy would double the memory for a caller that reads slowly.
 const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
 
-const LINE_END: &[u8] = b"\r\n";
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-
 /// Writes a complete response, with one call unless its body is large.
 ///
 /// # Errors
@@ -96,10 +96,28 @@
 /// A streamed response; each write is sent immediately as one chunk. Unless it is ended, the caller
 /// sees that it is incomplete.
 pub struct StreamedResponse {
-    stream: TcpStream,
-    /// Whether the body is chunked. For HTTP/1.0 callers, the end of the connection ends it.
-    is_chunked: bool,
-    has_ended: bool,
+    stream: SharedStream,
+    body: Option<Body>,
+}
+
+enum Body {
+    Chunked(Encoder<SharedStream>),
+    /// For HTTP/1.0 callers: the end of the connection ends the body.
+    Plain(SharedStream),
+}
+
+/// A copy of the caller's descriptor, shared by the body and the response.
+#[derive(Clone)]
+struct SharedStream(Arc<TcpStream>);
+
+impl Write for SharedStream {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        (&*self.0).write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        (&*self.0).flush()
+    }
 }
 
 /// Writes the head of a streamed response.
@@ -123,10 +141,15 @@
         buf.extend_from_slice(b"transfer-encoding: chunked\r\n");
     }
     buf.extend_from_slice(b"\r\n");
-    let mut out =
-        StreamedResponse { stream: stream.try_clone()?, is_chunked: http_1_1, has_ended: false };
-    out.stream.write_all(&buf)?;
-    Ok(out)
+    // The encoder writes the last chunk when it is dropped, so nothing may fail once it exists.
+    let stream = SharedStream(Arc::new(stream.try_clone()?));
+    stream.clone().write_all(&buf)?;
+    let body = if http_1_1 {
+        Body::Chunked(Encoder::with_flush_after_write(stream.clone()))
+    } else {
+        Body::Plain(stream.clone())
+    };
+    Ok(StreamedResponse { stream, body: Some(body) })
 }
 
 impl StreamedResponse {
@@ -136,32 +159,26 @@
     ///
     /// Fails if the caller has disconnected or does not read.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
-        if !self.is_chunked {
-            return self.stream.write_all(bytes);
-        }
-        if bytes.is_empty() {
-            // An empty chunk would end the body.
-            return Ok(());
+        match &mut self.body {
+            Some(Body::Chunked(encoder)) => encoder.write_all(bytes),
+            Some(Body::Plain(out)) => out.write_all(bytes),
+            None => Err(io::ErrorKind::BrokenPipe.into()),
         }
-        let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
-        chunk.reserve_exact(bytes.len() + LINE_END.len());
-        chunk.extend_from_slice(bytes);
-        chunk.extend_from_slice(LINE_END);
-        self.stream.write_all(&chunk)
     }
 
     /// Ends the body as complete.
     pub fn end(mut self) {
-        // If the caller does not get the last chunk, the body is incomplete for it.
-        self.has_ended = !self.is_chunked || self.stream.write_all(LAST_CHUNK).is_ok();
+        // Dropping the encoder writes the last chunk.
+        self.body = None;
     }
 }
 
 impl Drop for StreamedResponse {
     fn drop(&mut self) {
-        if !self.has_ended {
-            // A missing last chunk shows the caller that the body is incomplete.
-            let _ = self.stream.shutdown(Shutdown::Write);
+        if self.body.is_some() {
+            // A missing last chunk shows the caller that the body is incomplete. The connection is
+            // shut down first because the encoder writes that chunk when it is dropped.
+            let _ = self.stream.0.shutdown(Shutdown::Write);
         }
     }
 }
