Responses: one that ends with its connection is complete only if its target responds afterwards

Cause: an open connection was taken for a living target. The kernel opens connections for a process that is being ended, as it does for one that reads nothing; of a target that had announced its end nothing was asked at all.

Change: the response counts as complete if the target responds to a call of its report after it, at once, also one that drains. The same call probes unresponsive targets; one function has it.

--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -11,7 +11,7 @@
 use crate::{
     connection::{self, CONNECT_TIMEOUT, PROBE_TIMEOUT, TargetStream},
     dissemination::{message, peers::PeerEntry},
-    exchange::Failure,
+    exchange::{Exchange, Failure},
     poison::Presence,
     reachability::{PROBE_INTERVAL, Path},
     residency::ZoneSet,
@@ -26,6 +26,8 @@
 pub const CRASH_PROBE_TIMEOUT: Duration = PROBE_TIMEOUT.saturating_add(TUNNEL_TIMEOUT);
 /// Maximum number of daemons that are asked for one tunnel.
 const MAX_PEERS_ASKED: usize = 4;
+/// The status with which another run responds that has got the address of a target.
+const MISDIRECTED: u16 = 421;
 /// Number of daemons whose failure to connect to a target shows that the target is down.
 const DOWN_VERDICTS: usize = 2;
 
@@ -168,6 +170,27 @@
         presence
     }
 
+    /// Returns whether a target responds to `call` within `within`. An open connection alone does not
+    /// show that its process lives or reads: the kernel accepts connections on its behalf.
+    pub fn responds(&self, target: &Target, call: &[u8], within: Duration) -> bool {
+        let deadline = BootInstant::now() + within;
+        let stream = match self.state.reachability().path(target) {
+            Path::Direct => connection::connect(target.address, CONNECT_TIMEOUT.min(within))
+                .ok()
+                .map(TargetStream::direct),
+            Path::Tunnel => None,
+        };
+        let stream = stream.or_else(|| {
+            let tunnel_use = TunnelUse::Request { zones: None };
+            let (stream, tunnel) = self.open_tunnel(target, tunnel_use, deadline).ok()?;
+            Some(TargetStream::tunnelled(stream, tunnel))
+        });
+        let exchange = stream
+            .ok_or(Failure::NotConnected)
+            .and_then(|stream| Exchange::open(stream, call, None, deadline, &|| true));
+        exchange.and_then(|mut e| e.head()).is_ok_and(|head| head.status != MISDIRECTED)
+    }
+
     fn probe_along(&self, path: Path, target: &Target) -> Presence {
         let presence = match path {
             Path::Direct => connection::probe(target.address, PROBE_TIMEOUT),
--- a/crates/tansyknot-fleet/src/platform_api.rs
+++ b/crates/tansyknot-fleet/src/platform_api.rs
@@ -207,9 +207,6 @@
     ///
     /// Returns an error if the target does not respond or its response is malformed.
     fn report(&self, target: &Target) -> Result<Report>;
-
-    /// Returns whether a target responds to a call that needs none of its slots.
-    fn responds(&self, target: &Target) -> bool;
 }
 
 /// The properties of a request as read from its head.
@@ -340,6 +337,9 @@
         headers: &[(String, String)],
     ) -> Option<Signals>;
 
+    /// Returns a call that any target responds to without using a slot for it.
+    fn liveness_call(&self, target: &Target) -> Vec<u8>;
+
     /// Returns the header lines of a refusal of the request `id`.
     fn refusal(&self, id: &str, retry_after: Option<Duration>) -> Vec<(String, String)>;
 }
--- a/crates/tansyknot-fleet/src/probe.rs
+++ b/crates/tansyknot-fleet/src/probe.rs
@@ -4,8 +4,12 @@
 
 use tansyknot_core::{metric, telemetry::Recorder};
 
-use crate::{platform_api::Targets, reachability::Path, state::State, target::Target};
+use crate::{
+    paths::Paths, platform_api::Dialect, reachability::Path, state::State, target::Target,
+};
 
+/// The timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
 /// The pause between two rounds of probes. A probe that is not answered takes its own timeout in
 /// addition.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
@@ -15,14 +19,16 @@
 /// Probes the targets that have become unresponsive to this daemon's requests.
 pub struct TargetProbes {
     state: Arc<State>,
-    targets: Arc<dyn Targets>,
+    dialect: Arc<dyn Dialect>,
+    paths: Paths,
     recorder: Arc<dyn Recorder>,
 }
 
 impl TargetProbes {
     /// Creates the probes of the daemon with this state.
-    pub fn new(state: Arc<State>, targets: Arc<dyn Targets>, recorder: Arc<dyn Recorder>) -> Self {
-        Self { state, targets, recorder }
+    pub fn new(state: Arc<State>, dialect: Arc<dyn Dialect>, recorder: Arc<dyn Recorder>) -> Self {
+        let paths = Paths::new(Arc::clone(&state), Arc::clone(&recorder));
+        Self { state, dialect, paths, recorder }
     }
 
     /// Probes unresponsive targets until the process ends.
@@ -59,7 +65,8 @@
     fn probe(&self, target: &Target) {
         let sent = self.state.now();
         self.recorder.count(metric::TARGET_PROBES.name, &target.service, 1);
-        if self.targets.responds(target) {
+        let call = self.dialect.liveness_call(target);
+        if self.paths.responds(target, &call, PROBE_TIMEOUT) {
             self.state.fleet().record_probe_response(target, sent);
             self.state.targets_changed.notify();
         }
--- a/crates/tansyknot-fleet/src/serve/crash.rs
+++ b/crates/tansyknot-fleet/src/serve/crash.rs
@@ -113,9 +113,9 @@
         self.complete_check(check, target, run_key);
     }
 
-    /// Probes whether a target has ended that closed the connection after a response without a
-    /// declared end; returns whether the response is complete, as far as is known. A target that has
-    /// announced its end completes its responses.
+    /// Returns whether a response without a declared end, whose target has closed the connection, is
+    /// complete, as far as is known: the target responds to a call afterwards. One that has announced
+    /// its end may have been ended under the response.
     pub(super) fn is_complete_response(
         &self,
         request: &ActiveRequest<'_>,
@@ -123,11 +123,10 @@
         opened: Time,
     ) -> bool {
         let (run_key, now) = (RunKey::of(target), self.state.now());
-        if !self.state.fleet().accepts_work(&target.name, now) {
-            return true;
-        }
+        let call = self.dialect.liveness_call(target);
+        let lives = self.paths.responds(target, &call, CRASH_PROBE_TIMEOUT);
         if !self.accuses_requests(target, now) {
-            return !self.paths.probe(target).is_end();
+            return lives;
         }
         let check = {
             let mut poison = self.state.poison();
@@ -135,8 +134,13 @@
             let record = |key| poison.record_close_after_response(key, run_key, opened, now);
             first_check(accused.into_iter().map(record))
         };
-        self.complete_check(check, target, run_key);
-        !self.state.poison().has_ended(run_key)
+        match check {
+            CheckState::Due if lives => {
+                self.record_crash_check(target, run_key, Presence::Listening);
+            }
+            check => self.complete_check(check, target, run_key),
+        }
+        lives && !self.state.poison().has_ended(run_key)
     }
 
     fn complete_check(&self, check: CheckState, target: &Target, run_key: RunKey) {
--- a/crates/tansyknot-fleet/tests/support/engine.rs
+++ b/crates/tansyknot-fleet/tests/support/engine.rs
@@ -152,10 +152,6 @@
         result
     }
 
-    fn responds(&self, _: &Target) -> bool {
-        true
-    }
-
     fn report(&self, _: &Target) -> Result<Report> {
         let engine = self.engine();
         let (accepted_orders, models) = (engine.orders, engine.models.clone());
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -33,7 +33,7 @@
     paths::Paths,
     peer_listener::PeerListener,
     peering::{DaemonIdentity, PeerNode},
-    platform_api::{Store, Targets},
+    platform_api::{Dialect, Store},
     poison::keeper::PoisonKeeper,
     probe::TargetProbes,
     residency::Regions,
@@ -119,12 +119,11 @@
             options,
             reluctance(settings),
         ));
-        let targets: Arc<dyn Targets> = Arc::new(RunnerClient);
         let task_runner = Arc::new(TaskRunner {
             state: Arc::clone(&state),
             keeper: Arc::clone(&keeper),
             lease: Arc::clone(&lease),
-            targets: Arc::clone(&targets),
+            targets: Arc::new(RunnerClient),
             recorder: Arc::clone(&recorder) as _,
             daemon,
             overdue_loads: 0.into(),
@@ -145,10 +144,10 @@
         let lifecycle = Arc::new(Lifecycle::default());
         let targets_known = Arc::new(AtomicBool::new(false));
 
-        let dialect = Arc::new(PlatformHeaders);
+        let dialect: Arc<dyn Dialect> = Arc::new(PlatformHeaders);
         let server = Server::new(
             Arc::clone(&state),
-            dialect,
+            Arc::clone(&dialect),
             Arc::clone(&peer_node) as _,
             Arc::clone(&peer_node) as _,
             Arc::clone(&recorder) as _,
@@ -195,7 +194,7 @@
         serve_peers(peers, &state, tunnels);
         let paths = Paths::new(Arc::clone(&state), Arc::clone(&recorder) as _);
         spawn("paths", move || paths.run_probes());
-        let probes = TargetProbes::new(Arc::clone(&state), targets, Arc::clone(&recorder) as _);
+        let probes = TargetProbes::new(Arc::clone(&state), dialect, Arc::clone(&recorder) as _);
         spawn("probes", move || probes.run());
         run_lease_keeper(&keeper);
         start_peer_threads(&peer_node, socket);
