Updates: a change counts as of its own version at least

Cause: while a planner retains a target whose entry may have expired, its updates name the version of its read before the outage. A follower logged their changes as of that version. Once it is the planner, a daemon that has read the list itself in between, before the change, and has missed the update, joins the numbers behind it.

Change: the log of changes takes the higher of the view's version and the change's own.

Measured: the test fails for an entry and a removal before, and passes now.

--- a/crates/tansyknot-fleet/src/dissemination/changes.rs
+++ b/crates/tansyknot-fleet/src/dissemination/changes.rs
@@ -181,6 +181,17 @@
 }
 
 impl Change {
+    /// Returns the version of the store that shows the change; 0 if the store does not show it.
+    fn version(&self) -> u64 {
+        match self {
+            Change::Put(entry) => entry.version,
+            Change::Models(entry) => entry.version,
+            Change::Removed(removal) => removal.version,
+            Change::FullRead(read) => read.version,
+            Change::Override(_) => 0,
+        }
+    }
+
     pub(super) fn subject(&self) -> Subject {
         match self {
             Change::Put(entry) => Subject::Entry(entry.name.clone()),
@@ -268,9 +279,11 @@
         Self { is_unread: true, ..Self::default() }
     }
 
-    /// Adds a change that holds as of `version` of the store. It replaces an earlier change of the
-    /// same subject.
+    /// Adds a change that holds as of `version` of the store, and not before its own. It replaces an
+    /// earlier change of the same subject.
     pub fn add(&mut self, change: Change, version: u64, now: Time) {
+        // While the planner retains a target, its updates name the version of an earlier read.
+        let version = version.max(change.version());
         self.last += 1;
         let before = self.latest_numbers.insert(change.subject(), self.last);
         let before = before.and_then(|number| self.logged.remove(&number));
--- a/crates/tansyknot-fleet/tests/versions.rs
+++ b/crates/tansyknot-fleet/tests/versions.rs
@@ -213,3 +213,21 @@
     fleet.apply_change(put("t1", 24), at(9_010));
     assert!(accepts_work(&fleet, "t1", at(9_010)), "a newer entry counts");
 }
+
+// The planner advertises its read before the outage as long as it retains a target, so that its updates
+// name a lower version than their changes have.
+#[parameterized(
+    draining = { Change::Put(Entry::from_target(&Target {
+        state: TargetState::Draining, ..entry("t1", 19)
+    })) },
+    gone = { Change::Removed(removal("t1", 19)) },
+)]
+fn change_received_with_an_older_version_counts_as_known_by_who_read_the_list_before_it(
+    change: Change,
+) {
+    let mut fleet = fleet();
+    let before = fleet.log.last_number();
+    fleet.apply_update(change, FENCE, at(100));
+    assert_eq!(fleet.log.number_at_version(18), Some(before));
+    assert_eq!(fleet.log.number_at_version(19), Some(before + 1));
+}
