Requests: a long body is not copied to be sent

Cause: each send copied the whole body behind the head, and both copies were held until the target had read it.

Change: an exchange sends a request in parts; bodies over 16 KiB are sent from where they are.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -168,7 +168,7 @@
 }
 
 impl<'a> Exchange<'a> {
-    /// Sends a request over a connection if `may_send` then still allows it.
+    /// Sends a request, which is given in parts, over a connection if `may_send` then still allows it.
     ///
     /// # Errors
     ///
@@ -176,7 +176,7 @@
     /// no byte was sent.
     pub fn open(
         stream: TargetStream,
-        request: &[u8],
+        request: &[&[u8]],
         caller: Option<&'a TcpStream>,
         deadline: BootInstant,
         may_send: &dyn Fn() -> bool,
@@ -202,12 +202,12 @@
             control,
             eof_is_failure: true,
         };
-        exchange.send(request)?;
+        request.iter().try_for_each(|part| exchange.send(part))?;
         Ok(exchange)
     }
 
-    /// Sends the request until the deadline, or until the caller leaves: a target may read a long one
-    /// slowly.
+    /// Sends a part of the request until the deadline, or until the caller leaves: a target may read a
+    /// long one slowly.
     fn send(&mut self, mut bytes: &[u8]) -> Result<(), Failure> {
         while !bytes.is_empty() {
             match self.stream.try_send(bytes) {
--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -187,7 +187,7 @@
         });
         let exchange = stream
             .ok_or(Failure::NotConnected)
-            .and_then(|stream| Exchange::open(stream, call, None, deadline, &|| true));
+            .and_then(|stream| Exchange::open(stream, &[call], None, deadline, &|| true));
         exchange.and_then(|mut e| e.head()).is_ok_and(|head| head.status != MISDIRECTED)
     }
 
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -35,6 +35,9 @@
 const MIN_FIRST_TIMEOUT: Duration = Duration::from_millis(400);
 /// Share of the remaining time that an attempt may take if another one may follow.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
+/// The longest body that is copied. A copy of a longer one doubles the memory that the request takes
+/// until its target has read it.
+const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
 /// A stream that can continue elsewhere is closed after this multiple of its gap objective without
 /// an event.
 const GAP_TIMEOUT_OBJECTIVES: f64 = 2.5;
@@ -44,7 +47,8 @@
 impl Server {
     /// Sends a request to a target and relays the response.
     pub(super) fn send(&self, request: &mut ActiveRequest<'_>, target: &Target) -> SendOutcome {
-        let bytes = self.request_bytes(request, target);
+        let head = self.request_head(request, target);
+        let body = if is_copied(request) { &[] } else { request.req.body.as_slice() };
         let deadline = request.give_up_at();
         let began = self.state.now();
         let (events, transmissions) = (request.relay.events, request.transmissions);
@@ -54,7 +58,7 @@
         let connected = self.paths.connect(target, request.zones.as_ref(), deadline);
         let via = connected.as_ref().ok().and_then(TargetStream::via);
         let opened = connected
-            .and_then(|stream| Exchange::open(stream, &bytes, caller, deadline, &may_send));
+            .and_then(|stream| Exchange::open(stream, &[&head, body], caller, deadline, &may_send));
         let outcome = match opened {
             Ok(exchange) => {
                 let software = target.software.as_ref().map_or("unknown", SoftwareVersion::as_str);
@@ -112,7 +116,8 @@
         outcome
     }
 
-    fn request_bytes(&self, request: &ActiveRequest<'_>, target: &Target) -> Vec<u8> {
+    /// Returns the head of a request for a target, with the body behind it if that is copied.
+    fn request_head(&self, request: &ActiveRequest<'_>, target: &Target) -> Vec<u8> {
         let head = &request.req.head;
         let forward = ForwardParams {
             target: &target.name,
@@ -121,7 +126,8 @@
             sender: request.identity.sender(),
             resume_after: request.relay.last_id.as_deref(),
         };
-        let mut buf = Vec::with_capacity(512 + request.req.body.len());
+        let copied = if is_copied(request) { request.req.body.as_slice() } else { &[] };
+        let mut buf = Vec::with_capacity(512 + copied.len());
         buf.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
         for (name, value) in self.dialect.forward(head, &forward) {
             buf.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
@@ -132,7 +138,7 @@
             );
         }
         buf.extend_from_slice(b"\r\n");
-        buf.extend_from_slice(&request.req.body);
+        buf.extend_from_slice(copied);
         buf
     }
 
@@ -364,6 +370,11 @@
     }
 }
 
+/// Returns whether a request's body is copied behind its head, so that one packet takes both.
+fn is_copied(request: &ActiveRequest<'_>) -> bool {
+    request.req.body.len() <= MAX_COPIED_BODY_BYTES
+}
+
 /// Returns how long a target may take to begin its response to a request of a route.
 fn response_limits(route: &Route) -> ResponseLimits {
     let longest = route.objective.mul_f64(FIRST_TIMEOUT_OBJECTIVES).max(MIN_FIRST_TIMEOUT);
--- a/crates/tansyknot-fleet/tests/slow_targets.rs
+++ b/crates/tansyknot-fleet/tests/slow_targets.rs
@@ -35,7 +35,7 @@
 fn send(time_left: Duration, caller: Option<&TcpStream>) -> Result<(), Failure> {
     let request = vec![b'.'; REQUEST_BYTES];
     let deadline = BootInstant::now() + time_left;
-    Exchange::open(connect_to_slow_target(), &request, caller, deadline, &|| true).map(drop)
+    Exchange::open(connect_to_slow_target(), &[&request], caller, deadline, &|| true).map(drop)
 }
 
 #[test]
