List: daemons that know more than a new planner read the list again

Cause: a target joined and went while the daemon that became the planner had missed its updates. The planner's full read shows neither, so it sends the range of the versions that it has read over, and daemons that have read the list themselves within it read again. Those that had the target by an update of the planner before did not: their view counted as complete, as of the new planner's read, for good.

Change: a view records its newest version when it begins to follow a planner. If that is beyond what the planner had before its full read, and the daemon has not read the list since, it does.

--- a/crates/tansyknot-fleet/src/fleet/list.rs
+++ b/crates/tansyknot-fleet/src/fleet/list.rs
@@ -86,6 +86,9 @@
     advertised: Option<AdvertisedRead>,
     /// The version as of which this daemon last read the list itself.
     read_version: u64,
+    /// The planner whose updates are applied, by its fencing token, and the newest version that any part
+    /// of the view reflected before the first of them.
+    followed: (u64, u64),
     /// The combined range of the full reads that the planner has published.
     full_read: Option<FullRead>,
     /// Whether changes may be missing that no daemon can supply.
@@ -125,6 +128,23 @@
             && store_version::era(version) > store_version::era(self.list.version)
     }
 
+    /// Records that updates of the planner with `fence` are applied from now on. What the view has
+    /// received before, that planner may not have.
+    pub fn begin_updates(&mut self, fence: u64) {
+        if self.list.followed.0 != fence {
+            self.list.followed = (fence, self.list.version);
+        }
+    }
+
+    /// Returns whether the view may have entries that a planner's full read shows neither as added nor
+    /// as removed.
+    fn may_lack_removals(&self, read: &FullRead) -> bool {
+        let (_, version_before) = self.list.followed;
+        let is_beyond_planner =
+            read.after < version_before && self.list.read_version < read.version;
+        is_beyond_planner || read.may_lack_changes(self.list.read_version)
+    }
+
     /// Returns the newest version of the store that any part of the view reflects.
     pub fn list_version(&self) -> u64 {
         self.list.version
@@ -458,7 +478,7 @@
                 None
             }
             Change::FullRead(read) => {
-                self.list.is_gapped |= read.may_lack_changes(self.list.read_version);
+                self.list.is_gapped |= self.may_lack_removals(&read);
                 let earlier = self.list.full_read.unwrap_or(read);
                 self.list.full_read = Some(read.merge(earlier));
                 Some(Change::FullRead(read))
--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -296,6 +296,7 @@
         self.announced_loads().record(update_id, &update.scheduling, now);
         // The view counts the changes as received; nothing may read the list before they apply.
         let mut fleet = self.state.fleet();
+        fleet.begin_updates(update.fence);
         let (changes, is_config_behind, has_new_gap) = {
             let mut view = self.state.planner_view();
             view.record_source(from, update.address, now);
--- a/crates/tansyknot-fleet/tests/leaving.rs
+++ b/crates/tansyknot-fleet/tests/leaving.rs
@@ -64,12 +64,14 @@
     assert!(violations.is_empty(), "{} seeds failed:\n{}", violations.len(), violations.join("\n"));
 }
 
-// A daemon called the store before its planner read the full list. The response arrived after the
-// update of that read, and contained a target that had joined and left in between.
+// A target joined and left between two full reads of planners. The first seed: a daemon called the store
+// before its planner's read, and the response arrived after the update of that read. The second: only the
+// planner before had sent the target to the others.
 #[parameterized(
-    response_overtaken_by_a_full_read = { 95, SLOW_RESPONSES },
+    response_overtaken_by_a_full_read = { 95, LEAVE_WITHIN, SLOW_RESPONSES },
+    target_that_the_next_planner_never_knew = { 171, LEAVE_WITHIN_LARGE, ALL_FAULTS },
 )]
-fn failed_before(seed: u64, faults: Faults) {
-    let result = Simulation::new(seed, SMALL_FLEET, LEAVE_WITHIN, faults).run(RUN_DURATION);
+fn failed_before(seed: u64, leave_within: Duration, faults: Faults) {
+    let result = Simulation::new(seed, SMALL_FLEET, leave_within, faults).run(RUN_DURATION);
     assert_eq!(result, Ok(()));
 }
--- a/crates/tansyknot-fleet/tests/versions.rs
+++ b/crates/tansyknot-fleet/tests/versions.rs
@@ -231,3 +231,21 @@
     assert_eq!(fleet.log.number_at_version(18), Some(before));
     assert_eq!(fleet.log.number_at_version(19), Some(before + 1));
 }
+
+// A target joined and was removed while the next planner missed the updates of the one before. That
+// planner's read of the full list shows neither.
+#[parameterized(
+    planner_had_less = { 11, true },
+    planner_had_as_much = { 12, false },
+)]
+fn target_that_only_the_planner_before_knew_is_kept_for_good(planner_had: u64, needs_read: bool) {
+    let mut fleet = fleet();
+    fleet.begin_updates(FENCE);
+    fleet.raise_list_version(12);
+    fleet.apply_update(Change::Put(Entry::from_target(&entry("t2", 12))), FENCE, at(100));
+    fleet.begin_updates(FENCE + 1);
+    fleet.raise_list_version(20);
+    let read = FullRead { after: planner_had, version: 20 };
+    fleet.apply_update(Change::FullRead(read), FENCE + 1, at(2_000));
+    assert_eq!(fleet.has_gap(), needs_read);
+}
