--- /dev/null
+++ b/crates/tansyknotd/tests/crowd/mod.rs
@@ -0,0 +1,151 @@
+//! Crowds of clients that do not behave, and what they cost a daemon's process.
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+mod process;
+
+use std::{
+    io::{self, Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{
+        Arc, Barrier, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+pub(crate) use process::{ProcessUse, ProcessWatch};
+
+/// The memory of the smallest host that a daemon must fit.
+pub(crate) const HOST_BYTES: u64 = 120 << 20;
+/// The longest body that the daemon's default limits allow.
+pub(crate) const MAX_BODY_BYTES: usize = 4 << 20;
+/// A client whose write makes no progress for this long has sent what it can.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The pause between two bytes of a client that trickles.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Only one crowd runs at a time, so that memory and processor of the machine are its own.
+pub(crate) fn run_alone() -> MutexGuard<'static, ()> {
+    static CROWD: Mutex<()> = Mutex::new(());
+    CROWD.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What a client does once it has sent its bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Then {
+    /// It sends nothing and keeps the connection open.
+    Stays,
+    /// It sends a byte from time to time.
+    Trickles,
+    /// It reads the response and sends nothing more.
+    Reads,
+}
+
+/// Clients that send the same bytes at once and then keep their connections open.
+pub(crate) struct Crowd {
+    ends: Arc<AtomicBool>,
+    settled: Arc<AtomicUsize>,
+    clients: Vec<JoinHandle<Vec<u8>>>,
+}
+
+impl Crowd {
+    /// Starts `count` clients of `address` that each send `bytes`, as far as the daemon takes them.
+    pub(crate) fn start(count: usize, address: SocketAddr, bytes: Vec<u8>, then: Then) -> Self {
+        Self::start_in_parts(count, address, [bytes, Vec::new()], then)
+    }
+
+    /// Starts clients that send the second part once each has sent the first one.
+    pub(crate) fn start_in_parts(
+        count: usize,
+        address: SocketAddr,
+        parts: [Vec<u8>; 2],
+        then: Then,
+    ) -> Self {
+        let ends = Arc::new(AtomicBool::new(false));
+        let settled = Arc::new(AtomicUsize::new(0));
+        let begun = Arc::new(Barrier::new(count));
+        let [first, second]: [Arc<[u8]>; 2] = parts.map(Into::into);
+        let clients = (0..count).map(|_| {
+            let (ends, settled) = (Arc::clone(&ends), Arc::clone(&settled));
+            let (first, second) = (Arc::clone(&first), Arc::clone(&second));
+            let begun = Arc::clone(&begun);
+            let client = move || {
+                let connected = TcpStream::connect(address);
+                let stream = connected.and_then(|stream| send(&stream, &first).map(|()| stream));
+                begun.wait();
+                let stream = stream.and_then(|stream| send(&stream, &second).map(|()| stream));
+                settled.fetch_add(1, Ordering::SeqCst);
+                stream.map_or_else(|_| Vec::new(), |stream| stay(&stream, then, &ends))
+            };
+            let builder = thread::Builder::new().stack_size(64 << 10);
+            builder.spawn(client).expect("a thread can be spawned")
+        });
+        let clients = clients.collect();
+        Self { ends, settled, clients }
+    }
+
+    /// Waits until each client has sent its bytes, or can't.
+    pub(crate) fn await_settled(&self) {
+        while self.settled.load(Ordering::SeqCst) < self.clients.len() {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Ends the clients; returns what each has received.
+    pub(crate) fn end(self) -> Vec<String> {
+        self.ends.store(true, Ordering::SeqCst);
+        let received = self.clients.into_iter().map(|c| c.join().expect("no client panics"));
+        received.map(|bytes| String::from_utf8_lossy(&bytes).into_owned()).collect()
+    }
+}
+
+/// Sends bytes until the connection takes no more for a while; a daemon that closed it is no error.
+fn send(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
+    stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    stream.set_nodelay(true)?;
+    let _ = stream.write_all(bytes);
+    Ok(())
+}
+
+/// Keeps the connection open until the crowd ends; returns what was received.
+fn stay(mut stream: &TcpStream, then: Then, ends: &AtomicBool) -> Vec<u8> {
+    let mut received = Vec::new();
+    let _ = stream.set_read_timeout(Some(TRICKLE_INTERVAL));
+    while !ends.load(Ordering::SeqCst) {
+        match then {
+            Then::Stays => thread::sleep(TRICKLE_INTERVAL),
+            Then::Trickles => {
+                thread::sleep(TRICKLE_INTERVAL);
+                // The daemon may have closed the connection.
+                let _ = stream.write_all(b"x");
+            }
+            Then::Reads => {
+                let _ = stream.read_to_end(&mut received);
+                thread::sleep(TRICKLE_INTERVAL);
+            }
+        }
+    }
+    let _ = stream.read_to_end(&mut received);
+    received
+}
+
+/// Returns a body of `length` bytes in chunks of `chunk` bytes, without its last chunk. Each chunk has
+/// an extension of `extension` bytes, if that is not zero.
+pub(crate) fn chunks(length: usize, chunk: usize, extension: usize) -> Vec<u8> {
+    let mut body = Vec::with_capacity(length + length / chunk * (8 + extension));
+    let mut left = length;
+    while left > 0 {
+        let n = chunk.min(left);
+        body.extend_from_slice(format!("{n:x}").as_bytes());
+        if extension > 0 {
+            body.push(b';');
+            body.resize(body.len() + extension - 1, b'e');
+        }
+        body.extend_from_slice(b"\r\n");
+        body.resize(body.len() + n, b'b');
+        body.extend_from_slice(b"\r\n");
+        left -= n;
+    }
+    body
+}
--- a/crates/tansyknotd/tests/support/mod.rs
+++ b/crates/tansyknotd/tests/support/mod.rs
@@ -116,7 +116,13 @@
 
     /// Starts a daemon as a child process and waits until it is ready.
     pub(crate) fn daemon(&self, name: &str) -> DaemonProcess {
-        let daemon = DaemonProcess::start(name, self.table_address, self.hosts_address);
+        self.daemon_with(name, "")
+    }
+
+    /// Starts a daemon with `more_settings` in addition to the usual ones.
+    pub(crate) fn daemon_with(&self, name: &str, more_settings: &str) -> DaemonProcess {
+        let (table, hosts) = (self.table_address, self.hosts_address);
+        let daemon = DaemonProcess::start(name, table, hosts, more_settings);
         daemon.wait_until_ready();
         daemon
     }
@@ -153,13 +159,13 @@
 }
 
 impl DaemonProcess {
-    fn start(name: &str, table: SocketAddr, hosts: SocketAddr) -> Self {
+    fn start(name: &str, table: SocketAddr, hosts: SocketAddr, more_settings: &str) -> Self {
         let text = format!(
             "name: {name}\navailability_zone: z0\n\
              listen: {{callers: 127.0.0.1:0, operators: 127.0.0.1:0, peers: 127.0.0.1:0}}\n\
              platform: {{table: {table}, hosts: {hosts}}}\n\
              refresh: {{config: 100ms, hosts: 100ms, replicas: 20ms}}\n\
-             drain: {{linger: 50ms, timeout: 60s}}\n"
+             drain: {{linger: 50ms, timeout: 60s}}\n{more_settings}"
         );
         let file = format!("tansyknotd-{}-{}-{name}.yaml", std::process::id(), table.port());
         let settings = env::temp_dir().join(file);
@@ -190,6 +196,15 @@
         }
     }
 
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process has not ended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the process is a child of this one").is_none()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         rustix::process::kill_process(pid, signal).expect("the child has not been waited for");
