Connections: one descriptor for each, however it is used

A daemon with 4,096 connections needed twice as many descriptors, and three for a stream: more than some hosts have, so that it reached neither targets nor the store.

Cause: the receiver, the request under way and the stream each duplicated the descriptor. They now share the connection. A stream can no longer fail for want of a descriptor.

--- a/crates/tansyknot-edge/src/gateway.rs
+++ b/crates/tansyknot-edge/src/gateway.rs
@@ -199,7 +199,7 @@
         &self,
         active: ActiveRequest<'_>,
         result: Result<CallerResponse, Refusal>,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
     ) -> io::Result<ConnectionAction> {
         let (end, write_result) = match result {
             Ok(CallerResponse::Pending(whole)) => {
@@ -236,7 +236,7 @@
     fn handle(
         &self,
         req: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let now = self.now();
@@ -246,10 +246,8 @@
             .with_property(|| ("request", request_id.to_string()));
         let version = self.parts.config.version();
         let trail = Trail::new(request_id.clone(), self.options.daemon.clone(), version, now);
-        let shared = Arc::new(stream.try_clone()?);
         let account = Account { trail, received_at: now, first_part_at: None, queued: false };
-        let mut active =
-            ActiveRequest { req: &req, request_id, stream: &shared, after, span, account };
+        let mut active = ActiveRequest { req: &req, request_id, stream, after, span, account };
         let result = match identify::route(&active.req.head) {
             Ok(Route::Health) => {
                 let health = self.health();
--- a/crates/tansyknot-edge/src/stage/relay.rs
+++ b/crates/tansyknot-edge/src/stage/relay.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read},
     net::TcpStream,
+    sync::Arc,
 };
 
 use tansyknot_core::name::RequestId;
@@ -125,7 +126,7 @@
         &mut self,
         response: &TargetResponse,
         request_id: &RequestId,
-        stream: &TcpStream,
+        stream: &Arc<TcpStream>,
         http_1_1: bool,
         after: ConnectionAction,
     ) -> io::Result<()> {
--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -4,6 +4,7 @@
 use std::{
     io::{self, Read, Write},
     net::TcpStream,
+    sync::Arc,
     time::Duration,
 };
 
@@ -155,7 +156,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct CallerConnection<'a> {
     /// The connection.
-    pub stream: &'a TcpStream,
+    pub stream: &'a Arc<TcpStream>,
     /// Whether the caller supports HTTP/1.1 and so the chunked encoding.
     pub http_1_1: bool,
     /// What becomes of the connection after the response.
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -151,7 +151,7 @@
         req: &Request,
         params: &RequestParams,
         refusal: Refusal,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let Refusal { reason, retry_after } = refusal;
@@ -313,7 +313,7 @@
         id: &str,
         reason: Reason,
         retry_after: Option<Duration>,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let retry_after =
@@ -418,7 +418,7 @@
     fn handle(
         &self,
         req: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let began = BootInstant::now();
@@ -436,9 +436,7 @@
             Ok(cost) => cost,
             Err(refusal) => return self.refuse_on_arrival(&req, &params, refusal, stream, after),
         };
-        let caller_stream = stream.try_clone()?;
-        let caller =
-            CallerConnection { stream: &caller_stream, http_1_1: req.head.http_1_1, after };
+        let caller = CallerConnection { stream, http_1_1: req.head.http_1_1, after };
         let mut request = ActiveRequest {
             req: &req,
             suspects: RequestSuspects::of(&req, &service, &params.shared_parts),
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -54,7 +54,7 @@
         let (events, transmissions) = (request.relay.events, request.transmissions);
         // A conviction or a signal may have arrived since the target was selected.
         let may_send = || !self.is_rejected(request) && self.is_send_allowed(request, target);
-        let caller = Some(request.caller.stream);
+        let caller = Some(request.caller.stream.as_ref());
         let connected = self.paths.connect(target, request.zones.as_ref(), deadline);
         let via = connected.as_ref().ok().and_then(TargetStream::via);
         let opened = connected
--- a/crates/tansyknot-http/src/receive.rs
+++ b/crates/tansyknot-http/src/receive.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read},
     net::TcpStream,
+    sync::Arc,
     time::Duration,
 };
 
@@ -15,14 +16,14 @@
 /// Socket timeouts can't use a virtual clock, so this module uses the operating system's time.
 #[derive(Debug)]
 pub struct Receiver {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     buf: Vec<u8>,
     deadline: BootInstant,
 }
 
 impl Receiver {
     /// Creates a receiver; its deadline has passed until [`Self::set_deadline`] is called.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: Arc<TcpStream>) -> Self {
         let deadline = BootInstant::now();
         Self { stream, buf: Vec::new(), deadline }
     }
@@ -50,7 +51,7 @@
     pub fn fill(&mut self) -> io::Result<usize> {
         self.apply_deadline()?;
         let mut chunk = [0; READ_SIZE];
-        let n = self.stream.read(&mut chunk).map_err(timed_out)?;
+        let n = (&*self.stream).read(&mut chunk).map_err(timed_out)?;
         self.buf.extend_from_slice(&chunk[..n]);
         Ok(n)
     }
@@ -68,7 +69,7 @@
     fn read(&mut self, out: &mut [u8]) -> io::Result<usize> {
         if self.buf.is_empty() {
             self.apply_deadline()?;
-            return self.stream.read(out).map_err(timed_out);
+            return (&*self.stream).read(out).map_err(timed_out);
         }
         let n = out.len().min(self.buf.len());
         out[..n].copy_from_slice(&self.buf[..n]);
--- a/crates/tansyknot-http/src/respond.rs
+++ b/crates/tansyknot-http/src/respond.rs
@@ -41,12 +41,12 @@
 ///
 /// Fails if the caller has disconnected or does not read.
 pub fn write_response(
-    stream: &mut impl Write,
+    mut stream: &TcpStream,
     response: &FullResponse,
     after: ConnectionAction,
 ) -> io::Result<()> {
     let FullResponse { status, content_type, headers, body } = response;
-    write_parts(stream, (*status, content_type, headers), slice::from_ref(body), after)
+    write_parts(&mut stream, (*status, content_type, headers), slice::from_ref(body), after)
 }
 
 /// Writes a complete response whose body is in several parts, like [`write_response`]. `head` has its
@@ -106,7 +106,7 @@
     Plain(SharedStream),
 }
 
-/// A copy of the caller's descriptor, shared by the body and the response.
+/// The caller's connection, shared by the body and the response.
 #[derive(Clone)]
 struct SharedStream(Arc<TcpStream>);
 
@@ -124,10 +124,9 @@
 ///
 /// # Errors
 ///
-/// Fails if the caller has disconnected, or, before the head is written, if the process has no file
-/// descriptor left.
+/// Fails if the caller has disconnected.
 pub fn start_stream(
-    stream: &TcpStream,
+    stream: &Arc<TcpStream>,
     status: u16,
     content_type: &str,
     headers: &[(String, String)],
@@ -141,9 +140,9 @@
         buf.extend_from_slice(b"transfer-encoding: chunked\r\n");
     }
     buf.extend_from_slice(b"\r\n");
+    let mut stream = SharedStream(Arc::clone(stream));
     // The encoder writes the last chunk when it is dropped, so nothing may fail once it exists.
-    let stream = SharedStream(Arc::new(stream.try_clone()?));
-    stream.clone().write_all(&buf)?;
+    stream.write_all(&buf)?;
     let body = if http_1_1 {
         Body::Chunked(Encoder::with_flush_after_write(stream.clone()))
     } else {
@@ -188,7 +187,7 @@
 /// # Errors
 ///
 /// Fails if the caller has disconnected.
-pub fn write_continue(stream: &mut TcpStream) -> io::Result<()> {
+pub fn write_continue(mut stream: &TcpStream) -> io::Result<()> {
     stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
 }
 
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -83,7 +83,7 @@
     fn handle(
         &self,
         req: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction>;
 }
@@ -195,7 +195,7 @@
 }
 
 fn spawn_connection(
-    mut stream: TcpStream,
+    stream: TcpStream,
     options: &ServerOptions,
     handler: &Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
@@ -210,7 +210,7 @@
         );
         let _ = stream.set_write_timeout(Some(LINGER_TIMEOUT));
         let _ = respond::write_response(
-            &mut stream,
+            &stream,
             &problem::response(&refusal, None),
             ConnectionAction::Close,
         );
@@ -225,7 +225,7 @@
         .spawn(move || {
             let _guard = guard;
             // An error means that the caller has disconnected, so nobody can receive a response.
-            let _ = serve_connection(stream, &options, handler.as_ref(), &lifecycle);
+            let _ = serve_connection(&Arc::new(stream), &options, handler.as_ref(), &lifecycle);
         });
     // If the thread can't be started, the connection is dropped and the caller may retry elsewhere.
     drop(spawned);
@@ -257,25 +257,25 @@
 }
 
 fn serve_connection(
-    mut stream: TcpStream,
+    stream: &Arc<TcpStream>,
     options: &ServerOptions,
     handler: &dyn Handler,
     lifecycle: &Arc<Lifecycle>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(options.write_timeout))?;
-    let mut rx = Receiver::new(stream.try_clone()?);
+    let mut rx = Receiver::new(Arc::clone(stream));
     let mut connection_use = ConnectionUse::Fresh;
     while await_request(&mut rx, options, lifecycle, connection_use)? {
         connection_use = ConnectionUse::Used;
         let _busy = CountGuard::request(lifecycle);
-        let req = match receive(&mut rx, &mut stream, options) {
+        let req = match receive(&mut rx, stream, options) {
             Ok(req) => req,
-            Err(refusal) => return refuse(&mut rx, &mut stream, &refusal),
+            Err(refusal) => return refuse(&mut rx, stream, &refusal),
         };
         let close = !req.head.keep_alive || lifecycle.is_draining();
         let after = if close { ConnectionAction::Close } else { ConnectionAction::KeepAlive };
-        if handler.handle(req, &mut stream, after)? == ConnectionAction::Close {
+        if handler.handle(req, stream, after)? == ConnectionAction::Close {
             return Ok(());
         }
     }
@@ -327,7 +327,7 @@
 
 fn receive(
     rx: &mut Receiver,
-    stream: &mut TcpStream,
+    stream: &TcpStream,
     options: &ServerOptions,
 ) -> Result<Request, Refusal> {
     rx.set_deadline(options.receive_timeout);
@@ -369,7 +369,7 @@
 }
 
 /// Sends the refusal of a request that was not received completely and closes the connection.
-fn refuse(rx: &mut Receiver, stream: &mut TcpStream, refusal: &Refusal) -> io::Result<()> {
+fn refuse(rx: &mut Receiver, stream: &TcpStream, refusal: &Refusal) -> io::Result<()> {
     if refusal.reason == Reason::CallerLeft {
         return Ok(());
     }
--- a/crates/tansyknot-http/tests/descriptors.rs
+++ b/crates/tansyknot-http/tests/descriptors.rs
@@ -4,6 +4,7 @@
     fs::File,
     io::Read,
     net::{TcpListener, TcpStream},
+    sync::Arc,
 };
 
 use rustix::process::{self, Resource, Rlimit};
@@ -23,6 +24,7 @@
     for free in 0..3 {
         let mut caller = TcpStream::connect(address).expect("the daemon listens");
         let (accepted, _) = listener.accept().expect("the caller connects");
+        let accepted = Arc::new(accepted);
         let mut files = use_up_descriptors();
         files.truncate(files.len() - free);
         let after = ConnectionAction::Close;
--- a/crates/tansyknot-standins/src/engine.rs
+++ b/crates/tansyknot-standins/src/engine.rs
@@ -253,7 +253,7 @@
     fn control(
         self: &Arc<Self>,
         req: &Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let result = match req.head.path.as_str() {
@@ -303,7 +303,7 @@
     fn complete(
         &self,
         req: &Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let Ok(body) = server::parse_body::<CompletionRequest>(req) else {
@@ -339,7 +339,7 @@
     fn write_response(
         &self,
         token_stream: &TokenStream,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         thread::sleep(token_stream.due_after(token_stream.tokens));
@@ -357,7 +357,7 @@
         };
         if self.faults().truncate {
             use std::io::Write;
-            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n{\"half")?;
+            (&**stream).write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n{\"half")?;
             return close_connection(stream);
         }
         server::json(stream, after, 200, &doc)
@@ -368,7 +368,7 @@
         &self,
         token_stream: &TokenStream,
         skip: u64,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let faults = self.faults();
@@ -406,7 +406,7 @@
     fn resume(
         &self,
         req: &Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let attempt = req.head.path.trim_start_matches("/v1/streams/");
@@ -434,7 +434,7 @@
     fn handle(
         &self,
         req: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let engine = &self.0;
@@ -450,7 +450,7 @@
     }
 }
 
-fn close_connection(stream: &mut TcpStream) -> io::Result<ConnectionAction> {
+fn close_connection(stream: &Arc<TcpStream>) -> io::Result<ConnectionAction> {
     stream.shutdown(Shutdown::Both)?;
     Ok(ConnectionAction::Close)
 }
--- a/crates/tansyknot-standins/src/hosts.rs
+++ b/crates/tansyknot-standins/src/hosts.rs
@@ -72,7 +72,7 @@
     fn respond_with_list(
         &self,
         req: &Request,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let body = serde_json::to_vec(&self.list())?;
@@ -102,7 +102,7 @@
     fn handle(
         &self,
         req: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         if let Some(result) = server::handle_faults(&req, stream, after, &self.faults) {
--- a/crates/tansyknot-standins/src/plain.rs
+++ b/crates/tansyknot-standins/src/plain.rs
@@ -57,7 +57,7 @@
     fn handle(
         &self,
         req: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         if let Some(result) = server::handle_faults(&req, stream, after, &self.faults) {
--- a/crates/tansyknot-standins/src/server.rs
+++ b/crates/tansyknot-standins/src/server.rs
@@ -66,7 +66,7 @@
 ///
 /// Fails if the client has disconnected.
 pub fn json<T: Serialize>(
-    stream: &mut TcpStream,
+    stream: &TcpStream,
     after: ConnectionAction,
     status: u16,
     doc: &T,
@@ -116,7 +116,7 @@
 /// Serves the page of faults. Returns `None` if the request is for another page.
 pub fn handle_faults<T: Serialize + DeserializeOwned + Clone>(
     req: &Request,
-    stream: &mut TcpStream,
+    stream: &TcpStream,
     after: ConnectionAction,
     faults: &Mutex<T>,
 ) -> Option<io::Result<ConnectionAction>> {
--- a/crates/tansyknot-standins/src/table.rs
+++ b/crates/tansyknot-standins/src/table.rs
@@ -169,7 +169,7 @@
     fn handle_call(
         &self,
         req: &Request,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         match req.head.path.as_str() {
@@ -201,7 +201,7 @@
     fn handle(
         &self,
         req: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         if let Some(result) = server::handle_faults(&req, stream, after, &self.faults) {
@@ -216,7 +216,7 @@
     }
 }
 
-fn close_connection(stream: &mut TcpStream) -> io::Result<ConnectionAction> {
+fn close_connection(stream: &TcpStream) -> io::Result<ConnectionAction> {
     stream.shutdown(Shutdown::Both)?;
     Ok(ConnectionAction::Close)
 }
--- a/crates/tansyknotd/src/fleet/pages.rs
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -47,7 +47,7 @@
     fn handle(
         &self,
         _: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let status = if self.is_ready() { 200 } else { 503 };
@@ -135,7 +135,7 @@
     fn handle(
         &self,
         _: Request,
-        stream: &mut TcpStream,
+        stream: &Arc<TcpStream>,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         self.update_gauges();
@@ -144,7 +144,7 @@
 }
 
 fn write_text(
-    stream: &mut TcpStream,
+    stream: &TcpStream,
     status: u16,
     body: String,
     after: ConnectionAction,
