Connections: those that wait longest without a request are evicted

Callers got 503, and the readiness check no answer, while clients that send nothing, or a part of a request, had taken all connections: each kept its place until a timeout, 60 s for a silent one.

Cause: a bound on connections without a way to take one back. Now a listener keeps its connections without a whole request in the order in which they began to wait. The refusal of a connection too many no longer blocks the thread that accepts.

--- /dev/null
+++ b/crates/tansyknot-http/src/connection.rs
@@ -0,0 +1,172 @@
+//! Receives the requests of one connection and passes them to the handler.
+
+use std::{
+    io,
+    net::{Shutdown, TcpStream},
+    sync::Arc,
+    time::Duration,
+};
+
+use tansyknot_core::{
+    clock::BootInstant,
+    refusal::{Reason, Refusal},
+};
+
+use crate::{
+    body,
+    connections::{Connections, WaitEnd},
+    head::{self, Head},
+    problem,
+    receive::Receiver,
+    respond::{self, ConnectionAction},
+    server::{CountGuard, DrainBehaviour, Handler, Lifecycle, Request, ServerOptions},
+};
+
+/// Interval at which an idle connection checks whether the daemon drains.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same interval for connections that are served while the daemon drains. It is longer because
+/// each check wakes a thread.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time for which the remaining bytes of a refused request are discarded, so that the sender
+/// receives the response.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Serves requests until the connection ends.
+///
+/// # Errors
+///
+/// Fails if the caller has disconnected.
+pub(crate) fn serve(
+    stream: &Arc<TcpStream>,
+    connections: &Connections,
+    options: &ServerOptions,
+    handler: &dyn Handler,
+    lifecycle: &Arc<Lifecycle>,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(options.write_timeout))?;
+    let mut rx = Receiver::new(Arc::clone(stream));
+    let mut connection_use = ConnectionUse::Fresh;
+    loop {
+        let waiting = connections.wait(stream);
+        if !await_request(&mut rx, options, lifecycle, connection_use)? {
+            return Ok(());
+        }
+        connection_use = ConnectionUse::Used;
+        let _busy = CountGuard::request(lifecycle);
+        let req = match receive(&mut rx, stream, options) {
+            Ok(req) => req,
+            Err(refusal) => return refuse(&mut rx, stream, &refusal),
+        };
+        if waiting.end() == WaitEnd::Evicted {
+            return Ok(());
+        }
+        let close = !req.head.keep_alive || lifecycle.is_draining();
+        let after = if close { ConnectionAction::Close } else { ConnectionAction::KeepAlive };
+        if handler.handle(req, stream, after)? == ConnectionAction::Close {
+            return Ok(());
+        }
+    }
+}
+
+/// Whether a connection has served a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionUse {
+    Fresh,
+    Used,
+}
+
+/// Waits for the first byte of a request; returns `false` if the connection must be closed.
+///
+/// While the daemon drains, a used connection is closed between requests. A fresh connection stays
+/// open: the caller opened it without knowing of the drain and is about to send its request.
+fn await_request(
+    rx: &mut Receiver,
+    options: &ServerOptions,
+    lifecycle: &Lifecycle,
+    connection_use: ConnectionUse,
+) -> io::Result<bool> {
+    let until = BootInstant::now() + options.idle_timeout;
+    while rx.buffered().is_empty() {
+        let must_close = match connection_use {
+            ConnectionUse::Fresh => lifecycle.is_closed(),
+            ConnectionUse::Used if options.on_drain == DrainBehaviour::CloseIdle => {
+                lifecycle.is_draining()
+            }
+            ConnectionUse::Used => lifecycle.is_ending(),
+        };
+        if must_close || BootInstant::now() >= until {
+            return Ok(false);
+        }
+        rx.set_deadline(match options.on_drain {
+            DrainBehaviour::CloseIdle => IDLE_CHECK_INTERVAL,
+            DrainBehaviour::ServeIdle => DRAIN_CHECK_INTERVAL,
+        });
+        match rx.fill() {
+            Ok(0) => return Ok(false),
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::TimedOut => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(true)
+}
+
+fn receive(
+    rx: &mut Receiver,
+    stream: &TcpStream,
+    options: &ServerOptions,
+) -> Result<Request, Refusal> {
+    rx.set_deadline(options.receive_timeout);
+    let head = receive_head(rx, options.max_head_bytes)?;
+    if head.expects_continue() {
+        respond::write_continue(stream)
+            .map_err(|_| Refusal::not_run(Reason::CallerLeft, "the caller left"))?;
+    }
+    rx.set_deadline(options.receive_timeout);
+    let body = body::read(rx, head.framing, options.max_body_bytes)?;
+    Ok(Request { head, body })
+}
+
+fn receive_head(rx: &mut Receiver, limit: u64) -> Result<Head, Refusal> {
+    loop {
+        if let Some((head, length)) = head::parse(rx.buffered())? {
+            if length as u64 > limit {
+                return Err(too_large(limit));
+            }
+            rx.consume(length);
+            return Ok(head);
+        }
+        if rx.buffered().len() as u64 >= limit {
+            return Err(too_large(limit));
+        }
+        match rx.fill() {
+            Ok(0) => return Err(Refusal::not_run(Reason::CallerLeft, "the head was cut off")),
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+                return Err(Refusal::not_run(Reason::SlowSender, "the head came too slowly"));
+            }
+            Err(_) => return Err(Refusal::not_run(Reason::CallerLeft, "the caller left")),
+        }
+    }
+}
+
+fn too_large(limit: u64) -> Refusal {
+    Refusal::not_run(Reason::HeadTooLarge, format!("a head may have {limit} bytes"))
+}
+
+/// Sends the refusal of a request that was not received completely and closes the connection.
+fn refuse(rx: &mut Receiver, stream: &TcpStream, refusal: &Refusal) -> io::Result<()> {
+    if refusal.reason == Reason::CallerLeft {
+        return Ok(());
+    }
+    respond::write_response(stream, &problem::response(refusal, None), ConnectionAction::Close)?;
+    stream.shutdown(Shutdown::Write)?;
+    // Closing a socket with unread bytes resets the connection, which discards the response.
+    rx.set_deadline(LINGER_TIMEOUT);
+    while let Ok(1..) = rx.fill() {
+        let n = rx.buffered().len();
+        rx.consume(n);
+    }
+    Ok(())
+}
--- a/crates/tansyknot-http/src/lib.rs
+++ b/crates/tansyknot-http/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod body;
 pub mod chunked;
+mod connection;
+mod connections;
 pub mod disconnect;
 pub mod events;
 pub mod head;
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -11,29 +11,20 @@
     time::Duration,
 };
 
-use tansyknot_core::{
-    clock::BootInstant,
-    refusal::{Reason, Refusal},
-};
+use tansyknot_core::refusal::{Reason, Refusal};
 
 use crate::{
-    body,
-    head::{self, Head},
+    connection,
+    connections::Connections,
+    head::Head,
     problem,
-    receive::Receiver,
     respond::{self, ConnectionAction},
 };
 
 /// Stack size of a connection's thread; a small one suffices because no stage recurses.
 const STACK_BYTES: usize = 256 << 10;
-/// Interval at which an idle connection checks whether the daemon drains.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// The same interval for connections that are served while the daemon drains. It is longer because
-/// each check wakes a thread.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
-/// Time for which the remaining bytes of a refused request are discarded, so that the sender
-/// receives the response.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// `Retry-After` of a connection that is refused because all are taken.
+const RETRY_AFTER_CONNECTIONS: Duration = Duration::from_secs(1);
 
 /// Limits on connections and requests.
 #[derive(Clone, Debug)]
@@ -157,6 +148,7 @@
     handler: &Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
 ) -> io::Result<()> {
+    let connections = Arc::new(Connections::new(options.max_connections));
     while !lifecycle.is_closed() {
         let (stream, _) = match listener.accept() {
             Ok(accepted) => accepted,
@@ -167,7 +159,7 @@
         if lifecycle.is_closed() {
             return Ok(());
         }
-        spawn_connection(stream, options, handler, lifecycle);
+        spawn_connection(stream, &connections, options, handler, lifecycle);
     }
     Ok(())
 }
@@ -196,26 +188,15 @@
 
 fn spawn_connection(
     stream: TcpStream,
+    connections: &Arc<Connections>,
     options: &ServerOptions,
     handler: &Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
 ) {
-    let before = lifecycle.connections.fetch_add(1, Ordering::SeqCst);
+    let Some(open) = connections.open() else { return refuse_connection(&stream) };
+    lifecycle.connections.fetch_add(1, Ordering::SeqCst);
     let guard = CountGuard::connection(lifecycle);
-    if before >= options.max_connections {
-        let refusal = Refusal::retry_later(
-            Reason::TooManyConnections,
-            Duration::from_secs(1),
-            "every connection is taken",
-        );
-        let _ = stream.set_write_timeout(Some(LINGER_TIMEOUT));
-        let _ = respond::write_response(
-            &stream,
-            &problem::response(&refusal, None),
-            ConnectionAction::Close,
-        );
-        return;
-    }
+    let connections = Arc::clone(connections);
     let options = options.clone();
     let handler = Arc::clone(handler);
     let lifecycle = Arc::clone(lifecycle);
@@ -223,14 +204,29 @@
         .name("connection".to_owned())
         .stack_size(STACK_BYTES)
         .spawn(move || {
-            let _guard = guard;
+            let _guards = (open, guard);
+            let stream = Arc::new(stream);
             // An error means that the caller has disconnected, so nobody can receive a response.
-            let _ = serve_connection(&Arc::new(stream), &options, handler.as_ref(), &lifecycle);
+            let _ =
+                connection::serve(&stream, &connections, &options, handler.as_ref(), &lifecycle);
         });
     // If the thread can't be started, the connection is dropped and the caller may retry elsewhere.
     drop(spawned);
 }
 
+/// Refuses a connection without waiting for its caller: other callers wait to be accepted.
+fn refuse_connection(stream: &TcpStream) {
+    let refusal = Refusal::retry_later(
+        Reason::TooManyConnections,
+        RETRY_AFTER_CONNECTIONS,
+        "every connection is taken",
+    );
+    let response = problem::response(&refusal, None);
+    // The kernel takes the whole response at once, as nothing was sent before.
+    let _ = stream.set_nonblocking(true);
+    let _ = respond::write_response(stream, &response, ConnectionAction::Close);
+}
+
 /// Decrements the count of connections or requests when dropped.
 pub struct CountGuard {
     lifecycle: Arc<Lifecycle>,
@@ -244,7 +240,7 @@
     }
 
     /// Counts a request and creates its guard.
-    fn request(lifecycle: &Arc<Lifecycle>) -> Self {
+    pub(crate) fn request(lifecycle: &Arc<Lifecycle>) -> Self {
         lifecycle.busy.fetch_add(1, Ordering::SeqCst);
         Self { lifecycle: Arc::clone(lifecycle), count: |l| &l.busy }
     }
@@ -255,131 +251,3 @@
         (self.count)(&self.lifecycle).fetch_sub(1, Ordering::SeqCst);
     }
 }
-
-fn serve_connection(
-    stream: &Arc<TcpStream>,
-    options: &ServerOptions,
-    handler: &dyn Handler,
-    lifecycle: &Arc<Lifecycle>,
-) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(options.write_timeout))?;
-    let mut rx = Receiver::new(Arc::clone(stream));
-    let mut connection_use = ConnectionUse::Fresh;
-    while await_request(&mut rx, options, lifecycle, connection_use)? {
-        connection_use = ConnectionUse::Used;
-        let _busy = CountGuard::request(lifecycle);
-        let req = match receive(&mut rx, stream, options) {
-            Ok(req) => req,
-            Err(refusal) => return refuse(&mut rx, stream, &refusal),
-        };
-        let close = !req.head.keep_alive || lifecycle.is_draining();
-        let after = if close { ConnectionAction::Close } else { ConnectionAction::KeepAlive };
-        if handler.handle(req, stream, after)? == ConnectionAction::Close {
-            return Ok(());
-        }
-    }
-    Ok(())
-}
-
-/// Whether a connection has served a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ConnectionUse {
-    Fresh,
-    Used,
-}
-
-/// Waits for the first byte of a request; returns `false` if the connection must be closed.
-///
-/// While the daemon drains, a used connection is closed between requests. A fresh connection stays
-/// open: the caller opened it without knowing of the drain and is about to send its request.
-fn await_request(
-    rx: &mut Receiver,
-    options: &ServerOptions,
-    lifecycle: &Lifecycle,
-    connection_use: ConnectionUse,
-) -> io::Result<bool> {
-    let until = BootInstant::now() + options.idle_timeout;
-    while rx.buffered().is_empty() {
-        let must_close = match connection_use {
-            ConnectionUse::Fresh => lifecycle.is_closed(),
-            ConnectionUse::Used if options.on_drain == DrainBehaviour::CloseIdle => {
-                lifecycle.is_draining()
-            }
-            ConnectionUse::Used => lifecycle.is_ending(),
-        };
-        if must_close || BootInstant::now() >= until {
-            return Ok(false);
-        }
-        rx.set_deadline(match options.on_drain {
-            DrainBehaviour::CloseIdle => IDLE_CHECK_INTERVAL,
-            DrainBehaviour::ServeIdle => DRAIN_CHECK_INTERVAL,
-        });
-        match rx.fill() {
-            Ok(0) => return Ok(false),
-            Ok(_) => {}
-            Err(e) if e.kind() == io::ErrorKind::TimedOut => {}
-            Err(e) => return Err(e),
-        }
-    }
-    Ok(true)
-}
-
-fn receive(
-    rx: &mut Receiver,
-    stream: &TcpStream,
-    options: &ServerOptions,
-) -> Result<Request, Refusal> {
-    rx.set_deadline(options.receive_timeout);
-    let head = receive_head(rx, options.max_head_bytes)?;
-    if head.expects_continue() {
-        respond::write_continue(stream)
-            .map_err(|_| Refusal::not_run(Reason::CallerLeft, "the caller left"))?;
-    }
-    rx.set_deadline(options.receive_timeout);
-    let body = body::read(rx, head.framing, options.max_body_bytes)?;
-    Ok(Request { head, body })
-}
-
-fn receive_head(rx: &mut Receiver, limit: u64) -> Result<Head, Refusal> {
-    loop {
-        if let Some((head, length)) = head::parse(rx.buffered())? {
-            if length as u64 > limit {
-                return Err(too_large(limit));
-            }
-            rx.consume(length);
-            return Ok(head);
-        }
-        if rx.buffered().len() as u64 >= limit {
-            return Err(too_large(limit));
-        }
-        match rx.fill() {
-            Ok(0) => return Err(Refusal::not_run(Reason::CallerLeft, "the head was cut off")),
-            Ok(_) => {}
-            Err(e) if e.kind() == io::ErrorKind::TimedOut => {
-                return Err(Refusal::not_run(Reason::SlowSender, "the head came too slowly"));
-            }
-            Err(_) => return Err(Refusal::not_run(Reason::CallerLeft, "the caller left")),
-        }
-    }
-}
-
-fn too_large(limit: u64) -> Refusal {
-    Refusal::not_run(Reason::HeadTooLarge, format!("a head may have {limit} bytes"))
-}
-
-/// Sends the refusal of a request that was not received completely and closes the connection.
-fn refuse(rx: &mut Receiver, stream: &TcpStream, refusal: &Refusal) -> io::Result<()> {
-    if refusal.reason == Reason::CallerLeft {
-        return Ok(());
-    }
-    respond::write_response(stream, &problem::response(refusal, None), ConnectionAction::Close)?;
-    stream.shutdown(std::net::Shutdown::Write)?;
-    // Closing a socket with unread bytes resets the connection, which discards the response.
-    rx.set_deadline(LINGER_TIMEOUT);
-    while let Ok(1..) = rx.fill() {
-        let n = rx.buffered().len();
-        rx.consume(n);
-    }
-    Ok(())
-}
