Memory: one account of the bodies that are received and under way

A daemon ran out of memory under clients that send long bodies at once and stop before their end, and under whole bodies at targets that read slowly.

Cause: each body was bounded, and all of them together by nothing. A body was read into a buffer that doubles, and held until its request ended.

Now each body reserves its bytes before it grows, in blocks that other bodies use again, and keeps them until its request has ended. All together hold a quarter of the smallest host's memory, of which a quarter is kept for bodies of up to 64 KiB; the longest body always finds room alone. If there is no room, the body that holds most and has made no progress for half a second gives way. A body that finds no room is refused with 503: no target has read a byte of it. If none can give way, that happens at once.

--- a/crates/tansyknot-core/src/refusal.rs
+++ b/crates/tansyknot-core/src/refusal.rs
@@ -88,6 +88,8 @@
     ShuttingDown = "shutting_down", 503, "The daemon is shutting down";
     /// The daemon has reached its limit of connections.
     TooManyConnections = "too_many_connections", 503, "The daemon has too many connections";
+    /// The daemon has no memory left for the body of the request.
+    NoMemory = "no_memory", 503, "The daemon has no memory for the request";
     /// The target closed the connection early or sent an invalid response.
     TargetFailed = "target_failed", 502, "The target did not give a whole answer";
     /// The caller's connection closed.
--- a/crates/tansyknot-edge/src/stage/admit.rs
+++ b/crates/tansyknot-edge/src/stage/admit.rs
@@ -18,7 +18,10 @@
     token_bucket::{TokenBucket, TokenBucketOptions},
 };
 
+use xxhash_rust::xxh3;
+
 use super::identify::IdentifiedRequest;
+use crate::http::body::Body;
 
 /// The `Retry-After` for a caller over its limit of requests in flight.
 const IN_FLIGHT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -120,7 +123,7 @@
     table: &dyn Table,
     req: &IdentifiedRequest,
     key: &str,
-    body: &[u8],
+    body: &Body,
     request: &RequestId,
     incarnation: &Incarnation,
     at_ms: u64,
@@ -159,9 +162,9 @@
     Refusal::retry_later(Reason::StoreUnavailable, STORE_RETRY_AFTER, e.to_string())
 }
 
-fn request_hash(req: &IdentifiedRequest, body: &[u8]) -> String {
-    let mut text = format!("{} {} ", req.service, req.path).into_bytes();
-    text.extend_from_slice(body);
-    let hash = xxhash_rust::xxh3::xxh3_128(&text);
-    format!("{hash:032x}")
+fn request_hash(req: &IdentifiedRequest, body: &Body) -> String {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(format!("{} {} ", req.service, req.path).as_bytes());
+    body.parts().for_each(|part| hasher.update(part));
+    format!("{:032x}", hasher.digest128())
 }
--- a/crates/tansyknot-edge/src/stage/attempt.rs
+++ b/crates/tansyknot-edge/src/stage/attempt.rs
@@ -1,12 +1,12 @@
 //! One attempt: sends the request to a target and reads the head of the response.
 
-use std::{sync::Arc, time::Duration};
+use std::{io::Read, sync::Arc, time::Duration};
 
 use tansyknot_core::{
     host::Target,
     name::{AttemptId, RequestId},
 };
-use ureq::http;
+use ureq::{SendBody, http};
 
 use super::identify::{IdentifiedRequest, ServiceKind};
 use crate::{
@@ -100,7 +100,8 @@
 }
 
 fn call(agent: &ureq::Agent, attempt: &Attempt<'_>) -> Result<TargetResponse, ureq::Error> {
-    let req = build(attempt)?;
+    let mut reader = attempt.req.body.reader();
+    let req = build(attempt, &mut reader)?;
     if attempt.req.body.is_empty() {
         let req = req.map(|_| ());
         let req = agent.configure_request(req).timeout_global(Some(attempt.time_left)).build();
@@ -109,7 +110,10 @@
     agent.run(agent.configure_request(req).timeout_global(Some(attempt.time_left)).build())
 }
 
-fn build<'a>(attempt: &Attempt<'a>) -> Result<http::Request<&'a [u8]>, ureq::Error> {
+fn build<'a>(
+    attempt: &Attempt<'_>,
+    reader: &'a mut dyn Read,
+) -> Result<http::Request<SendBody<'a>>, ureq::Error> {
     let uri = format!("http://{}{}", attempt.target.address, attempt.identified.path);
     let mut req = http::Request::builder().method(attempt.req.head.method.as_str()).uri(uri);
     let forwarded = head::end_to_end(&attempt.req.head.headers);
@@ -125,7 +129,10 @@
     if let Some(traceparent) = &attempt.traceparent {
         req = req.header("traceparent", traceparent);
     }
-    Ok(req.body(attempt.req.body.as_slice())?)
+    if !attempt.req.body.is_empty() {
+        req = req.header("content-length", attempt.req.body.len().to_string());
+    }
+    Ok(req.body(SendBody::from_reader(reader))?)
 }
 
 /// Distinguishes an engine's refusal to start a request from a response to relay.
--- a/crates/tansyknot-edge/src/stage/identify.rs
+++ b/crates/tansyknot-edge/src/stage/identify.rs
@@ -1,6 +1,6 @@
 //! Identification of a request: its caller, service, rule and deadline.
 
-use std::time::Duration;
+use std::{io::BufReader, time::Duration};
 
 use serde::Deserialize;
 use tansyknot_config::{
@@ -15,7 +15,7 @@
 };
 use tansyknot_policy::queue::Rank;
 
-use crate::http::{head::Head, server::Request};
+use crate::http::{body::Body, head::Head, server::Request};
 
 /// The `Retry-After` of a daemon that has no configuration yet.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -84,9 +84,8 @@
 
 /// The fields of a completion's body that the daemon reads.
 #[derive(Deserialize)]
-struct CompletionBody<'a> {
-    #[serde(borrow)]
-    model: std::borrow::Cow<'a, str>,
+struct CompletionBody {
+    model: String,
 }
 
 /// Returns the route for the method and path of a request.
@@ -183,19 +182,21 @@
     })
 }
 
-fn completion_model(body: &[u8]) -> Result<String, Refusal> {
-    let parsed: Result<CompletionBody<'_>, _> = serde_json::from_slice(body);
-    match parsed {
-        Ok(body) => Ok(body.model.into_owned()),
-        Err(e) => Err(Refusal::not_run(Reason::BadBody, e.to_string())),
-    }
+fn completion_model(body: &Body) -> Result<String, Refusal> {
+    let mut parts = body.parts();
+    let parsed: Result<CompletionBody, _> = match (parts.next(), parts.next()) {
+        (first, None) => serde_json::from_slice(first.unwrap_or_default()),
+        _ => serde_json::from_reader(BufReader::new(body.reader())),
+    };
+    parsed.map(|body| body.model).map_err(|e| Refusal::not_run(Reason::BadBody, e.to_string()))
 }
 
 /// Length of the prefix of a body that is hashed. It covers the system prompt and the first words.
 const PREFIX_BYTES: usize = 512;
 
-fn prefix_hash(body: &[u8]) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(&body[..body.len().min(PREFIX_BYTES)])
+fn prefix_hash(body: &Body) -> u64 {
+    let first = body.parts().next().unwrap_or_default();
+    xxhash_rust::xxh3::xxh3_64(&first[..first.len().min(PREFIX_BYTES)])
 }
 
 fn deadline(head: &Head, rule: &Rule, max: Duration) -> Result<Duration, Refusal> {
--- a/crates/tansyknot-edge/tests/support/mod.rs
+++ b/crates/tansyknot-edge/tests/support/mod.rs
@@ -282,6 +282,7 @@
     ServerOptions {
         max_head_bytes: 4096,
         max_body_bytes: 64 << 10,
+        memory: Arc::default(),
         max_connections: 64,
         receive_timeout: Duration::from_secs(5),
         idle_timeout: Duration::from_millis(300),
--- a/crates/tansyknot-fleet/examples/poison.rs
+++ b/crates/tansyknot-fleet/examples/poison.rs
@@ -39,7 +39,7 @@
 
 fn request(bytes: usize) -> Request {
     let (head, _) = head::parse(HEAD.as_bytes()).expect("a valid head").expect("a complete head");
-    Request { head, body: vec![7; bytes] }
+    Request { head, body: vec![7; bytes].into() }
 }
 
 /// Returns the state of a daemon that suspects `requests` requests, 64 for each crash.
--- a/crates/tansyknot-fleet/src/poison/key.rs
+++ b/crates/tansyknot-fleet/src/poison/key.rs
@@ -42,7 +42,7 @@
         for part in [&head.method, host, &head.target] {
             update(&mut hasher, part.as_bytes());
         }
-        hasher.update(&req.body);
+        req.body.parts().for_each(|part| hasher.update(part));
         Self(hasher.digest128() & !PART_BIT)
     }
 
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -48,7 +48,10 @@
     /// Sends a request to a target and relays the response.
     pub(super) fn send(&self, request: &mut ActiveRequest<'_>, target: &Target) -> SendOutcome {
         let head = self.request_head(request, target);
-        let body = if is_copied(request) { &[] } else { request.req.body.as_slice() };
+        let mut parts = vec![head.as_slice()];
+        if !is_copied(request) {
+            parts.extend(request.req.body.parts());
+        }
         let deadline = request.give_up_at();
         let began = self.state.now();
         let (events, transmissions) = (request.relay.events, request.transmissions);
@@ -58,7 +61,7 @@
         let connected = self.paths.connect(target, request.zones.as_ref(), deadline);
         let via = connected.as_ref().ok().and_then(TargetStream::via);
         let opened = connected
-            .and_then(|stream| Exchange::open(stream, &[&head, body], caller, deadline, &may_send));
+            .and_then(|stream| Exchange::open(stream, &parts, caller, deadline, &may_send));
         let outcome = match opened {
             Ok(exchange) => {
                 let software = target.software.as_ref().map_or("unknown", SoftwareVersion::as_str);
@@ -126,8 +129,8 @@
             sender: request.identity.sender(),
             resume_after: request.relay.last_id.as_deref(),
         };
-        let copied = if is_copied(request) { request.req.body.as_slice() } else { &[] };
-        let mut buf = Vec::with_capacity(512 + copied.len());
+        let copied_len = if is_copied(request) { request.req.body.len() } else { 0 };
+        let mut buf = Vec::with_capacity(512 + copied_len);
         buf.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
         for (name, value) in self.dialect.forward(head, &forward) {
             buf.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
@@ -138,7 +141,9 @@
             );
         }
         buf.extend_from_slice(b"\r\n");
-        buf.extend_from_slice(copied);
+        if is_copied(request) {
+            request.req.body.parts().for_each(|part| buf.extend_from_slice(part));
+        }
         buf
     }
 
--- a/crates/tansyknot-fleet/tests/poison_key.rs
+++ b/crates/tansyknot-fleet/tests/poison_key.rs
@@ -17,7 +17,7 @@
     let (head, _) = head::parse(text.as_bytes())
         .expect("the head is well-formed")
         .expect("the head is complete");
-    Request { head, body: body.as_bytes().to_vec() }
+    Request { head, body: body.as_bytes().to_vec().into() }
 }
 
 #[test]
--- a/crates/tansyknot-http/src/body.rs
+++ b/crates/tansyknot-http/src/body.rs
@@ -1,32 +1,256 @@
-//! Reads the body of a request up to a size limit.
+//! The body of a request, and its receipt up to a size limit and within the daemon's memory.
 
-use std::io::{self, Read};
+use std::{
+    borrow::Cow,
+    fmt,
+    io::{self, Read},
+    mem,
+    net::TcpStream,
+    sync::Arc,
+    time::Duration,
+};
 
 use tansyknot_core::refusal::{Reason, Refusal};
 
-use crate::{chunked::ChunkedReader, head::Framing, receive::Receiver};
+use crate::{
+    chunked::ChunkedReader,
+    head::Framing,
+    memory::{BLOCK_BYTES, NoRoom, PROGRESS_BYTES, RequestMemory, Reservation},
+    receive::Receiver,
+};
+
+/// Bodies up to this length consist of one part of their own size, longer ones of blocks.
+const SHORT_BODY_BYTES: usize = 4 << 10;
+/// `Retry-After` of a request for which no memory is left.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_secs(1);
+
+/// The body of a request, in parts.
+#[derive(Default)]
+pub struct Body {
+    parts: Vec<Part>,
+    length: usize,
+    /// `None` for bodies that were not received from a caller.
+    reservation: Option<Reservation>,
+}
+
+struct Part {
+    bytes: Box<[u8]>,
+    length: usize,
+}
+
+impl Body {
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether the body has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns the parts, in order.
+    pub fn parts(&self) -> impl Iterator<Item = &[u8]> {
+        self.parts.iter().map(|part| &part.bytes[..part.length])
+    }
+
+    /// Returns a reader of the bytes.
+    pub fn reader(&self) -> impl Read {
+        Parts(self.parts().collect())
+    }
+
+    /// Returns the bytes in one piece, which is a copy if the body has several parts.
+    pub fn contiguous(&self) -> Cow<'_, [u8]> {
+        match &self.parts[..] {
+            [] => Cow::Borrowed(&[]),
+            [part] => Cow::Borrowed(&part.bytes[..part.length]),
+            _ => Cow::Owned(self.parts().collect::<Vec<_>>().concat()),
+        }
+    }
+
+    /// Returns the room for further bytes in the last part, if there is any.
+    fn vacant(&mut self) -> Option<&mut [u8]> {
+        let part = self.parts.last_mut().filter(|part| part.length < part.bytes.len())?;
+        Some(&mut part.bytes[part.length..])
+    }
+
+    /// Adds the first `n` bytes of the vacant room to the body.
+    fn extend(&mut self, n: usize) {
+        if let Some(part) = self.parts.last_mut() {
+            part.length += n;
+            self.length += n;
+        }
+    }
+}
+
+impl From<Vec<u8>> for Body {
+    fn from(bytes: Vec<u8>) -> Self {
+        let length = bytes.len();
+        let part = Part { bytes: bytes.into_boxed_slice(), length };
+        Self { parts: vec![part], length, reservation: None }
+    }
+}
+
+impl PartialEq for Body {
+    fn eq(&self, other: &Self) -> bool {
+        self.contiguous() == other.contiguous()
+    }
+}
+
+impl Eq for Body {}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Body").field("length", &self.length).finish_non_exhaustive()
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.release(mem::take(&mut self.parts).into_iter().map(|part| part.bytes));
+        }
+    }
+}
+
+/// Reads slices one after the other.
+struct Parts<'a>(Vec<&'a [u8]>);
+
+impl Read for Parts<'_> {
+    fn read(&mut self, out: &mut [u8]) -> io::Result<usize> {
+        let mut read = 0;
+        while let Some(part) = self.0.first_mut()
+            && read < out.len()
+        {
+            read += part.read(&mut out[read..])?;
+            if part.is_empty() {
+                self.0.remove(0);
+            }
+        }
+        Ok(read)
+    }
+}
 
 /// Reads the entire body.
 ///
 /// # Errors
 ///
-/// Fails if the body is longer than `limit`, arrives too slowly, is malformed or ends early.
-pub fn read(rx: &mut Receiver, framing: Framing, limit: u64) -> Result<Vec<u8>, Refusal> {
+/// Fails if the body is longer than `limit`, arrives too slowly, is malformed, ends early or finds no
+/// room in `memory`.
+pub(crate) fn read(
+    rx: &mut Receiver,
+    framing: Framing,
+    limit: u64,
+    memory: &Arc<RequestMemory>,
+    stream: &Arc<TcpStream>,
+) -> Result<Body, Refusal> {
     match framing {
-        Framing::None => Ok(Vec::new()),
+        Framing::None | Framing::Length(0) => Ok(Body::default()),
         Framing::Length(length) if length > limit => Err(too_large(limit)),
         Framing::Length(length) => {
-            let mut body = Vec::new();
-            let n = rx.take(length).read_to_end(&mut body).map_err(|e| read_refusal(&e))?;
-            if n as u64 == length { Ok(body) } else { Err(truncated()) }
+            let is_received = rx.buffered().len() as u64 >= length;
+            let reservation = match is_received {
+                true => Reservation::new(memory),
+                false => Reservation::receiving(memory, stream),
+            };
+            let length = usize::try_from(length).map_err(|_| too_large(limit))?;
+            let mut receipt = Receipt::new(reservation, limit);
+            receipt.reserve(length)?;
+            receipt.read_to_end(&mut rx.take(length as u64))?;
+            if receipt.body.length == length { receipt.end() } else { Err(truncated()) }
         }
         Framing::Chunked => {
-            let mut body = Vec::new();
-            let reader = ChunkedReader::new(rx);
-            reader.take(limit + 1).read_to_end(&mut body).map_err(|e| read_refusal(&e))?;
-            if body.len() as u64 > limit { Err(too_large(limit)) } else { Ok(body) }
+            let mut receipt = Receipt::new(Reservation::receiving(memory, stream), limit);
+            receipt.read_to_end(&mut ChunkedReader::new(rx))?;
+            receipt.end()
+        }
+    }
+}
+
+/// A body that is being received. Its parts are dropped before their reservation.
+struct Receipt {
+    body: Body,
+    reservation: Reservation,
+    limit: u64,
+    /// The bytes that are reserved and not yet part of the body.
+    reserved: usize,
+    /// The length of the body when progress was last recorded.
+    recorded: usize,
+}
+
+impl Receipt {
+    fn new(reservation: Reservation, limit: u64) -> Self {
+        Self { body: Body::default(), reservation, limit, reserved: 0, recorded: 0 }
+    }
+
+    /// Reserves the bytes of a body whose length is known.
+    fn reserve(&mut self, length: usize) -> Result<(), Refusal> {
+        let bytes = match length {
+            ..=SHORT_BODY_BYTES => length,
+            _ => length.next_multiple_of(BLOCK_BYTES),
+        };
+        self.reservation.grow(bytes as u64).map_err(|NoRoom| no_memory())?;
+        self.reserved = bytes;
+        Ok(())
+    }
+
+    /// Adds a part of reserved bytes, which are reserved first if there are none left.
+    fn add_part(&mut self) -> Result<(), Refusal> {
+        if self.reserved == 0 {
+            let is_first = self.body.parts.is_empty();
+            self.reserve(if is_first { SHORT_BODY_BYTES } else { BLOCK_BYTES })?;
+        }
+        let bytes = match self.reserved {
+            n @ ..=SHORT_BODY_BYTES => vec![0; n].into_boxed_slice(),
+            _ => self.reservation.block(),
+        };
+        self.reserved -= bytes.len();
+        self.body.parts.push(Part { bytes, length: 0 });
+        Ok(())
+    }
+
+    /// Reads the body until `reader` ends.
+    fn read_to_end(&mut self, reader: &mut impl Read) -> Result<(), Refusal> {
+        loop {
+            if self.body.vacant().is_none() && self.reserved > 0 {
+                self.add_part()?;
+            }
+            // Without a vacant part, a byte shows whether another one is needed.
+            let mut probe = [0];
+            let vacant = self.body.vacant();
+            let is_probe = vacant.is_none();
+            let read = reader.read(vacant.unwrap_or(&mut probe));
+            let n = match read {
+                _ if self.reservation.is_evicted() => return Err(no_memory()),
+                Ok(0) => return Ok(()),
+                Ok(n) => n,
+                Err(e) => return Err(read_refusal(&e)),
+            };
+            if (self.body.length + n) as u64 > self.limit {
+                return Err(too_large(self.limit));
+            }
+            if is_probe {
+                self.add_part()?;
+                self.body.vacant().expect("a new part is vacant")[0] = probe[0];
+            }
+            self.body.extend(n);
+            self.record_progress();
         }
     }
+
+    fn record_progress(&mut self) {
+        if (self.body.length - self.recorded) as u64 >= PROGRESS_BYTES {
+            self.recorded = self.body.length;
+            self.reservation.record_progress();
+        }
+    }
+
+    /// Returns the whole body with its reservation.
+    fn end(mut self) -> Result<Body, Refusal> {
+        self.reservation.end_receipt().map_err(|NoRoom| no_memory())?;
+        self.body.reservation = Some(self.reservation);
+        Ok(self.body)
+    }
 }
 
 fn too_large(limit: u64) -> Refusal {
@@ -37,6 +261,11 @@
     Refusal::not_run(Reason::CallerLeft, "the body was cut off")
 }
 
+fn no_memory() -> Refusal {
+    let detail = "other requests hold the daemon's memory";
+    Refusal::retry_later(Reason::NoMemory, RETRY_AFTER_NO_MEMORY, detail)
+}
+
 fn read_refusal(e: &io::Error) -> Refusal {
     match e.kind() {
         io::ErrorKind::TimedOut => Refusal::not_run(Reason::SlowSender, "the body came too slowly"),
--- a/crates/tansyknot-http/src/connection.rs
+++ b/crates/tansyknot-http/src/connection.rs
@@ -114,7 +114,7 @@
 
 fn receive(
     rx: &mut Receiver,
-    stream: &TcpStream,
+    stream: &Arc<TcpStream>,
     options: &ServerOptions,
 ) -> Result<Request, Refusal> {
     rx.set_deadline(options.receive_timeout);
@@ -124,7 +124,7 @@
             .map_err(|_| Refusal::not_run(Reason::CallerLeft, "the caller left"))?;
     }
     rx.set_deadline(options.receive_timeout);
-    let body = body::read(rx, head.framing, options.max_body_bytes)?;
+    let body = body::read(rx, head.framing, options.max_body_bytes, &options.memory, stream)?;
     Ok(Request { head, body })
 }
 
--- a/crates/tansyknot-http/src/lib.rs
+++ b/crates/tansyknot-http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod disconnect;
 pub mod events;
 pub mod head;
+pub mod memory;
 pub mod problem;
 pub mod receive;
 pub mod respond;
--- /dev/null
+++ b/crates/tansyknot-http/src/memory.rs
@@ -0,0 +1,268 @@
+//! Bounds the bytes of requests that a daemon holds, from the first byte of a body until its request
+//! has ended.
+//!
+//! Each body reserves its bytes before it grows. If they are not there, the body that holds most and
+//! makes no progress gives way: clients that stop in the middle of a body would otherwise keep the
+//! memory of all others.
+
+use std::{
+    collections::BTreeMap,
+    mem,
+    net::{Shutdown, TcpStream},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tansyknot_core::clock::BootInstant;
+
+/// The size of the blocks that long bodies consist of. Freed blocks are kept for other bodies, as the
+/// allocator does not reuse the memory of one thread for another one.
+pub(crate) const BLOCK_BYTES: usize = 32 << 10;
+/// Bodies up to this length may use the part of the total that longer ones can't take.
+const SMALL_BODY_BYTES: u64 = 64 << 10;
+/// One in so many bytes of the total is kept for small bodies.
+const SMALL_BODY_DIVISOR: u64 = 4;
+/// A body that receives less than [`PROGRESS_BYTES`] in this time makes no progress.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The number of bytes that count as progress of a body.
+pub(crate) const PROGRESS_BYTES: u64 = 4 << 10;
+/// How long a body waits for others to give way; long enough to find out that they are stalled.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(1000);
+/// How often a body that waits looks for others that have become stalled.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The total of a daemon without settings: a quarter of the smallest host's memory.
+const DEFAULT_TOTAL_BYTES: u64 = 30 << 20;
+/// The longest body of a daemon without settings.
+const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
+
+/// The error of a body for which no room is left, or that has given way to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NoRoom;
+
+/// The bytes of all requests that a daemon holds.
+#[derive(Debug)]
+pub struct RequestMemory {
+    total_bytes: u64,
+    state: Mutex<State>,
+    released: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    held_bytes: u64,
+    peak_bytes: u64,
+    evictions: u64,
+    next_ticket: u64,
+    /// The bodies that are being received.
+    receiving: BTreeMap<u64, ReceivingBody>,
+    free_blocks: Vec<Box<[u8]>>,
+}
+
+#[derive(Debug)]
+struct ReceivingBody {
+    stream: Arc<TcpStream>,
+    bytes: u64,
+    progress_at: BootInstant,
+    is_evicted: bool,
+}
+
+impl Default for RequestMemory {
+    fn default() -> Self {
+        Self::new(DEFAULT_TOTAL_BYTES, DEFAULT_MAX_BODY_BYTES)
+    }
+}
+
+impl RequestMemory {
+    /// Creates a bound of `total_bytes`. It is raised if the longest body would find no room in it.
+    pub fn new(total_bytes: u64, max_body_bytes: u64) -> Self {
+        let block = BLOCK_BYTES as u64;
+        let longest = max_body_bytes.div_ceil(block).saturating_add(1).saturating_mul(block);
+        // What longer bodies can take of the total.
+        let needed = longest.saturating_add(longest / (SMALL_BODY_DIVISOR - 1) + 1);
+        Self {
+            total_bytes: total_bytes.max(needed),
+            state: Mutex::default(),
+            released: Condvar::new(),
+        }
+    }
+
+    /// Returns the bytes that requests hold.
+    pub fn held_bytes(&self) -> u64 {
+        self.state().held_bytes
+    }
+
+    /// Returns the most bytes that requests have ever held.
+    pub fn peak_bytes(&self) -> u64 {
+        self.state().peak_bytes
+    }
+
+    /// Returns the number of bodies that have given way to others.
+    pub fn evictions(&self) -> u64 {
+        self.state().evictions
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the bytes that all requests together may hold once a body holds `bytes`.
+    fn limit(&self, bytes: u64) -> u64 {
+        if bytes <= SMALL_BODY_BYTES {
+            self.total_bytes
+        } else {
+            self.total_bytes - self.total_bytes / SMALL_BODY_DIVISOR
+        }
+    }
+}
+
+impl State {
+    /// Returns whether `ticket` is the one of a body that has given way.
+    fn is_evicted(&self, ticket: Option<u64>) -> bool {
+        ticket.and_then(|ticket| self.receiving.get(&ticket)).is_some_and(|body| body.is_evicted)
+    }
+
+    fn has_others(&self, ticket: Option<u64>) -> bool {
+        self.receiving.keys().any(|other| Some(*other) != ticket)
+    }
+
+    /// Lets the stalled body that holds most give way, unless one is about to.
+    fn evict_stalled(&mut self, ticket: Option<u64>, now: BootInstant) {
+        if self.receiving.values().any(|body| body.is_evicted) {
+            return;
+        }
+        let others = self.receiving.iter_mut().filter(|(other, _)| Some(**other) != ticket);
+        let stalled = others
+            .map(|(_, body)| body)
+            .filter(|body| body.bytes > 0)
+            .filter(|body| now.duration_since(body.progress_at) >= STALL_TIMEOUT);
+        if let Some(body) = stalled.max_by_key(|body| body.bytes) {
+            body.is_evicted = true;
+            self.evictions += 1;
+            // Wakes the thread that waits for bytes. The call fails if the caller has left, which
+            // also wakes it.
+            let _ = body.stream.shutdown(Shutdown::Read);
+        }
+    }
+}
+
+/// The bytes that one request holds; they are released when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    memory: Arc<RequestMemory>,
+    bytes: u64,
+    /// Identifies the body while it is being received.
+    ticket: Option<u64>,
+}
+
+impl Reservation {
+    /// Creates a reservation of no bytes for a whole body.
+    pub(crate) fn new(memory: &Arc<RequestMemory>) -> Self {
+        Self { memory: Arc::clone(memory), bytes: 0, ticket: None }
+    }
+
+    /// Creates a reservation of no bytes for a body that is being received from `stream`, and that
+    /// gives way if it is stalled.
+    pub(crate) fn receiving(memory: &Arc<RequestMemory>, stream: &Arc<TcpStream>) -> Self {
+        let mut state = memory.state();
+        let ticket = state.next_ticket;
+        state.next_ticket += 1;
+        let body = ReceivingBody {
+            stream: Arc::clone(stream),
+            bytes: 0,
+            progress_at: BootInstant::now(),
+            is_evicted: false,
+        };
+        state.receiving.insert(ticket, body);
+        drop(state);
+        Self { memory: Arc::clone(memory), bytes: 0, ticket: Some(ticket) }
+    }
+
+    /// Reserves `more` bytes. Waits if other bodies may give way, and fails at once if none can.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room, or if this body has given way itself.
+    pub(crate) fn grow(&mut self, more: u64) -> Result<(), NoRoom> {
+        let memory = Arc::clone(&self.memory);
+        let limit = memory.limit(self.bytes + more);
+        let until = BootInstant::now() + ROOM_TIMEOUT;
+        let mut state = memory.state();
+        loop {
+            if state.is_evicted(self.ticket) {
+                return Err(NoRoom);
+            }
+            if state.held_bytes + more <= limit {
+                break;
+            }
+            let now = BootInstant::now();
+            if now >= until || !state.has_others(self.ticket) {
+                return Err(NoRoom);
+            }
+            state.evict_stalled(self.ticket, now);
+            let waited = memory.released.wait_timeout(state, STALL_CHECK_INTERVAL);
+            (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        }
+        state.held_bytes += more;
+        state.peak_bytes = state.peak_bytes.max(state.held_bytes);
+        self.bytes += more;
+        let body = self.ticket.and_then(|ticket| state.receiving.get_mut(&ticket));
+        if let Some(body) = body {
+            body.bytes = self.bytes;
+            body.progress_at = BootInstant::now();
+        }
+        Ok(())
+    }
+
+    /// Records that the body has received [`PROGRESS_BYTES`] more.
+    pub(crate) fn record_progress(&self) {
+        let mut state = self.memory.state();
+        let body = self.ticket.and_then(|ticket| state.receiving.get_mut(&ticket));
+        if let Some(body) = body {
+            body.progress_at = BootInstant::now();
+        }
+    }
+
+    /// Returns whether the body has given way to another one.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.memory.state().is_evicted(self.ticket)
+    }
+
+    /// Ends the receipt: the body no longer gives way.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has given way already, so that its connection can't be used any more.
+    pub(crate) fn end_receipt(&mut self) -> Result<(), NoRoom> {
+        let Some(ticket) = self.ticket.take() else { return Ok(()) };
+        let body = self.memory.state().receiving.remove(&ticket);
+        if body.is_some_and(|body| body.is_evicted) { Err(NoRoom) } else { Ok(()) }
+    }
+
+    /// Returns a block of the bytes that are reserved.
+    pub(crate) fn block(&self) -> Box<[u8]> {
+        let block = self.memory.state().free_blocks.pop();
+        block.unwrap_or_else(|| vec![0; BLOCK_BYTES].into_boxed_slice())
+    }
+
+    /// Releases all bytes, and keeps those of `blocks` that other bodies can use.
+    pub(crate) fn release(&mut self, blocks: impl Iterator<Item = Box<[u8]>>) {
+        let bytes = mem::take(&mut self.bytes);
+        let mut state = self.memory.state();
+        state.free_blocks.extend(blocks.filter(|block| block.len() == BLOCK_BYTES));
+        state.held_bytes -= bytes;
+        if let Some(ticket) = self.ticket.take() {
+            state.receiving.remove(&ticket);
+        }
+        drop(state);
+        self.memory.released.notify_all();
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if self.bytes > 0 || self.ticket.is_some() {
+            self.release(std::iter::empty());
+        }
+    }
+}
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -14,9 +14,11 @@
 use tansyknot_core::refusal::{Reason, Refusal};
 
 use crate::{
+    body::Body,
     connection,
     connections::Connections,
     head::Head,
+    memory::RequestMemory,
     problem,
     respond::{self, ConnectionAction},
 };
@@ -33,6 +35,8 @@
     pub max_head_bytes: u64,
     /// Maximum length of a body, in bytes.
     pub max_body_bytes: u64,
+    /// The bytes of requests that the daemon may hold, shared by its listeners.
+    pub memory: Arc<RequestMemory>,
     /// Maximum number of concurrent connections.
     pub max_connections: u32,
     /// Timeout for receiving a head or a body.
@@ -56,12 +60,12 @@
 }
 
 /// A received request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub struct Request {
     /// The head.
     pub head: Head,
     /// The complete body.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 /// Responds to requests.
--- a/crates/tansyknot-standins/src/engine.rs
+++ b/crates/tansyknot-standins/src/engine.rs
@@ -317,7 +317,7 @@
         };
         let priority = req.head.header("x-priority").and_then(|p| p.parse().ok()).unwrap_or(0);
         let _permit = self.permits.acquire(priority);
-        self.cache.store(prefix_hash(&req.body));
+        self.cache.store(prefix_hash(&req.body.contiguous()));
         let attempt = req.head.header("x-attempt-id").unwrap_or("none").to_owned();
         let request = req.head.header("x-request-id").unwrap_or("none").to_owned();
         self.executed.lock().expect("no holder of the lock panics").requests.push(request);
--- a/crates/tansyknot-standins/src/plain.rs
+++ b/crates/tansyknot-standins/src/plain.rs
@@ -68,7 +68,7 @@
             return server::json(stream, after, 200, &runs);
         }
         let faults = self.faults.lock().expect("no holder of the lock panics").clone();
-        let body = String::from_utf8_lossy(&req.body).into_owned();
+        let body = String::from_utf8_lossy(&req.body.contiguous()).into_owned();
         let runs = {
             let mut runs = self.runs.lock().expect("no holder of the lock panics");
             let count = runs.entry(body).or_default();
--- a/crates/tansyknot-standins/src/server.rs
+++ b/crates/tansyknot-standins/src/server.rs
@@ -49,6 +49,7 @@
     let options = ServerOptions {
         max_head_bytes: 64 << 10,
         max_body_bytes: 64 << 20,
+        memory: Arc::default(),
         max_connections: 8192,
         receive_timeout: Duration::from_secs(10),
         idle_timeout: Duration::from_secs(300),
@@ -87,7 +88,7 @@
 ///
 /// Fails if the body is not a document of type `T`.
 pub fn parse_body<T: DeserializeOwned>(req: &Request) -> io::Result<T> {
-    serde_json::from_slice(&req.body).map_err(io::Error::from)
+    serde_json::from_slice(&req.body.contiguous()).map_err(io::Error::from)
 }
 
 /// Returns the value of a query parameter with `%XX` and `+` decoded, or an empty string.
--- a/crates/tansyknotd/src/daemon.rs
+++ b/crates/tansyknotd/src/daemon.rs
@@ -351,6 +351,7 @@
     let options = ServerOptions {
         max_head_bytes: limits.head.get(),
         max_body_bytes: limits.body.get(),
+        memory: Arc::default(),
         max_connections: limits.connections,
         receive_timeout: limits.receive_timeout.duration(),
         idle_timeout: limits.idle_timeout.duration(),
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -269,6 +269,7 @@
     ServerOptions {
         max_head_bytes: limits.head.get(),
         max_body_bytes: limits.body.get(),
+        memory: Arc::default(),
         max_connections: limits.connections,
         receive_timeout: limits.receive_timeout.duration(),
         idle_timeout: limits.idle_timeout.duration(),
