Connections: the kernel's receive buffers are bounded

Bytes that callers send and the daemon does not read count as its memory: those behind a request that waits for a target, and those of a body that waits for room. Buffers grew up to several megabytes a connection.

Cause: the send side and targets' side had a bound, the side towards callers had none. Listeners now set it, for callers and for other daemons. For a body of more than 64 KiB the buffer is enlarged, which the account of bytes includes, and restored after it.

The longest body alone is served.

--- a/crates/tansyknot-fleet/src/peer_listener.rs
+++ b/crates/tansyknot-fleet/src/peer_listener.rs
@@ -10,7 +10,7 @@
     thread,
 };
 
-use tansyknot_http::server;
+use tansyknot_http::{receive, server};
 
 use crate::{
     snapshot::tcp::SnapshotServer,
@@ -41,6 +41,9 @@
     ///
     /// Returns an error if the listener fails.
     pub fn serve(self: &Arc<Self>, listener: &TcpListener) -> io::Result<()> {
+        if let Err(e) = receive::limit_buffers(listener) {
+            log::warn!("the buffers of other daemons' connections are not limited: {e}");
+        }
         loop {
             match listener.accept() {
                 Ok((stream, from)) => self.spawn(stream, from),
--- a/crates/tansyknot-fleet/src/tunnel/server.rs
+++ b/crates/tansyknot-fleet/src/tunnel/server.rs
@@ -169,7 +169,7 @@
 fn forward(daemon: &TcpStream, target: &TcpStream, max_duration: Duration) -> io::Result<()> {
     let deadline = BootInstant::now() + max_duration;
     connection::configure(target, max_duration)?;
-    daemon.set_write_timeout(Some(max_duration.max(REPLY_TIMEOUT)))?;
+    connection::configure(daemon, max_duration.max(REPLY_TIMEOUT))?;
     let mut buf = vec![0; MAX_FRAME_BYTES];
     loop {
         let left = deadline.duration_since(BootInstant::now());
--- a/crates/tansyknot-http/src/body.rs
+++ b/crates/tansyknot-http/src/body.rs
@@ -15,8 +15,8 @@
 use crate::{
     chunked::ChunkedReader,
     head::Framing,
-    memory::{BLOCK_BYTES, NoRoom, PROGRESS_BYTES, RequestMemory, Reservation},
-    receive::Receiver,
+    memory::{BLOCK_BYTES, NoRoom, PROGRESS_BYTES, RequestMemory, Reservation, SMALL_BODY_BYTES},
+    receive::{self, ENLARGED_BUFFER_BYTES, Receiver},
 };
 
 /// Bodies up to this length consist of one part of their own size, longer ones of blocks.
@@ -154,13 +154,13 @@
                 false => Reservation::receiving(memory, stream),
             };
             let length = usize::try_from(length).map_err(|_| too_large(limit))?;
-            let mut receipt = Receipt::new(reservation, limit);
+            let mut receipt = Receipt::new(reservation, stream, limit);
             receipt.reserve(length)?;
             receipt.read_to_end(&mut rx.take(length as u64))?;
             if receipt.body.length == length { receipt.end() } else { Err(truncated()) }
         }
         Framing::Chunked => {
-            let mut receipt = Receipt::new(Reservation::receiving(memory, stream), limit);
+            let mut receipt = Receipt::new(Reservation::receiving(memory, stream), stream, limit);
             receipt.read_to_end(&mut ChunkedReader::new(rx))?;
             receipt.end()
         }
@@ -168,9 +168,12 @@
 }
 
 /// A body that is being received. Its parts are dropped before their reservation.
-struct Receipt {
+struct Receipt<'a> {
     body: Body,
     reservation: Reservation,
+    stream: &'a TcpStream,
+    /// Whether the kernel's buffer is enlarged, as the body is a long one.
+    has_large_buffer: bool,
     limit: u64,
     /// The bytes that are reserved and not yet part of the body.
     reserved: usize,
@@ -178,9 +181,17 @@
     recorded: usize,
 }
 
-impl Receipt {
-    fn new(reservation: Reservation, limit: u64) -> Self {
-        Self { body: Body::default(), reservation, limit, reserved: 0, recorded: 0 }
+impl<'a> Receipt<'a> {
+    fn new(reservation: Reservation, stream: &'a TcpStream, limit: u64) -> Self {
+        Self {
+            body: Body::default(),
+            reservation,
+            stream,
+            has_large_buffer: false,
+            limit,
+            reserved: 0,
+            recorded: 0,
+        }
     }
 
     /// Reserves the bytes of a body whose length is known.
@@ -189,7 +200,15 @@
             ..=SHORT_BODY_BYTES => length,
             _ => length.next_multiple_of(BLOCK_BYTES),
         };
-        self.reservation.grow(bytes as u64).map_err(|NoRoom| no_memory())?;
+        let is_long = (self.body.length + bytes) as u64 > SMALL_BODY_BYTES;
+        if is_long && !self.has_large_buffer {
+            let bytes = bytes as u64 + ENLARGED_BUFFER_BYTES;
+            self.reservation.grow(bytes).map_err(|NoRoom| no_memory())?;
+            receive::enlarge_buffer(self.stream);
+            self.has_large_buffer = true;
+        } else {
+            self.reservation.grow(bytes as u64).map_err(|NoRoom| no_memory())?;
+        }
         self.reserved = bytes;
         Ok(())
     }
@@ -249,6 +268,9 @@
     /// Returns the whole body with its reservation.
     fn end(mut self) -> Result<Body, Refusal> {
         self.reservation.end_receipt().map_err(|NoRoom| no_memory())?;
+        if self.has_large_buffer {
+            receive::restore_buffer(self.stream);
+        }
         self.body.reservation = Some(self.reservation);
         Ok(self.body)
     }
--- a/crates/tansyknot-http/src/memory.rs
+++ b/crates/tansyknot-http/src/memory.rs
@@ -15,11 +15,13 @@
 
 use tansyknot_core::clock::BootInstant;
 
+use crate::receive::ENLARGED_BUFFER_BYTES;
+
 /// The size of the blocks that long bodies consist of. Freed blocks are kept for other bodies, as the
 /// allocator does not reuse the memory of one thread for another one.
 pub(crate) const BLOCK_BYTES: usize = 32 << 10;
 /// Bodies up to this length may use the part of the total that longer ones can't take.
-const SMALL_BODY_BYTES: u64 = 64 << 10;
+pub(crate) const SMALL_BODY_BYTES: u64 = 64 << 10;
 /// One in so many bytes of the total is kept for small bodies.
 const SMALL_BODY_DIVISOR: u64 = 4;
 /// A body that receives less than [`PROGRESS_BYTES`] in this time makes no progress.
@@ -78,6 +80,7 @@
     pub fn new(total_bytes: u64, max_body_bytes: u64) -> Self {
         let block = BLOCK_BYTES as u64;
         let longest = max_body_bytes.div_ceil(block).saturating_add(1).saturating_mul(block);
+        let longest = longest.saturating_add(ENLARGED_BUFFER_BYTES);
         // What longer bodies can take of the total.
         let needed = longest.saturating_add(longest / (SMALL_BODY_DIVISOR - 1) + 1);
         Self {
--- a/crates/tansyknot-http/src/receive.rs
+++ b/crates/tansyknot-http/src/receive.rs
@@ -2,15 +2,43 @@
 
 use std::{
     io::{self, Read},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     sync::Arc,
     time::Duration,
 };
 
+use rustix::net::sockopt;
 use tansyknot_core::clock::BootInstant;
 
 /// Size of one read from the socket, in bytes.
 const READ_SIZE: usize = 4096;
+/// The size of the kernel's buffer for bytes that a caller has sent and the daemon has not read; Linux
+/// uses twice as much. Without a limit, the buffer of each connection grows to several megabytes.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// The same size while a long body is received. It allows 50 Mbit/s at a round trip of 10 ms.
+const LONG_BODY_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// What the kernel's buffer may hold once it was enlarged for a long body.
+pub(crate) const ENLARGED_BUFFER_BYTES: u64 = 2 * LONG_BODY_RECEIVE_BUFFER_BYTES as u64;
+
+/// Bounds the kernel's buffers of the connections that `listener` accepts from now on.
+///
+/// # Errors
+///
+/// Fails if the system does not accept the size.
+pub fn limit_buffers(listener: &TcpListener) -> io::Result<()> {
+    Ok(sockopt::set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES)?)
+}
+
+/// Enlarges the kernel's buffer of a connection for a long body.
+pub(crate) fn enlarge_buffer(stream: &TcpStream) {
+    // The body arrives in a smaller buffer as well, only more slowly.
+    let _ = sockopt::set_socket_recv_buffer_size(stream, LONG_BODY_RECEIVE_BUFFER_BYTES);
+}
+
+/// Restores the kernel's buffer of a connection after a long body.
+pub(crate) fn restore_buffer(stream: &TcpStream) {
+    let _ = sockopt::set_socket_recv_buffer_size(stream, RECEIVE_BUFFER_BYTES);
+}
 
 /// Where a receiver reads from.
 pub trait Source {
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -19,7 +19,7 @@
     connections::Connections,
     head::Head,
     memory::RequestMemory,
-    problem,
+    problem, receive,
     respond::{self, ConnectionAction},
 };
 
@@ -152,6 +152,9 @@
     handler: &Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
 ) -> io::Result<()> {
+    if let Err(e) = receive::limit_buffers(listener) {
+        log::warn!("the buffers of callers' connections are not limited: {e}");
+    }
     let connections = Arc::new(Connections::new(options.max_connections));
     while !lifecycle.is_closed() {
         let (stream, _) = match listener.accept() {
--- a/crates/tansyknotd/tests/client_crowds.rs
+++ b/crates/tansyknotd/tests/client_crowds.rs
@@ -27,6 +27,8 @@
 /// Clients that each send a body of a medium size.
 const MEDIUM_BODIES: usize = 640;
 const MEDIUM_BODY_BYTES: usize = 256 << 10;
+/// Clients whose requests, and the bytes behind them, wait for a target.
+const WAITING_REQUESTS: usize = 900;
 /// The body that is sent in tiny chunks.
 const SMALL_BODY_BYTES: usize = 64 << 10;
 /// The connections that the daemon of a crowd of connections accepts.
@@ -251,6 +253,20 @@
     assert!(most.bytes <= HOST_BYTES, "{most:?}");
 }
 
+/// Bytes that follow requests, which the daemon does not read while these wait for a target.
+#[test]
+fn crowd_of_bytes_behind_requests() {
+    let _alone = crowd::run_alone();
+    let mut world = World::start("crowd-behind", "");
+    world.plain.publish_address(start_target_that_reads_nothing());
+    let watch = world.watch();
+    let mut bytes = request_with_length(MEDIUM_BODY_BYTES, &vec![b'b'; MEDIUM_BODY_BYTES]);
+    bytes.resize(bytes.len() + MEDIUM_BODY_BYTES, b'b');
+    let crowd = Crowd::start(WAITING_REQUESTS, world.daemon.callers, bytes, Then::Stays);
+    let (most, _) = world.outlast(crowd, watch);
+    assert!(most.bytes <= HOST_BYTES, "{most:?}");
+}
+
 #[parameterized(
     silent = { Vec::new(), Then::Stays },
     endless_head = { format!("GET /lookup/ HTTP/1.1\r\nX: {}", "a".repeat(8 << 10)).into(), Then::Trickles },
