Limits: connections and bodies are sized from the host

A daemon accepted 4,096 connections whatever its host had. With fewer descriptors than that it accepted no further caller, and reached neither targets nor the store, until the connections timed out; on the smallest host, their threads alone take more than half of the memory.

Cause: the platform passes the host's memory and descriptors, and the settings had no place for them. Requests to the pages have no body. The account of bytes is on the metrics page.

--- a/crates/tansyknot-config/src/settings.rs
+++ b/crates/tansyknot-config/src/settings.rs
@@ -80,7 +80,12 @@
     pub head: Bytes,
     /// The maximum size of a request's body.
     pub body: Bytes,
-    /// The maximum number of connections. Each one uses a thread.
+    /// The memory of the host, of which connections and requests get their shares.
+    pub memory: Bytes,
+    /// The number of descriptors that the process may have; by default, what the system allows.
+    pub descriptors: Option<u32>,
+    /// The maximum number of connections, if memory and descriptors allow as many. Each one uses a
+    /// thread.
     pub connections: u32,
     /// The timeout for receiving a head or a body.
     pub receive_timeout: DurationSetting,
@@ -102,6 +107,9 @@
         Self {
             head: Bytes::new(16 << 10),
             body: Bytes::new(4 << 20),
+            // The smallest host.
+            memory: Bytes::new(120 << 20),
+            descriptors: None,
             connections: 4096,
             receive_timeout: DurationSetting::from_secs(10),
             idle_timeout: DurationSetting::from_secs(60),
@@ -247,6 +255,8 @@
     match &s.limits {
         l if l.head.get() == 0 => return zero("limits.head"),
         l if l.body.get() == 0 => return zero("limits.body"),
+        l if l.memory.get() == 0 => return zero("limits.memory"),
+        l if l.descriptors == Some(0) => return zero("limits.descriptors"),
         l if l.connections == 0 => return zero("limits.connections"),
         l if l.receive_timeout.duration().is_zero() => return zero("limits.receive_timeout"),
         l if l.idle_timeout.duration().is_zero() => return zero("limits.idle_timeout"),
--- a/crates/tansyknotd/src/daemon.rs
+++ b/crates/tansyknotd/src/daemon.rs
@@ -34,7 +34,7 @@
 use tansyknot_edge::{
     explain::Explainer,
     gateway::{self, Gateway, GatewayOptions},
-    http::server::{self, DrainBehaviour, Handler, Lifecycle, ServerOptions},
+    http::server::{self, DrainBehaviour, Handler, Lifecycle},
     watch::CallerWatch,
 };
 use tansyknot_gossip::{
@@ -48,6 +48,7 @@
 
 use crate::{
     control::{self, Control},
+    host,
     loops::StopFlag,
     operators::{self, OperatorApi},
     replicas::EngineReplicas,
@@ -348,16 +349,7 @@
     gateway: Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
 ) -> JoinHandle<()> {
-    let options = ServerOptions {
-        max_head_bytes: limits.head.get(),
-        max_body_bytes: limits.body.get(),
-        memory: Arc::default(),
-        max_connections: limits.connections,
-        receive_timeout: limits.receive_timeout.duration(),
-        idle_timeout: limits.idle_timeout.duration(),
-        write_timeout: limits.write_timeout.duration(),
-        on_drain: DrainBehaviour::CloseIdle,
-    };
+    let options = host::server_options(limits, DrainBehaviour::CloseIdle);
     let lifecycle = Arc::clone(lifecycle);
     spawn("callers", move || {
         // The listener fails only if the system closes it. The platform then finds that the daemon
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -50,7 +50,7 @@
 };
 use tansyknot_http::server::{self, DrainBehaviour, Handler, Lifecycle, ServerOptions};
 
-use crate::metrics_page::PageRecorder;
+use crate::{host, metrics_page::PageRecorder};
 use pages::{MetricsPage, ReadyPage};
 
 /// How often a stop checks whether requests are in flight.
@@ -155,8 +155,9 @@
         );
         let server = server.with_response_limits(response_limits(settings));
         let server = server.with_origins(Arc::clone(&peer_node) as _);
+        let options = host::server_options(&settings.limits, DrainBehaviour::ServeIdle);
         let callers =
-            serve(settings.listen.callers, caller_options(settings), Arc::new(server), &lifecycle)?;
+            serve(settings.listen.callers, options.clone(), Arc::new(server), &lifecycle)?;
         let ready = ReadyPage {
             state: Arc::clone(&state),
             targets_known: Arc::clone(&targets_known),
@@ -164,15 +165,16 @@
             was_ready: AtomicBool::new(false),
         };
         let pages = Arc::new(Lifecycle::default());
-        let ready = serve(settings.listen.ready, page_options(settings), Arc::new(ready), &pages)?;
+        let ready = serve(settings.listen.ready, page_options(&options), Arc::new(ready), &pages)?;
         let metrics = match settings.listen.metrics_port {
             Some(port) => {
                 let (state, lease) = (Arc::clone(&state), Arc::clone(&lease));
                 let recorder = Arc::clone(&recorder);
                 let peer_node = Arc::clone(&peer_node);
-                let page = Arc::new(MetricsPage { recorder, state, lease, peer_node });
+                let memory = Arc::clone(&options.memory);
+                let page = Arc::new(MetricsPage { recorder, state, lease, peer_node, memory });
                 let address = SocketAddr::new(host, port);
-                Some(serve(address, page_options(settings), page, &pages)?)
+                Some(serve(address, page_options(&options), page, &pages)?)
             }
             None => None,
         };
@@ -264,27 +266,14 @@
     }
 }
 
-fn caller_options(settings: &FleetSettings) -> ServerOptions {
-    let limits = &settings.limits;
-    ServerOptions {
-        max_head_bytes: limits.head.get(),
-        max_body_bytes: limits.body.get(),
-        memory: Arc::default(),
-        max_connections: limits.connections,
-        receive_timeout: limits.receive_timeout.duration(),
-        idle_timeout: limits.idle_timeout.duration(),
-        write_timeout: limits.write_timeout.duration(),
-        on_drain: DrainBehaviour::ServeIdle,
-    }
-}
-
 fn response_limits(settings: &FleetSettings) -> ResponseLimits {
     let limits = &settings.limits;
     ResponseLimits::new(limits.response_buffers.get(), limits.write_timeout.duration())
 }
 
-fn page_options(settings: &FleetSettings) -> ServerOptions {
-    ServerOptions { max_connections: MAX_PAGE_CONNECTIONS, ..caller_options(settings) }
+/// Returns the options of the pages' listeners, whose requests have no body.
+fn page_options(callers: &ServerOptions) -> ServerOptions {
+    ServerOptions { max_connections: MAX_PAGE_CONNECTIONS, max_body_bytes: 0, ..callers.clone() }
 }
 
 fn serve(
--- a/crates/tansyknotd/src/fleet/pages.rs
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -12,6 +12,7 @@
 use tansyknot_core::{clock::Time, event, metric, name::ServiceName, telemetry::Recorder};
 use tansyknot_fleet::{lease_keeper::SharedLease, peering::PeerNode, state::State};
 use tansyknot_http::{
+    memory::RequestMemory,
     respond::{self, ConnectionAction, FullResponse},
     server::{Handler, Lifecycle, Request},
 };
@@ -61,6 +62,7 @@
     pub(super) state: Arc<State>,
     pub(super) lease: Arc<SharedLease>,
     pub(super) peer_node: Arc<PeerNode>,
+    pub(super) memory: Arc<RequestMemory>,
 }
 
 impl MetricsPage {
@@ -106,6 +108,9 @@
             (metric::LIST_VERSION, list_version as f64),
             (metric::LIST_CALL_AGE, age(contacts.list)),
             (metric::CONFIG_CALL_AGE, age(contacts.config)),
+            (metric::REQUEST_BYTES, self.memory.held_bytes() as f64),
+            (metric::REQUEST_BYTES_PEAK, self.memory.peak_bytes() as f64),
+            (metric::BODIES_EVICTED, self.memory.evictions() as f64),
         ];
         let (cut_off, failed_paths) = {
             let reachability = self.state.reachability();
--- a/crates/tansyknotd/src/lib.rs
+++ b/crates/tansyknotd/src/lib.rs
@@ -5,6 +5,7 @@
 #[cfg(feature = "services")]
 pub mod daemon;
 pub mod fleet;
+mod host;
 pub mod logs;
 #[cfg(feature = "services")]
 pub mod loops;
--- a/crates/tansyknotd/tests/client_crowds.rs
+++ b/crates/tansyknotd/tests/client_crowds.rs
@@ -10,6 +10,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    time::Duration,
 };
 
 use crowd::{Crowd, HOST_BYTES, MAX_BODY_BYTES, ProcessUse, ProcessWatch, Then};
@@ -37,6 +38,12 @@
 const CONNECTIONS: usize = 160;
 /// Descriptors that a daemon needs beside one for each connection.
 const OTHER_DESCRIPTORS: usize = 64;
+/// The descriptors of a daemon that has fewer than its limit of connections.
+const DESCRIPTORS: u32 = 256;
+/// Clients of that daemon.
+const SILENT_CONNECTIONS: usize = 400;
+/// An ordinary caller that has waited for this long sends its request again.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Targets that hold the large bodies of a crowd; each gets 16 requests of a plain service at most.
 const SLOW_TARGETS: usize = 3;
 
@@ -49,11 +56,15 @@
 
 impl World {
     fn start(name: &str, more_settings: &str) -> Self {
+        Self::start_by(|store| Daemon::start_with(name, store, more_settings))
+    }
+
+    fn start_by(start_daemon: impl Fn(SocketAddr) -> Daemon) -> Self {
         let store = Store::new();
         write_configuration(&store);
         Runner::start(&store, "models", "i-model", &["m0"]);
         let plain = Runner::start(&store, "plain", "i-plain", &[]);
-        let daemon = Daemon::start_with(name, store.open_endpoint().address, more_settings);
+        let daemon = start_daemon(store.open_endpoint().address);
         Self { store, plain, daemon }
     }
 
@@ -111,8 +122,10 @@
 
 /// Sends a request; returns what was received, which is empty if the connection failed.
 fn try_send(address: SocketAddr, text: &str) -> String {
-    let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
+    let connected = TcpStream::connect_timeout(&address, CALLER_TIMEOUT);
+    let Ok(mut stream) = connected else { return String::new() };
     let mut response = Vec::new();
+    let _ = stream.set_read_timeout(Some(CALLER_TIMEOUT));
     // A reset also ends the response.
     let _ = stream.write_all(text.as_bytes()).and_then(|()| stream.read_to_end(&mut response));
     String::from_utf8_lossy(&response).into_owned()
@@ -282,6 +295,19 @@
     assert!(most.descriptors <= MAX_CONNECTIONS + OTHER_DESCRIPTORS, "{most:?}");
 }
 
+/// Without a descriptor, the daemon would reach neither targets nor the store.
+#[test]
+fn crowd_of_silent_connections_beyond_the_descriptors() {
+    let _alone = crowd::run_alone();
+    let start = |store| Daemon::start_with_descriptors("crowd-fds", store, DESCRIPTORS);
+    let mut world = World::start_by(start);
+    let watch = world.watch();
+    let crowd = Crowd::start(SILENT_CONNECTIONS, world.daemon.callers, Vec::new(), Then::Stays);
+    let most = world.outlast_parts(crowd, watch);
+    assert!(most.bytes <= HOST_BYTES, "{most:?}");
+    assert!(most.descriptors < DESCRIPTORS as usize, "{most:?}");
+}
+
 /// The readiness page must not become unreachable: the host would be taken for one that has failed.
 #[test]
 fn crowd_of_silent_connections_at_the_readiness_page() {
--- a/crates/tansyknotd/tests/crowd/mod.rs
+++ b/crates/tansyknotd/tests/crowd/mod.rs
@@ -20,7 +20,8 @@
 pub(crate) const HOST_BYTES: u64 = 120 << 20;
 /// The longest body that the daemon's default limits allow.
 pub(crate) const MAX_BODY_BYTES: usize = 4 << 20;
-/// A client whose write makes no progress for this long has sent what it can.
+/// A client that is not connected, or whose write makes no progress, for this long has sent what it
+/// can.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The pause between two bytes of a client that trickles.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -71,7 +72,7 @@
             let (first, second) = (Arc::clone(&first), Arc::clone(&second));
             let begun = Arc::clone(&begun);
             let client = move || {
-                let connected = TcpStream::connect(address);
+                let connected = TcpStream::connect_timeout(&address, WRITE_TIMEOUT);
                 let stream = connected.and_then(|stream| send(&stream, &first).map(|()| stream));
                 begun.wait();
                 let stream = stream.and_then(|stream| send(&stream, &second).map(|()| stream));
--- a/crates/tansyknotd/tests/launch/mod.rs
+++ b/crates/tansyknotd/tests/launch/mod.rs
@@ -55,7 +55,19 @@
 /// Starts a daemon and waits until it has logged its addresses. If `SOAK_LOGS` is set, its log lines
 /// are copied to standard error.
 pub(crate) fn spawn(settings: &Path) -> StartedDaemon {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_tansyknotd"))
+    spawn_command(Command::new(env!("CARGO_BIN_EXE_tansyknotd")), settings)
+}
+
+/// Starts a daemon that may have at most so many descriptors.
+fn spawn_with_descriptors(settings: &Path, descriptors: u32) -> StartedDaemon {
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {descriptors} && exec \"$@\"");
+    command.args(["-c", &script, "sh", env!("CARGO_BIN_EXE_tansyknotd")]);
+    spawn_command(command, settings)
+}
+
+fn spawn_command(mut command: Command, settings: &Path) -> StartedDaemon {
+    let mut child = command
         .args(["--serves", "fleet", "--settings"])
         .arg(settings)
         .stdout(Stdio::piped())
@@ -122,6 +134,20 @@
 
     /// Starts a daemon with `more_settings` in addition to the usual ones.
     pub(crate) fn start_with(name: &str, store: SocketAddr, more_settings: &str) -> Self {
+        Self::start_by(spawn, name, store, more_settings)
+    }
+
+    /// Starts a daemon that may have at most so many descriptors.
+    pub(crate) fn start_with_descriptors(name: &str, store: SocketAddr, descriptors: u32) -> Self {
+        Self::start_by(|path| spawn_with_descriptors(path, descriptors), name, store, "")
+    }
+
+    fn start_by(
+        spawn: impl Fn(&Path) -> StartedDaemon,
+        name: &str,
+        store: SocketAddr,
+        more_settings: &str,
+    ) -> Self {
         let settings = write_settings(name, store);
         let mut file =
             OpenOptions::new().append(true).open(&settings).expect("the settings file exists");
