Requests: what the head decides is decided before the body

A body that nobody will run was asked for, received and held: of a request without a route, with an unknown key, or longer than the limit. A caller with `Expect: 100-continue` was told to send it.

Cause: the head was looked at once the whole body had come. Now the length is compared first, and where the caller waits, or the body may take long, the handler may refuse by the head; the connection is closed after that, and what is still sent is discarded for 0.3 s and 4 MiB at most. Shorter bodies are received as before, so that the connection stays. Refusals of requests that could not be received name the request like all others, and count in `refused_on_arrival`.

Not by the head: 429, as a quota is only taken for a whole request.

--- a/crates/tansyknot-edge/src/gateway.rs
+++ b/crates/tansyknot-edge/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::{
     explain::{Decision, Explainer, Trail},
     http::{
+        head::Head,
         respond::{self, ConnectionAction, FullResponse},
         server::{Handler, Lifecycle, Request},
     },
@@ -233,6 +234,15 @@
 }
 
 impl Handler for Gateway {
+    fn refuse_by_head(&self, head: &Head) -> Option<FullResponse> {
+        let refusal = match identify::route(head) {
+            Ok(Route::Health) => return None,
+            Ok(_) => self.parts.config.with(|store| identify::caller(store, head)).err()?,
+            Err(refusal) => refusal,
+        };
+        Some(problem::response(&refusal, None))
+    }
+
     fn handle(
         &self,
         req: Request,
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -21,10 +21,12 @@
     clock::{BootInstant, Time},
     event, metric,
     name::ServiceName,
+    refusal as http_refusal,
     telemetry::Recorder,
 };
 use tansyknot_http::{
     head::Head,
+    problem,
     respond::{self, ConnectionAction, FullResponse},
     server::{Handler, Lifecycle, Request},
 };
@@ -148,22 +150,26 @@
     /// Refuses a request before a target is selected for it.
     fn refuse_on_arrival(
         &self,
-        req: &Request,
+        head: &Head,
         params: &RequestParams,
         refusal: Refusal,
         stream: &TcpStream,
         after: ConnectionAction,
     ) -> io::Result<ConnectionAction> {
         let Refusal { reason, retry_after } = refusal;
+        self.record_refusal(head, params, reason);
+        self.refuse(&params.id, reason, retry_after, stream, after)
+    }
+
+    fn record_refusal(&self, head: &Head, params: &RequestParams, reason: Reason) {
         if !reason.may_flood_logs() || self.refusal_logs.admits(self.state.now()) {
-            self.log_refusal(req, params, reason);
+            self.log_refusal(head, params, reason);
         }
         let label = ServiceName::from(reason.name());
         self.recorder.count(metric::REFUSED_ON_ARRIVAL.name, &label, 1);
-        self.refuse(&params.id, reason, retry_after, stream, after)
     }
 
-    fn log_refusal(&self, req: &Request, params: &RequestParams, reason: Reason) {
+    fn log_refusal(&self, head: &Head, params: &RequestParams, reason: Reason) {
         let (catalog, view) = self.state.active_catalog_and_keys();
         let version = catalog.map_or(0, |c| c.version);
         let now = self.state.now();
@@ -175,7 +181,7 @@
         event::FLEET_REFUSED.emit(&[
             ("request", &params.id),
             ("reason", &reason.name()),
-            ("path", &req.head.path),
+            ("path", &head.path),
             ("resumes", &resumes),
             ("config", &version),
             ("config_age_ms", &millis_since(self.state.config_known_at(version))),
@@ -318,14 +324,23 @@
     ) -> io::Result<ConnectionAction> {
         let retry_after =
             retry_after.or_else(|| reason.retry_after(self.state.store_is_unavailable()));
-        let headers = self.dialect.refusal(id, retry_after);
-        let body = format!("{{\"reason\":\"{}\"}}", reason.name()).into_bytes();
-        let content_type = "application/json".to_owned();
-        let response = FullResponse { status: reason.status(), content_type, headers, body };
+        let response = self.refusal_response(id, reason.status(), reason.name(), retry_after);
         respond::write_response(stream, &response, after)?;
         Ok(after)
     }
 
+    fn refusal_response(
+        &self,
+        id: &str,
+        status: u16,
+        reason: &str,
+        retry_after: Option<Duration>,
+    ) -> FullResponse {
+        let headers = self.dialect.refusal(id, retry_after);
+        let body = format!("{{\"reason\":\"{reason}\"}}").into_bytes();
+        FullResponse { status, content_type: "application/json".to_owned(), headers, body }
+    }
+
     /// Records the metrics of an ended request under its route.
     fn record_metrics(&self, request: &ActiveRequest<'_>, outcome: &'static str, total: Duration) {
         let route = ServiceName::new(Arc::clone(&request.route.name));
@@ -415,6 +430,23 @@
 }
 
 impl Handler for Server {
+    fn refuse_by_head(&self, head: &Head) -> Option<FullResponse> {
+        let params = self.dialect.request_params(head);
+        let reason = self.route(head, &params, self.state.now()).err()?;
+        self.record_refusal(head, &params, reason);
+        let retry_after = reason.retry_after(self.state.store_is_unavailable());
+        Some(self.refusal_response(&params.id, reason.status(), reason.name(), retry_after))
+    }
+
+    fn refusal(&self, refusal: &http_refusal::Refusal, head: Option<&Head>) -> FullResponse {
+        let reason = refusal.reason;
+        let label = ServiceName::from(reason.code());
+        self.recorder.count(metric::REFUSED_ON_ARRIVAL.name, &label, 1);
+        let Some(head) = head else { return problem::response(refusal, None) };
+        let id = self.dialect.request_params(head).id;
+        self.refusal_response(&id, reason.status(), reason.code(), refusal.retry_after)
+    }
+
     fn handle(
         &self,
         req: Request,
@@ -428,13 +460,21 @@
             match self.route(&req.head, &params, self.state.now()) {
                 Ok(routed) => routed,
                 Err(reason) => {
-                    return self.refuse_on_arrival(&req, &params, reason.into(), stream, after);
+                    return self.refuse_on_arrival(
+                        &req.head,
+                        &params,
+                        reason.into(),
+                        stream,
+                        after,
+                    );
                 }
             };
         let time_limit = params.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
         let cost = match self.take_quota(&identity, &params, time_limit) {
             Ok(cost) => cost,
-            Err(refusal) => return self.refuse_on_arrival(&req, &params, refusal, stream, after),
+            Err(refusal) => {
+                return self.refuse_on_arrival(&req.head, &params, refusal, stream, after);
+            }
         };
         let caller = CallerConnection { stream, http_1_1: req.head.http_1_1, after };
         let mut request = ActiveRequest {
--- a/crates/tansyknot-http/src/body.rs
+++ b/crates/tansyknot-http/src/body.rs
@@ -131,6 +131,28 @@
     }
 }
 
+/// Checks the announced length of a body.
+///
+/// # Errors
+///
+/// Fails if it is longer than `limit`.
+pub(crate) fn check_length(framing: Framing, limit: u64) -> Result<(), Refusal> {
+    match framing {
+        Framing::Length(length) if length > limit => Err(too_large(limit)),
+        _ => Ok(()),
+    }
+}
+
+/// Returns whether a body may take long to arrive, so that a request which its head decides should be
+/// refused before. After other bodies the connection can be used for another request.
+pub(crate) fn may_be_long(rx: &Receiver, framing: Framing) -> bool {
+    match framing {
+        Framing::None => false,
+        Framing::Length(length) => length > SMALL_BODY_BYTES,
+        Framing::Chunked => !rx.buffered().ends_with(b"0\r\n\r\n"),
+    }
+}
+
 /// Reads the entire body.
 ///
 /// # Errors
@@ -146,10 +168,10 @@
 ) -> Result<Body, Refusal> {
     match framing {
         Framing::None | Framing::Length(0) => Ok(Body::default()),
-        Framing::Length(length) if length > limit => Err(too_large(limit)),
         Framing::Length(length) => {
-            let is_received = rx.buffered().len() as u64 >= length;
-            let reservation = match is_received {
+            check_length(framing, limit)?;
+            let has_arrived = rx.buffered().len() as u64 >= length;
+            let reservation = match has_arrived {
                 true => Reservation::new(memory),
                 false => Reservation::receiving(memory, stream),
             };
--- a/crates/tansyknot-http/src/connection.rs
+++ b/crates/tansyknot-http/src/connection.rs
@@ -16,9 +16,8 @@
     body,
     connections::{Connections, WaitEnd},
     head::{self, Head},
-    problem,
     receive::Receiver,
-    respond::{self, ConnectionAction},
+    respond::{self, ConnectionAction, FullResponse},
     server::{CountGuard, DrainBehaviour, Handler, Lifecycle, Request, ServerOptions},
 };
 
@@ -30,6 +29,8 @@
 /// Time for which the remaining bytes of a refused request are discarded, so that the sender
 /// receives the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The most bytes that are discarded in this time.
+const MAX_LINGER_BYTES: usize = 4 << 20;
 
 /// Serves requests until the connection ends.
 ///
@@ -54,9 +55,10 @@
         }
         connection_use = ConnectionUse::Used;
         let _busy = CountGuard::request(lifecycle);
-        let req = match receive(&mut rx, stream, options) {
+        let req = match receive(&mut rx, stream, options, handler) {
             Ok(req) => req,
-            Err(refusal) => return refuse(&mut rx, stream, &refusal),
+            Err(Rejected::CallerLeft) => return Ok(()),
+            Err(Rejected::Refused(response)) => return refuse(&mut rx, stream, &response),
         };
         if waiting.end() == WaitEnd::Evicted {
             return Ok(());
@@ -112,19 +114,45 @@
     Ok(true)
 }
 
+/// Why there is no request to serve.
+enum Rejected {
+    /// Nobody can receive a response.
+    CallerLeft,
+    /// The request is refused with this response.
+    Refused(FullResponse),
+}
+
+impl Rejected {
+    fn by(handler: &dyn Handler, refusal: &Refusal, head: Option<&Head>) -> Self {
+        match refusal.reason {
+            Reason::CallerLeft => Self::CallerLeft,
+            _ => Self::Refused(handler.refusal(refusal, head)),
+        }
+    }
+}
+
 fn receive(
     rx: &mut Receiver,
     stream: &Arc<TcpStream>,
     options: &ServerOptions,
-) -> Result<Request, Refusal> {
+    handler: &dyn Handler,
+) -> Result<Request, Rejected> {
     rx.set_deadline(options.receive_timeout);
-    let head = receive_head(rx, options.max_head_bytes)?;
+    let head = receive_head(rx, options.max_head_bytes)
+        .map_err(|refusal| Rejected::by(handler, &refusal, None))?;
+    let rejected = |refusal: Refusal| Rejected::by(handler, &refusal, Some(&head));
+    body::check_length(head.framing, options.max_body_bytes).map_err(rejected)?;
+    if (head.expects_continue() || body::may_be_long(rx, head.framing))
+        && let Some(response) = handler.refuse_by_head(&head)
+    {
+        return Err(Rejected::Refused(response));
+    }
     if head.expects_continue() {
-        respond::write_continue(stream)
-            .map_err(|_| Refusal::not_run(Reason::CallerLeft, "the caller left"))?;
+        respond::write_continue(stream).map_err(|_| Rejected::CallerLeft)?;
     }
     rx.set_deadline(options.receive_timeout);
-    let body = body::read(rx, head.framing, options.max_body_bytes, &options.memory, stream)?;
+    let body = body::read(rx, head.framing, options.max_body_bytes, &options.memory, stream)
+        .map_err(rejected)?;
     Ok(Request { head, body })
 }
 
@@ -164,17 +192,18 @@
 }
 
 /// Sends the refusal of a request that was not received completely and closes the connection.
-fn refuse(rx: &mut Receiver, stream: &TcpStream, refusal: &Refusal) -> io::Result<()> {
-    if refusal.reason == Reason::CallerLeft {
-        return Ok(());
-    }
-    respond::write_response(stream, &problem::response(refusal, None), ConnectionAction::Close)?;
+fn refuse(rx: &mut Receiver, stream: &TcpStream, response: &FullResponse) -> io::Result<()> {
+    respond::write_response(stream, response, ConnectionAction::Close)?;
     stream.shutdown(Shutdown::Write)?;
     // Closing a socket with unread bytes resets the connection, which discards the response.
     rx.set_deadline(LINGER_TIMEOUT);
-    while let Ok(1..) = rx.fill() {
-        let n = rx.buffered().len();
+    let mut discarded = rx.buffered().len();
+    rx.consume(discarded);
+    while discarded < MAX_LINGER_BYTES
+        && let Ok(n @ 1..) = rx.fill()
+    {
         rx.consume(n);
+        discarded += n;
     }
     Ok(())
 }
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -20,7 +20,7 @@
     head::Head,
     memory::RequestMemory,
     problem, receive,
-    respond::{self, ConnectionAction},
+    respond::{self, ConnectionAction, FullResponse},
 };
 
 /// Stack size of a connection's thread; a small one suffices because no stage recurses.
@@ -70,6 +70,17 @@
 
 /// Responds to requests.
 pub trait Handler: Send + Sync {
+    /// Returns the refusal of a request that its head decides, before its body is received. It is only
+    /// called for callers that wait for it, and for bodies that may take long to arrive.
+    fn refuse_by_head(&self, _head: &Head) -> Option<FullResponse> {
+        None
+    }
+
+    /// Returns the response to a request that could not be received. Its head is given if it could.
+    fn refusal(&self, refusal: &Refusal, _head: Option<&Head>) -> FullResponse {
+        problem::response(refusal, None)
+    }
+
     /// Responds to one request on its connection; returns what happens to the connection next.
     ///
     /// # Errors
