Limits: those of the operators' configuration hold

Callers could send heads and bodies beyond what the operators had written, up to the daemon's own settings, and keep idle connections for as long as those allow.

Cause: `limits` of the configuration was not read. It is now part of a version of the configuration, also of the copy that daemons get from each other, whose format byte changes with it. Sizes and the time for a head are bounded by the stricter of both; the idle timeout is the operators', as callers rely on it when they use a connection again.

--- a/crates/tansyknot-edge/tests/bad_input.rs
+++ b/crates/tansyknot-edge/tests/bad_input.rs
@@ -66,7 +66,8 @@
 fn slow_sender_is_refused() {
     let platform = TestPlatform::new();
     let options = tansyknot_edge::http::server::ServerOptions {
-        receive_timeout: Duration::from_millis(20),
+        head_timeout: Duration::from_millis(20),
+        body_timeout: Duration::from_millis(20),
         ..default_options()
     };
     let daemon = platform.start_daemon_with(&options);
--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use tansyknot_core::name::{ModelName, ServiceName};
+use tansyknot_http::server::RequestLimits;
 
 use crate::{access::team::Teams, fleet::warm_up::WarmUpPolicy, residency::RegionSet};
 
@@ -138,11 +139,13 @@
     pub routes: Vec<Route>,
     /// The services.
     pub services: Vec<Service>,
+    /// The operators' limits on requests.
+    pub limits: RequestLimits,
 }
 
 impl From<CatalogContent> for Catalog {
     fn from(content: CatalogContent) -> Self {
-        Self::new(content.version, content.routes, content.services)
+        Self::new(content.version, content.routes, content.services).with_limits(content.limits)
     }
 }
 
@@ -155,6 +158,8 @@
     pub services: HashMap<ServiceName, Service>,
     /// The teams whose keys requests need; `None` if requests need no key.
     pub teams: Option<Teams>,
+    /// The operators' limits on requests.
+    pub limits: RequestLimits,
     /// The routes of each host, the longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// The longest objective of the routes that lead to each service.
@@ -186,6 +191,7 @@
             version,
             services,
             teams: None,
+            limits: RequestLimits::default(),
             routes: by_host,
             longest_objectives,
             longest_timeouts,
@@ -198,6 +204,7 @@
             version: self.version,
             routes: self.routes.values().flatten().map(|route| Route::clone(route)).collect(),
             services: self.services.values().cloned().collect(),
+            limits: self.limits,
         })
     }
 
@@ -207,6 +214,12 @@
         Self { teams, ..self }
     }
 
+    /// Returns this version with the operators' limits on requests.
+    #[must_use]
+    pub fn with_limits(self, limits: RequestLimits) -> Self {
+        Self { limits, ..self }
+    }
+
     /// Returns the route of `host` with the longest prefix that `path` starts with.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.routes.get(host)?.iter().find(|r| path.starts_with(r.prefix.as_ref()))
--- a/crates/tansyknot-fleet/src/dissemination/datagram.rs
+++ b/crates/tansyknot-fleet/src/dissemination/datagram.rs
@@ -4,7 +4,7 @@
 
 /// The first byte of each datagram and of each request for a snapshot; it changes with each change
 /// of the format.
-pub const FORMAT: u8 = 0xB1;
+pub const FORMAT: u8 = 0xB2;
 /// Maximum size of a datagram to one daemon; larger ones could be fragmented on the way.
 pub const MAX_BYTES: usize = 1200;
 /// Maximum size of a datagram to a relay: a message and the addresses of its recipients. Payloads
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -28,7 +28,7 @@
     head::Head,
     problem,
     respond::{self, ConnectionAction, FullResponse},
-    server::{Handler, Lifecycle, Request},
+    server::{Handler, Lifecycle, Request, RequestLimits},
 };
 
 use crate::{
@@ -430,6 +430,10 @@
 }
 
 impl Handler for Server {
+    fn limits(&self) -> RequestLimits {
+        self.state.catalog().map_or_else(RequestLimits::default, |catalog| catalog.limits)
+    }
+
     fn refuse_by_head(&self, head: &Head) -> Option<FullResponse> {
         let params = self.dialect.request_params(head);
         let reason = self.route(head, &params, self.state.now()).err()?;
--- a/crates/tansyknot-http/src/connection.rs
+++ b/crates/tansyknot-http/src/connection.rs
@@ -49,6 +49,7 @@
     let mut rx = Receiver::new(Arc::clone(stream));
     let mut connection_use = ConnectionUse::Fresh;
     loop {
+        let options = &options.limited_by(&handler.limits());
         let waiting = connections.wait(stream);
         if !await_request(&mut rx, options, lifecycle, connection_use)? {
             return Ok(());
@@ -100,10 +101,11 @@
         if must_close || BootInstant::now() >= until {
             return Ok(false);
         }
-        rx.set_deadline(match options.on_drain {
+        let check_interval = match options.on_drain {
             DrainBehaviour::CloseIdle => IDLE_CHECK_INTERVAL,
             DrainBehaviour::ServeIdle => DRAIN_CHECK_INTERVAL,
-        });
+        };
+        rx.set_deadline(check_interval.min(until.duration_since(BootInstant::now())));
         match rx.fill() {
             Ok(0) => return Ok(false),
             Ok(_) => {}
@@ -137,7 +139,7 @@
     options: &ServerOptions,
     handler: &dyn Handler,
 ) -> Result<Request, Rejected> {
-    rx.set_deadline(options.receive_timeout);
+    rx.set_deadline(options.head_timeout);
     let head = receive_head(rx, options.max_head_bytes)
         .map_err(|refusal| Rejected::by(handler, &refusal, None))?;
     let rejected = |refusal: Refusal| Rejected::by(handler, &refusal, Some(&head));
@@ -150,7 +152,7 @@
     if head.expects_continue() {
         respond::write_continue(stream).map_err(|_| Rejected::CallerLeft)?;
     }
-    rx.set_deadline(options.receive_timeout);
+    rx.set_deadline(options.body_timeout);
     let body = body::read(rx, head.framing, options.max_body_bytes, &options.memory, stream)
         .map_err(rejected)?;
     Ok(Request { head, body })
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
 use tansyknot_core::refusal::{Reason, Refusal};
 
 use crate::{
@@ -39,8 +40,10 @@
     pub memory: Arc<RequestMemory>,
     /// Maximum number of concurrent connections.
     pub max_connections: u32,
-    /// Timeout for receiving a head or a body.
-    pub receive_timeout: Duration,
+    /// Timeout for receiving a head.
+    pub head_timeout: Duration,
+    /// Timeout for receiving a body.
+    pub body_timeout: Duration,
     /// Timeout of an idle connection.
     pub idle_timeout: Duration,
     /// Timeout of a write.
@@ -49,6 +52,36 @@
     pub on_drain: DrainBehaviour,
 }
 
+/// Limits on requests that change while the daemon runs. They go beside those of the listener, of which
+/// the stricter one applies; only the idle timeout replaces the listener's, as callers rely on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestLimits {
+    /// Maximum length of a head, in bytes.
+    pub max_head_bytes: Option<u64>,
+    /// Maximum length of a body, in bytes.
+    pub max_body_bytes: Option<u64>,
+    /// Timeout for receiving a head.
+    pub head_timeout: Option<Duration>,
+    /// Timeout of an idle connection.
+    pub idle_timeout: Option<Duration>,
+}
+
+impl ServerOptions {
+    /// Returns these options with further limits on requests.
+    pub(crate) fn limited_by(&self, limits: &RequestLimits) -> Self {
+        let stricter = |own: u64, other: Option<u64>| other.map_or(own, |other| own.min(other));
+        Self {
+            max_head_bytes: stricter(self.max_head_bytes, limits.max_head_bytes),
+            max_body_bytes: stricter(self.max_body_bytes, limits.max_body_bytes),
+            head_timeout: limits
+                .head_timeout
+                .map_or(self.head_timeout, |t| t.min(self.head_timeout)),
+            idle_timeout: limits.idle_timeout.unwrap_or(self.idle_timeout),
+            ..self.clone()
+        }
+    }
+}
+
 /// What happens to a connection between two requests when the daemon drains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DrainBehaviour {
@@ -70,6 +103,11 @@
 
 /// Responds to requests.
 pub trait Handler: Send + Sync {
+    /// Returns the limits on the next request.
+    fn limits(&self) -> RequestLimits {
+        RequestLimits::default()
+    }
+
     /// Returns the refusal of a request that its head decides, before its body is received. It is only
     /// called for callers that wait for it, and for bodies that may take long to arrive.
     fn refuse_by_head(&self, _head: &Head) -> Option<FullResponse> {
