--- a/crates/tansyknotd/src/host.rs
+++ b/crates/tansyknotd/src/host.rs
@@ -12,9 +12,9 @@
 /// One in so many bytes of the host's memory is for the bodies of requests, and as many for
 /// connections. The rest is for responses and the daemon's own state.
 const MEMORY_DIVISOR: u64 = 4;
-/// What a connection takes: the touched part of its thread's stack, the head that it receives, and its
-/// share of the kernel's receive buffers.
-const CONNECTION_BYTES: u64 = 32 << 10;
+/// What a connection takes at most: the touched part of its thread's stack, the longest head as it is
+/// received and as it is parsed, and the kernel's receive buffer.
+const CONNECTION_BYTES: u64 = 64 << 10;
 /// A request needs a descriptor for its caller and one for its target.
 const DESCRIPTORS_PER_CONNECTION: u32 = 2;
 /// Descriptors for files, the store, and the connections and tunnels of other daemons.
