Tests: random crowds, with seeds

One hundred clients that each send something else: heads, lengths, chunks, extensions, cuts, pauses and bytes behind a request, at a daemon in front of a sound target and one that reads nothing. The bounds are those of the other crowds.

--- a/crates/tansyknotd/tests/client_crowds.rs
+++ b/crates/tansyknotd/tests/client_crowds.rs
@@ -15,6 +15,7 @@
 
 use crowd::{Crowd, HOST_BYTES, MAX_BODY_BYTES, ProcessUse, ProcessWatch, Then};
 use launch::Daemon;
+use rand::{SeedableRng, rngs::StdRng};
 use tansyknot_adapter_standins::{
     caller::Request,
     operator::{Configuration, HOST},
@@ -30,6 +31,8 @@
 const MEDIUM_BODY_BYTES: usize = 256 << 10;
 /// Clients whose requests, and the bytes behind them, wait for a target.
 const WAITING_REQUESTS: usize = 900;
+/// Clients that each send something else.
+const RANDOM_CLIENTS: usize = 100;
 /// The body that is sent in tiny chunks.
 const SMALL_BODY_BYTES: usize = 64 << 10;
 /// The connections that the daemon of a crowd of connections accepts.
@@ -325,6 +328,28 @@
     assert!(most.descriptors <= CONNECTIONS + OTHER_DESCRIPTORS, "{most:?}");
 }
 
+/// Clients that each send something else, at a daemon in front of sound targets and of some that read
+/// nothing. `CROWD_SEEDS` selects the seeds.
+#[test]
+fn crowd_of_random_clients() {
+    let _alone = crowd::run_alone();
+    for seed in crowd::random::seeds() {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = World::start(&format!("crowd-random-{seed}"), "");
+        let runner = Runner::start(&world.store, "plain", "i-slow", &[]);
+        runner.publish_address(start_target_that_reads_nothing());
+        let watch = world.watch();
+        let clients = (0..RANDOM_CLIENTS)
+            .map(|_| crowd::random::client(&mut rng, HOST, "/lookup/"))
+            .collect();
+        let crowd = Crowd::start_random(world.daemon.callers, clients);
+        let (most, _) = world.outlast(crowd, watch);
+        assert!(most.bytes <= HOST_BYTES, "seed {seed}: {most:?}");
+        let bound = 2 * RANDOM_CLIENTS + OTHER_DESCRIPTORS;
+        assert!(most.descriptors <= bound, "seed {seed}: {most:?}");
+    }
+}
+
 #[parameterized(
     with_a_length = { request_with_length(MAX_BODY_BYTES, &vec![b'b'; MAX_BODY_BYTES]) },
     in_chunks = { [chunked_request(MAX_BODY_BYTES, 64 << 10, 0), b"0\r\n\r\n".to_vec()].concat() },
--- a/crates/tansyknotd/tests/crowd/mod.rs
+++ b/crates/tansyknotd/tests/crowd/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 mod process;
+pub(crate) mod random;
 
 use std::{
     io::{self, Read, Write},
@@ -62,14 +63,27 @@
         address: SocketAddr,
         parts: [Vec<u8>; 2],
         then: Then,
+    ) -> Self {
+        let parts: [Arc<[u8]>; 2] = parts.map(Into::into);
+        Self::start_clients(address, (0..count).map(|_| (parts.clone(), then)))
+    }
+
+    /// Starts clients that each send bytes of their own.
+    pub(crate) fn start_random(address: SocketAddr, clients: Vec<random::RandomClient>) -> Self {
+        let clients = clients.into_iter();
+        let clients = clients.map(|client| (client.parts.map(Into::into), client.then));
+        Self::start_clients(address, clients)
+    }
+
+    fn start_clients(
+        address: SocketAddr,
+        clients: impl ExactSizeIterator<Item = ([Arc<[u8]>; 2], Then)>,
     ) -> Self {
         let ends = Arc::new(AtomicBool::new(false));
         let settled = Arc::new(AtomicUsize::new(0));
-        let begun = Arc::new(Barrier::new(count));
-        let [first, second]: [Arc<[u8]>; 2] = parts.map(Into::into);
-        let clients = (0..count).map(|_| {
+        let begun = Arc::new(Barrier::new(clients.len()));
+        let clients = clients.map(|([first, second], then)| {
             let (ends, settled) = (Arc::clone(&ends), Arc::clone(&settled));
-            let (first, second) = (Arc::clone(&first), Arc::clone(&second));
             let begun = Arc::clone(&begun);
             let client = move || {
                 let connected = TcpStream::connect_timeout(&address, WRITE_TIMEOUT);
