Memory: blocks of bodies that fail are used again

The blocks of a body that was refused, cut off or gave way went back to the allocator, which keeps them for threads that share its arena: the account of bytes did not bound what several waves of such bodies take.

Cause: only the body of a whole request returned its blocks. The body that is being received now has the reservation and returns them however it ends. Also: a write to a caller no longer looks for a lack of descriptors, which streams can't meet any more.

--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -17,7 +17,6 @@
 
 use crate::{
     condition::interval::IntervalMeter,
-    connection,
     exchange::{Body, Control, Failure, ResponseHead},
     response_buffers::Reservation,
 };
@@ -166,9 +165,6 @@
 /// Returns why a write to the caller failed. A caller that does not read is disconnected with a
 /// reset, which discards the unread bytes and shows the caller that its response is not complete.
 pub fn caller_failure(e: &io::Error, caller: &TcpStream) -> Failure {
-    if connection::lacks_descriptors(e) {
-        return Failure::NoSocket;
-    }
     if !matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) {
         return Failure::CallerLeft;
     }
--- a/crates/tansyknot-http/src/body.rs
+++ b/crates/tansyknot-http/src/body.rs
@@ -189,10 +189,9 @@
     }
 }
 
-/// A body that is being received. Its parts are dropped before their reservation.
+/// A body that is being received. Its blocks are kept for other bodies even if it fails.
 struct Receipt<'a> {
     body: Body,
-    reservation: Reservation,
     stream: &'a TcpStream,
     /// Whether the kernel's buffer is enlarged, as the body is a long one.
     has_large_buffer: bool,
@@ -205,15 +204,12 @@
 
 impl<'a> Receipt<'a> {
     fn new(reservation: Reservation, stream: &'a TcpStream, limit: u64) -> Self {
-        Self {
-            body: Body::default(),
-            reservation,
-            stream,
-            has_large_buffer: false,
-            limit,
-            reserved: 0,
-            recorded: 0,
-        }
+        let body = Body { parts: Vec::new(), length: 0, reservation: Some(reservation) };
+        Self { body, stream, has_large_buffer: false, limit, reserved: 0, recorded: 0 }
+    }
+
+    fn reservation(&mut self) -> &mut Reservation {
+        self.body.reservation.as_mut().expect("a received body has a reservation")
     }
 
     /// Reserves the bytes of a body whose length is known.
@@ -223,13 +219,12 @@
             _ => length.next_multiple_of(BLOCK_BYTES),
         };
         let is_long = (self.body.length + bytes) as u64 > SMALL_BODY_BYTES;
-        if is_long && !self.has_large_buffer {
-            let bytes = bytes as u64 + ENLARGED_BUFFER_BYTES;
-            self.reservation.grow(bytes).map_err(|NoRoom| no_memory())?;
+        let enlarges_buffer = is_long && !self.has_large_buffer;
+        let buffer_bytes = if enlarges_buffer { ENLARGED_BUFFER_BYTES } else { 0 };
+        self.reservation().grow(bytes as u64 + buffer_bytes).map_err(|NoRoom| no_memory())?;
+        if enlarges_buffer {
             receive::enlarge_buffer(self.stream);
             self.has_large_buffer = true;
-        } else {
-            self.reservation.grow(bytes as u64).map_err(|NoRoom| no_memory())?;
         }
         self.reserved = bytes;
         Ok(())
@@ -243,7 +238,7 @@
         }
         let bytes = match self.reserved {
             n @ ..=SHORT_BODY_BYTES => vec![0; n].into_boxed_slice(),
-            _ => self.reservation.block(),
+            _ => self.reservation().block(),
         };
         self.reserved -= bytes.len();
         self.body.parts.push(Part { bytes, length: 0 });
@@ -264,7 +259,7 @@
             let n = match read {
                 Ok(n @ 1..) => n,
                 // A body that gives way is not read any further.
-                _ if self.reservation.is_evicted() => return Err(no_memory()),
+                _ if self.reservation().is_evicted() => return Err(no_memory()),
                 Ok(_) => return Ok(()),
                 Err(e) => return Err(read_refusal(&e)),
             };
@@ -283,17 +278,16 @@
     fn record_progress(&mut self) {
         if (self.body.length - self.recorded) as u64 >= PROGRESS_BYTES {
             self.recorded = self.body.length;
-            self.reservation.record_progress();
+            self.reservation().record_progress();
         }
     }
 
     /// Returns the whole body with its reservation.
     fn end(mut self) -> Result<Body, Refusal> {
-        self.reservation.end_receipt().map_err(|NoRoom| no_memory())?;
+        self.reservation().end_receipt().map_err(|NoRoom| no_memory())?;
         if self.has_large_buffer {
             receive::restore_buffer(self.stream);
         }
-        self.body.reservation = Some(self.reservation);
         Ok(self.body)
     }
 }
