--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -21,7 +21,7 @@
     clock::{BootInstant, Time},
     event, metric,
     name::ServiceName,
-    refusal as http_refusal,
+    refusal,
     telemetry::Recorder,
 };
 use tansyknot_http::{
@@ -442,7 +442,7 @@
         Some(self.refusal_response(&params.id, reason.status(), reason.name(), retry_after))
     }
 
-    fn refusal(&self, refusal: &http_refusal::Refusal, head: Option<&Head>) -> FullResponse {
+    fn refusal(&self, refusal: &refusal::Refusal, head: Option<&Head>) -> FullResponse {
         let reason = refusal.reason;
         let label = ServiceName::from(reason.code());
         self.recorder.count(metric::REFUSED_ON_ARRIVAL.name, &label, 1);
