Tests: clients that read no response, and long heads (known red)

Crowds and bounds are fixed before the product changes. 900 clients with a small receive buffer read nothing of streams whose targets send without a pause, on a host of the smallest size and on one of half of it; 300 clients send heads that stop just short of 1 MiB, where the settings and the operators allow such heads. The bound is the memory that the settings name. Unread bytes of targets' connections count too, as the platform counts them.

Seen on this code (debug build, MB of resident memory and unread bytes): 138 and 140 on the smallest host (126 allowed), 129 to 151 on half of it (63 allowed), 163 with long heads (126 allowed).

--- a/crates/tansyknotd/tests/client_crowds.rs
+++ b/crates/tansyknotd/tests/client_crowds.rs
@@ -49,6 +49,15 @@
 const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Targets that hold the large bodies of a crowd; each gets 16 requests of a plain service at most.
 const SLOW_TARGETS: usize = 3;
+/// Clients that read nothing of their responses, and targets with a place for each of them.
+const SILENT_READERS: usize = 900;
+const STREAMING_TARGETS: usize = 40;
+/// The lengths of their events: less and more than what each response may hold by itself.
+const EVENT_BYTES: [usize; 2] = [56 << 10, 1 << 20];
+/// The longest head that the daemon of a crowd of long heads accepts.
+const LONG_HEAD_BYTES: usize = 1 << 20;
+/// Clients of that daemon.
+const LONG_HEADS: usize = 300;
 
 /// A daemon in front of a target with a model, and a plain target.
 struct World {
@@ -80,6 +89,12 @@
         ProcessWatch::start(self.daemon.child.id(), self.daemon.callers)
     }
 
+    /// Waits until the daemon lists so many targets.
+    fn await_targets(&self, count: usize) {
+        let line = format!("tansyknot_targets{{of=\"daemon\"}} {count}\n");
+        launch::wait_until(|| launch::metrics_page(self.daemon.metrics).contains(&line));
+    }
+
     /// Sends an ordinary request until it is answered.
     fn await_answer(&self) {
         let request = Request::new("/query/", "id-ordinary", Some("m0"), 5_000).text();
@@ -114,10 +129,13 @@
     }
 }
 
+fn configuration() -> Configuration {
+    Configuration { timeout_ms: 30_000, ..Configuration::single_model(1) }
+}
+
 /// Writes a configuration that allows bodies of [`MAX_BODY_BYTES`] and long requests.
 fn write_configuration(store: &Store) {
-    let configuration = Configuration { timeout_ms: 30_000, ..Configuration::single_model(1) };
-    let mut document = configuration.document();
+    let mut document = configuration().document();
     document["limits"]["max-body-bytes"] = MAX_BODY_BYTES.into();
     document["limits"]["header-timeout-ms"] = 10_000.into();
     store.put("op", "config", &document);
@@ -283,6 +301,75 @@
     assert!(most.bytes <= HOST_BYTES, "{most:?}");
 }
 
+/// Answers each request with events until the connection is closed.
+fn start_streaming_target(event_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || stream_events(stream, event_bytes));
+        }
+    });
+    address
+}
+
+fn stream_events(mut stream: TcpStream, event_bytes: usize) {
+    let mut head = [0; 4096];
+    if stream.read(&mut head).is_err() {
+        return;
+    }
+    let lines = "Attempt-Id: id-crowd\r\nServer-Seal: i-streaming";
+    let head = format!("HTTP/1.1 200 OK\r\n{lines}\r\nContent-Type: text/event-stream\r\n\r\n");
+    let event = format!("data: {}\n\n", "e".repeat(event_bytes));
+    // The daemon closes the connection once its caller is known not to read.
+    let mut sent = stream.write_all(head.as_bytes());
+    while sent.is_ok() {
+        sent = stream.write_all(event.as_bytes());
+    }
+}
+
+/// Clients that read nothing of responses that targets send without a pause.
+#[parameterized(
+    on_the_smallest_host = { HOST_BYTES },
+    on_half_of_it = { HOST_BYTES / 2 },
+)]
+fn crowd_of_clients_that_read_no_response(host_bytes: u64) {
+    let _alone = crowd::run_alone();
+    let settings = format!("limits:\n  memory: {host_bytes}B\n");
+    let mut world = World::start("crowd-readers", &settings);
+    let targets: Vec<SocketAddr> = (0..STREAMING_TARGETS)
+        .map(|n| start_streaming_target(EVENT_BYTES[n % EVENT_BYTES.len()]))
+        .collect();
+    for (n, target) in targets.iter().enumerate() {
+        let runner = Runner::start(&world.store, "plain", &format!("i-streaming-{n}"), &[]);
+        runner.publish_address(*target);
+    }
+    world.await_targets(2 + STREAMING_TARGETS);
+    let (pid, callers) = (world.daemon.child.id(), world.daemon.callers);
+    let watch = ProcessWatch::start_with_targets(pid, callers, targets);
+    let bytes = request_with_length(0, b"");
+    let crowd = Crowd::start(SILENT_READERS, callers, bytes, Then::Ignores);
+    let (most, _) = world.outlast(crowd, watch);
+    assert!(most.bytes <= host_bytes, "{most:?}");
+}
+
+/// Heads that stop just short of a limit that operators have raised.
+#[test]
+fn crowd_of_long_heads() {
+    let _alone = crowd::run_alone();
+    let settings = format!("limits:\n  head: {LONG_HEAD_BYTES}B\n");
+    let mut world = World::start("crowd-heads", &settings);
+    let mut document = configuration().document();
+    document["limits"]["max-header-bytes"] = LONG_HEAD_BYTES.into();
+    document["version"] = 2.into();
+    world.store.put("op", "config", &document);
+    let watch = world.watch();
+    let bytes = format!("GET /lookup/ HTTP/1.1\r\nX: {}", "a".repeat(LONG_HEAD_BYTES - 100));
+    let crowd = Crowd::start(LONG_HEADS, world.daemon.callers, bytes.into(), Then::Stays);
+    let most = world.outlast_parts(crowd, watch);
+    assert!(most.bytes <= HOST_BYTES, "{most:?}");
+}
+
 #[parameterized(
     silent = { Vec::new(), Then::Stays },
     endless_head = { format!("GET /lookup/ HTTP/1.1\r\nX: {}", "a".repeat(8 << 10)).into(), Then::Trickles },
--- a/crates/tansyknotd/tests/crowd/mod.rs
+++ b/crates/tansyknotd/tests/crowd/mod.rs
@@ -16,6 +16,7 @@
 };
 
 pub(crate) use process::{ProcessUse, ProcessWatch};
+use rustix::net::sockopt;
 
 /// The memory of the smallest host that a daemon must fit.
 pub(crate) const HOST_BYTES: u64 = 120 << 20;
@@ -27,6 +28,9 @@
 /// The pause between two bytes of a client that trickles.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The kernel's receive buffer of a client that reads nothing.
+const SMALL_BUFFER_BYTES: usize = 4 << 10;
+
 /// Only one crowd runs at a time, so that memory and processor of the machine are its own.
 pub(crate) fn run_alone() -> MutexGuard<'static, ()> {
     static CROWD: Mutex<()> = Mutex::new(());
@@ -42,6 +46,8 @@
     Trickles,
     /// It reads the response and sends nothing more.
     Reads,
+    /// It reads nothing, and its system receives little for it.
+    Ignores,
 }
 
 /// Clients that send the same bytes at once and then keep their connections open.
@@ -87,6 +93,12 @@
             let begun = Arc::clone(&begun);
             let client = move || {
                 let connected = TcpStream::connect_timeout(&address, WRITE_TIMEOUT);
+                let connected = connected.and_then(|stream| {
+                    if then == Then::Ignores {
+                        sockopt::set_socket_recv_buffer_size(&stream, SMALL_BUFFER_BYTES)?;
+                    }
+                    Ok(stream)
+                });
                 let stream = connected.and_then(|stream| send(&stream, &first).map(|()| stream));
                 begun.wait();
                 let stream = stream.and_then(|stream| send(&stream, &second).map(|()| stream));
@@ -129,7 +141,7 @@
     let _ = stream.set_read_timeout(Some(TRICKLE_INTERVAL));
     while !ends.load(Ordering::SeqCst) {
         match then {
-            Then::Stays => thread::sleep(TRICKLE_INTERVAL),
+            Then::Stays | Then::Ignores => thread::sleep(TRICKLE_INTERVAL),
             Then::Trickles => {
                 thread::sleep(TRICKLE_INTERVAL);
                 // The daemon may have closed the connection.
--- a/crates/tansyknotd/tests/crowd/process.rs
+++ b/crates/tansyknotd/tests/crowd/process.rs
@@ -1,6 +1,7 @@
 //! Samples the memory and descriptors of a process.
 
 use std::{
+    collections::HashSet,
     fs,
     net::SocketAddr,
     sync::{
@@ -17,7 +18,7 @@
 /// The most that a process has held at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ProcessUse {
-    /// Resident memory and bytes that callers sent and the process has not read.
+    /// Resident memory and bytes that callers or targets sent and the process has not read.
     pub(crate) bytes: u64,
     /// The part of `bytes` that the process has not read.
     pub(crate) unread_bytes: u64,
@@ -36,12 +37,21 @@
 impl ProcessWatch {
     /// Watches the process `pid`, which accepts callers at `address`.
     pub(crate) fn start(pid: u32, address: SocketAddr) -> Self {
+        Self::start_with_targets(pid, address, Vec::new())
+    }
+
+    /// Watches a process that also connects to `targets`.
+    pub(crate) fn start_with_targets(
+        pid: u32,
+        address: SocketAddr,
+        targets: Vec<SocketAddr>,
+    ) -> Self {
         let ends = Arc::new(AtomicBool::new(false));
         let is_ended = Arc::clone(&ends);
         let sampler = thread::spawn(move || {
             let mut most = ProcessUse::default();
             while !is_ended.load(Ordering::SeqCst) {
-                sample(pid, address, &mut most);
+                sample(pid, address, &targets, &mut most);
                 thread::sleep(SAMPLE_INTERVAL);
             }
             most
@@ -56,8 +66,8 @@
     }
 }
 
-fn sample(pid: u32, address: SocketAddr, most: &mut ProcessUse) {
-    let unread_bytes = unread_bytes(address);
+fn sample(pid: u32, address: SocketAddr, targets: &[SocketAddr], most: &mut ProcessUse) {
+    let unread_bytes = unread_bytes(address, targets);
     let bytes = resident_bytes(pid) + unread_bytes;
     if bytes > most.bytes {
         *most = ProcessUse { bytes, unread_bytes, ..*most };
@@ -74,18 +84,22 @@
     kilobytes.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) << 10
 }
 
-/// Returns the bytes in the kernel's receive buffers of connections that were accepted at `address`.
-fn unread_bytes(address: SocketAddr) -> u64 {
+/// Returns the bytes in the kernel's receive buffers of connections that were accepted at `address`, or
+/// lead to one of `targets`.
+fn unread_bytes(address: SocketAddr, targets: &[SocketAddr]) -> u64 {
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let port = format!(":{:04X}", address.port());
+    let port_suffix = |address: &SocketAddr| format!(":{:04X}", address.port());
+    let callers_port = port_suffix(&address);
+    let target_ports: HashSet<String> = targets.iter().map(port_suffix).collect();
     let queue = |line: &str| {
         let mut fields = line.split_ascii_whitespace().skip(1);
         let local = fields.next()?;
-        let _remote = fields.next()?;
+        let (_, remote_port) = fields.next()?.split_at_checked(8)?;
         let is_established = fields.next()? == "01";
         let (_, unread) = fields.next()?.split_once(':')?;
         let unread = u64::from_str_radix(unread, 16).ok()?;
-        (is_established && local.ends_with(&port)).then_some(unread)
+        let is_watched = local.ends_with(&callers_port) || target_ports.contains(remote_port);
+        (is_established && is_watched).then_some(unread)
     };
     table.lines().skip(1).filter_map(queue).sum()
 }
