Connections: their share of the memory follows the longest head

What callers saw: with `limits.head` raised, clients whose heads stop short of it end the process on a small host. Cause: each connection counted 64 KiB of the host's memory, whatever the longest head is. Now it counts twice that, for the head as it is received and as it is parsed, and 32 KiB for its stack and the kernel's receive buffer: 64 KiB with default settings, as before.

--- a/crates/tansyknotd/src/host.rs
+++ b/crates/tansyknotd/src/host.rs
@@ -12,9 +12,10 @@
 /// One in so many bytes of the host's memory is for the bodies of requests, and as many for
 /// connections. The rest is for responses and the daemon's own state.
 const MEMORY_DIVISOR: u64 = 4;
-/// What a connection takes at most: the touched part of its thread's stack, the longest head as it is
-/// received and as it is parsed, and the kernel's receive buffer.
-const CONNECTION_BYTES: u64 = 64 << 10;
+/// The touched part of a connection's stack, and the kernel's receive buffer.
+const CONNECTION_BYTES: u64 = 32 << 10;
+/// A head is held as it is received, and as it is parsed.
+const HEAD_COPIES: u64 = 2;
 /// A request needs a descriptor for its caller and one for its target.
 const DESCRIPTORS_PER_CONNECTION: u32 = 2;
 /// Descriptors for files, the store, and the connections and tunnels of other daemons.
@@ -37,7 +38,8 @@
 }
 
 fn max_connections(limits: &Limits) -> u32 {
-    let by_memory = limits.memory.get() / MEMORY_DIVISOR / CONNECTION_BYTES;
+    let connection_bytes = CONNECTION_BYTES + HEAD_COPIES * limits.head.get();
+    let by_memory = limits.memory.get() / MEMORY_DIVISOR / connection_bytes;
     let descriptors = limits.descriptors.unwrap_or_else(process_descriptors);
     let other = OTHER_DESCRIPTORS.min(descriptors / 2);
     let by_descriptors = (descriptors - other) / DESCRIPTORS_PER_CONNECTION;
