Requests: the trailers of a chunked body are skipped

What callers saw: 400 for a body in chunks that ends with a trailer section, which is legal. Cause: the decoder expected an empty line right after the last chunk. It now skips fields up to 4 KiB, and refuses what is no field: a request that follows a body without its last empty line is not taken for a trailer. The responses of targets use the same decoder.

--- a/crates/tansyknot-http/src/chunked.rs
+++ b/crates/tansyknot-http/src/chunked.rs
@@ -7,6 +7,9 @@
 /// Maximum length of the extensions of one chunk in bytes.
 const MAX_EXTENSION_BYTES: usize = 256;
 
+/// Maximum length of the trailer section in bytes.
+const MAX_TRAILER_BYTES: usize = 4 << 10;
+
 /// What is expected next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -14,7 +17,7 @@
     Size,
     /// So many bytes of a chunk.
     Content(u64),
-    /// Nothing: the last chunk has been read.
+    /// Nothing: the last chunk and the trailer section have been read.
     End,
 }
 
@@ -87,6 +90,27 @@
         }
         Err(malformed("the extensions of a chunk are too long"))
     }
+
+    /// Skips the trailer section, which is not forwarded, and the empty line after it.
+    fn skip_trailers(&mut self) -> io::Result<()> {
+        let mut line_len = 0;
+        let mut has_name = false;
+        for _ in 0..MAX_TRAILER_BYTES {
+            match self.read_byte()? {
+                b'\r' if line_len == 0 => return self.expect(b"\n"),
+                b'\r' if has_name => {
+                    self.expect(b"\n")?;
+                    (line_len, has_name) = (0, false);
+                    continue;
+                }
+                b':' if line_len > 0 => has_name = true,
+                byte if has_name || is_token(byte) => {}
+                _ => break,
+            }
+            line_len += 1;
+        }
+        Err(malformed("the trailer section is malformed or too long"))
+    }
 }
 
 impl<R: Read> Read for ChunkedReader<R> {
@@ -97,7 +121,7 @@
         if self.state == State::Size {
             self.state = match self.read_size()? {
                 0 => {
-                    self.expect(b"\r\n")?;
+                    self.skip_trailers()?;
                     State::End
                 }
                 size => State::Content(size),
@@ -120,6 +144,11 @@
     }
 }
 
+/// Returns whether a byte may be part of a field name.
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
 fn malformed(what: &'static str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
--- a/crates/tansyknot-http/tests/bodies.rs
+++ b/crates/tansyknot-http/tests/bodies.rs
@@ -20,6 +20,7 @@
     memory::RequestMemory,
     receive::{Receiver, Source},
 };
+use yare::parameterized;
 
 const LIMIT: u64 = 300 << 10;
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -115,10 +116,16 @@
         wire.extend_from_slice(b"\r\n");
         content = &content[n..];
     }
-    wire.extend_from_slice(format!("0{}\r\n\r\n", extension(rng)).as_bytes());
+    wire.extend_from_slice(format!("0{}\r\n{}\r\n", extension(rng), trailers(rng)).as_bytes());
     wire
 }
 
+fn trailers(rng: &mut StdRng) -> String {
+    let lines = if rng.random_bool(0.8) { 0 } else { rng.random_range(1..10) };
+    let line = |n: usize| format!("X-Trailer-{n}: {}\r\n", "t".repeat(n * 20));
+    (0..lines).map(line).collect()
+}
+
 fn extension(rng: &mut StdRng) -> String {
     if rng.random_bool(0.8) {
         return String::new();
@@ -181,6 +188,30 @@
     assert!(reads <= wire_len / 4096 + 2, "{reads} reads for {wire_len} bytes");
 }
 
+#[parameterized(
+    none = { "", true },
+    without_value = { "X-Sum:\r\n", true },
+    several = { "X-Sum: a:b\r\nX-Other: c\r\n", true },
+    another_request = { "GET / HTTP/1.1\r\n", false },
+    without_name = { ": a\r\n", false },
+    folded = { "X-Sum: a\r\n b\r\n", false },
+    too_long = { &"X-Sum: a\r\n".repeat(1_000), false },
+)]
+fn trailers_are_skipped(trailers: &str, is_valid: bool) {
+    let next = b"GET / HTTP/1.1\r\n\r\n";
+    let wire = [format!("3\r\nabc\r\n0\r\n{trailers}\r\n").as_bytes(), next].concat();
+    let (mut rx, _) = receiver([wire]);
+    let memory = Arc::new(RequestMemory::new(0, LIMIT));
+    let body = body::read(&mut rx, Framing::Chunked, LIMIT, &memory, &connection());
+    match body {
+        Ok(body) => {
+            assert!(is_valid);
+            assert_eq!((&*body.contiguous(), rx.buffered()), (&b"abc"[..], &next[..]));
+        }
+        Err(refusal) => assert_eq!((refusal.reason, is_valid), (Reason::BadRequest, false)),
+    }
+}
+
 /// Receives a body of this length, of which all bytes are there.
 fn receive(length: usize, memory: &Arc<RequestMemory>) -> Result<Body, Reason> {
     let (mut rx, _) = receiver([vec![b'b'; length]]);
