Memory: slow bodies give way to those that are whole

What callers saw: 503 for a small request, as long as clients that send a little more than 8 KB a second hold all memory for bodies: none of them counts as stalled. Cause: only stalled bodies give way. If none is, the slowest one that has been received for half a second gives way now to a body that came with its head and so can be served at once. Others wait and are refused as before: a caller's own upload is not ended for the sake of another one that has yet to arrive.

--- a/crates/tansyknot-http/src/body.rs
+++ b/crates/tansyknot-http/src/body.rs
@@ -278,7 +278,8 @@
     fn record_progress(&mut self) {
         if (self.body.length - self.recorded) as u64 >= PROGRESS_BYTES {
             self.recorded = self.body.length;
-            self.reservation().record_progress();
+            let received = self.recorded as u64;
+            self.reservation().record_progress(received);
         }
     }
 
--- a/crates/tansyknot-http/src/memory.rs
+++ b/crates/tansyknot-http/src/memory.rs
@@ -3,7 +3,7 @@
 //!
 //! Each body reserves its bytes before it grows. If they are not there, the body that holds most and
 //! makes no progress gives way: clients that stop in the middle of a body would otherwise keep the
-//! memory of all others.
+//! memory of all others. If all make progress, the slowest gives way to a body that is whole.
 
 use std::{
     collections::BTreeMap,
@@ -65,10 +65,19 @@
 struct ReceivingBody {
     stream: Arc<TcpStream>,
     bytes: u64,
+    received_bytes: u64,
+    began_at: BootInstant,
     progress_at: BootInstant,
     is_evicted: bool,
 }
 
+impl ReceivingBody {
+    /// Returns how many bytes have been received per second.
+    fn rate(&self, now: BootInstant) -> f64 {
+        self.received_bytes as f64 / now.duration_since(self.began_at).as_secs_f64()
+    }
+}
+
 impl Default for RequestMemory {
     fn default() -> Self {
         Self::new(DEFAULT_TOTAL_BYTES, DEFAULT_MAX_BODY_BYTES)
@@ -129,17 +138,15 @@
         self.receiving.keys().any(|other| Some(*other) != ticket)
     }
 
-    /// Lets the stalled body that holds most give way, unless one is about to.
-    fn evict_stalled(&mut self, ticket: Option<u64>, now: BootInstant) {
+    /// Lets a body give way, unless one is about to: the stalled one that holds most or, for the sake
+    /// of a body that is whole, the slowest one.
+    fn evict(&mut self, ticket: Option<u64>, now: BootInstant) {
         if self.receiving.values().any(|body| body.is_evicted) {
             return;
         }
-        let others = self.receiving.iter_mut().filter(|(other, _)| Some(**other) != ticket);
-        let stalled = others
-            .map(|(_, body)| body)
-            .filter(|body| body.bytes > 0)
-            .filter(|body| now.duration_since(body.progress_at) >= STALL_TIMEOUT);
-        if let Some(body) = stalled.max_by_key(|body| body.bytes) {
+        let slowest = || if ticket.is_none() { self.slowest(now) } else { None };
+        let evicted = self.stalled(ticket, now).or_else(slowest);
+        if let Some(body) = evicted.and_then(|evicted| self.receiving.get_mut(&evicted)) {
             body.is_evicted = true;
             self.evictions += 1;
             // Wakes the thread that waits for bytes. The call fails if the caller has left, which
@@ -147,6 +154,26 @@
             let _ = body.stream.shutdown(Shutdown::Read);
         }
     }
+
+    /// Returns the stalled body that holds most, other than `ticket`.
+    fn stalled(&self, ticket: Option<u64>, now: BootInstant) -> Option<u64> {
+        let others = self.receiving.iter().filter(|(other, _)| Some(**other) != ticket);
+        let stalled = others
+            .filter(|(_, body)| body.bytes > 0)
+            .filter(|(_, body)| now.duration_since(body.progress_at) >= STALL_TIMEOUT);
+        stalled.max_by_key(|(_, body)| body.bytes).map(|(stalled, _)| *stalled)
+    }
+
+    /// Returns the slowest body, among those whose rate can be told.
+    fn slowest(&self, now: BootInstant) -> Option<u64> {
+        let old = self
+            .receiving
+            .iter()
+            .filter(|(_, body)| body.bytes > 0)
+            .filter(|(_, body)| now.duration_since(body.began_at) >= STALL_TIMEOUT);
+        let rates = old.map(|(ticket, body)| (*ticket, body.rate(now)));
+        rates.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(slowest, _)| slowest)
+    }
 }
 
 /// The bytes that one request holds; they are released when it is dropped.
@@ -170,10 +197,13 @@
         let mut state = memory.state();
         let ticket = state.next_ticket;
         state.next_ticket += 1;
+        let now = BootInstant::now();
         let body = ReceivingBody {
             stream: Arc::clone(stream),
             bytes: 0,
-            progress_at: BootInstant::now(),
+            received_bytes: 0,
+            began_at: now,
+            progress_at: now,
             is_evicted: false,
         };
         state.receiving.insert(ticket, body);
@@ -202,7 +232,7 @@
             if now >= until || !state.has_others(self.ticket) {
                 return Err(NoRoom);
             }
-            state.evict_stalled(self.ticket, now);
+            state.evict(self.ticket, now);
             let waited = memory.released.wait_timeout(state, STALL_CHECK_INTERVAL);
             (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
         }
@@ -217,11 +247,13 @@
         Ok(())
     }
 
-    /// Records that the body has received [`PROGRESS_BYTES`] more.
-    pub(crate) fn record_progress(&self) {
+    /// Records that the body has received `bytes` in all, at least [`PROGRESS_BYTES`] more than when
+    /// this was last called.
+    pub(crate) fn record_progress(&self, bytes: u64) {
         let mut state = self.memory.state();
         let body = self.ticket.and_then(|ticket| state.receiving.get_mut(&ticket));
         if let Some(body) = body {
+            body.received_bytes = bytes;
             body.progress_at = BootInstant::now();
         }
     }
--- a/crates/tansyknot-http/tests/bodies.rs
+++ b/crates/tansyknot-http/tests/bodies.rs
@@ -2,13 +2,14 @@
 
 use std::{
     collections::VecDeque,
-    io,
-    net::{TcpListener, TcpStream},
+    io::{self, Write},
+    net::{Shutdown, TcpListener, TcpStream},
     ops::Range,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
+    thread,
     time::Duration,
 };
 
@@ -51,9 +52,8 @@
 
 /// Returns a connection, which a body that gives way would end.
 fn connection() -> Arc<TcpStream> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a loopback port is free");
-    let address = listener.local_addr().expect("a listener has an address");
-    Arc::new(TcpStream::connect(address).expect("the listener accepts"))
+    let (client, _) = connect(&listen());
+    Arc::new(client)
 }
 
 fn receiver(pieces: impl IntoIterator<Item = Vec<u8>>) -> (Receiver, Arc<AtomicUsize>) {
@@ -230,3 +230,60 @@
     assert_eq!(memory.held_bytes(), 0);
     receive(LIMIT as usize, &memory).expect("the bytes are released");
 }
+
+/// Guards against slow bodies, each of which makes progress, that together keep all memory until they
+/// are whole.
+#[test]
+fn whole_body_finds_room_beside_slow_ones() {
+    const LENGTH: usize = 64 << 10;
+    const SLOW_BODIES: usize = 12;
+    const WHOLE_LENGTH: usize = 2000;
+    let memory = Arc::new(RequestMemory::new(0, LIMIT));
+    let ends = Arc::new(AtomicBool::new(false));
+    let (listener, refused) = (listen(), Arc::new(AtomicUsize::new(0)));
+    thread::scope(|scope| {
+        for _ in 0..SLOW_BODIES {
+            let (mut client, server) = connect(&listener);
+            let (memory, refused, ends) = (&memory, &refused, &ends);
+            scope.spawn(move || {
+                // The receiver may have ended.
+                while !ends.load(Ordering::SeqCst) && client.write_all(&[b'b'; 1000]).is_ok() {
+                    thread::sleep(Duration::from_millis(100));
+                }
+            });
+            scope.spawn(move || {
+                let mut rx = Receiver::new(Arc::clone(&server));
+                rx.set_deadline(TIMEOUT);
+                let framing = Framing::Length(LENGTH as u64);
+                let body = body::read(&mut rx, framing, LIMIT, memory, &server);
+                if body.is_err_and(|refusal| refusal.reason == Reason::NoMemory) {
+                    refused.fetch_add(1, Ordering::SeqCst);
+                }
+                // Bytes that are not read would keep the client's connection open.
+                let _ = server.shutdown(Shutdown::Both);
+            });
+        }
+        // Once one is refused, the others hold all memory.
+        while refused.load(Ordering::SeqCst) == 0 {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let (mut rx, _) = receiver([vec![b'b'; WHOLE_LENGTH]]);
+        rx.fill().expect("the bytes are there");
+        let framing = Framing::Length(WHOLE_LENGTH as u64);
+        let whole = body::read(&mut rx, framing, LIMIT, &memory, &connection());
+        ends.store(true, Ordering::SeqCst);
+        whole.expect("a slow body gives way");
+    });
+}
+
+fn listen() -> TcpListener {
+    TcpListener::bind(("127.0.0.1", 0)).expect("a loopback port is free")
+}
+
+/// Returns both ends of a connection.
+fn connect(listener: &TcpListener) -> (TcpStream, Arc<TcpStream>) {
+    let address = listener.local_addr().expect("a listener has an address");
+    let client = TcpStream::connect(address).expect("the listener accepts");
+    let (server, _) = listener.accept().expect("a client connects");
+    (client, Arc::new(server))
+}
