Responses: one total with the bodies of requests, sized from the host

What callers saw: clients that read nothing of their responses end the process on a host of the smallest size. Cause: beside a fixed total of 32 MiB, each response could hold 64 KiB, the kernel 128 KiB of what its target had sent, and the stack and the relay some 48 KiB, and nothing counted these; the allocator kept what events had held that grew by doubling. On a host of less memory the total of 32 MiB stayed as it was.

Responses now take from one total with the bodies of requests, three eighths of `limits.memory`, a quarter of it by default for responses alone. Each may still hold 32 KiB by itself, so that usual responses are not dropped; these bytes, the kernel's buffers on both sides, stack and heads are the share of a connection: 160 KiB of half of the memory, so that the smallest host has 366 connections instead of 457. The kernel's buffer for a response begins with 32 KiB and is enlarged, at the cost of the total, once the response is a long one. The bytes of a response are blocks of the pool that bodies use; events are scanned as they arrive, so that they need not lie in one piece. `tansyknot_response_bytes` shows what responses hold.

--- a/crates/tansyknot-config/src/settings.rs
+++ b/crates/tansyknot-config/src/settings.rs
@@ -93,8 +93,9 @@
     pub idle_timeout: DurationSetting,
     /// The timeout of a write to a caller.
     pub write_timeout: DurationSetting,
-    /// The maximum size of the responses that a daemon of a fleet holds for its callers together.
-    pub response_buffers: Bytes,
+    /// The maximum size of the responses that a daemon of a fleet holds for its callers together; by
+    /// default, a quarter of `memory`.
+    pub response_buffers: Option<Bytes>,
     /// The maximum number of requests that wait for one service.
     pub waiting_per_service: u32,
     /// The maximum deadline, and the default for requests without a deadline of their own or of a
@@ -114,8 +115,7 @@
             receive_timeout: DurationSetting::from_secs(10),
             idle_timeout: DurationSetting::from_secs(60),
             write_timeout: DurationSetting::from_secs(10),
-            // About a quarter of the smallest host's memory (120 MB).
-            response_buffers: Bytes::new(32 << 20),
+            response_buffers: None,
             waiting_per_service: 512,
             deadline_max: DurationSetting::from_secs(3600),
         }
--- a/crates/tansyknot-core/src/metric.rs
+++ b/crates/tansyknot-core/src/metric.rs
@@ -66,7 +66,8 @@
     CALLER_STALLED = "caller_stalled", Counter, "route", "Requests whose caller was disconnected because it did not read its response.";
     REQUEST_BYTES = "request_bytes", Gauge, "daemon", "Bytes that the bodies of requests hold, from their first byte until their request has ended.";
     REQUEST_BYTES_PEAK = "request_bytes_peak", Gauge, "daemon", "The most bytes that the bodies of requests have held.";
-    BODIES_EVICTED = "bodies_evicted", Gauge, "daemon", "Bodies without progress that gave way to others because the memory for requests was used up; not run.";
+    RESPONSE_BYTES = "response_bytes", Gauge, "daemon", "Bytes that responses hold of the total that they share with the bodies of requests.";
+    BODIES_EVICTED = "bodies_evicted", Gauge, "daemon", "Bodies without progress, or slow ones, that gave way to others because the memory for requests was used up; not run.";
     NO_BUFFER = "no_buffer", Counter, "route", "Requests whose response was dropped because the daemon held too many bytes of other responses; a target has run them.";
     REFUSED_ON_ARRIVAL = "refused_on_arrival", Counter, "reason", "Requests refused before a target was selected.";
     QUOTA_GRANTED = "quota_granted", Counter, "team", "Requests that the team's quota allowed.";
--- a/crates/tansyknot-fleet/src/connection.rs
+++ b/crates/tansyknot-fleet/src/connection.rs
@@ -10,7 +10,10 @@
 use rustix::net::{self, SendFlags, sockopt};
 
 use crate::{
-    exchange::Failure, paths::Tunnel, poison::Presence, response_buffers::SOCKET_BUFFER_BYTES,
+    exchange::Failure,
+    paths::Tunnel,
+    poison::Presence,
+    response_buffers::{LONG_RESPONSE_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES},
     tunnel::frame::End,
 };
 
@@ -48,6 +51,13 @@
         configure(&self.stream, write_timeout)
     }
 
+    /// Enlarges the kernel's buffer for a long response.
+    pub(crate) fn enlarge_buffer(&self) {
+        // The response arrives in a smaller buffer as well, only more slowly.
+        let _ =
+            sockopt::set_socket_recv_buffer_size(&self.stream, LONG_RESPONSE_RECEIVE_BUFFER_BYTES);
+    }
+
     /// Sends as many bytes to the target as the kernel takes at once; returns their number.
     pub(crate) fn try_send(&self, bytes: &[u8]) -> io::Result<usize> {
         Ok(net::send(&self.stream, bytes, SendFlags::DONTWAIT | SendFlags::NOSIGNAL)?)
@@ -93,7 +103,7 @@
 pub(crate) fn configure(stream: &TcpStream, write_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(write_timeout))?;
-    sockopt::set_socket_recv_buffer_size(stream, SOCKET_BUFFER_BYTES)?;
+    sockopt::set_socket_recv_buffer_size(stream, RECEIVE_BUFFER_BYTES)?;
     Ok(())
 }
 
--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -368,6 +368,17 @@
     UntilClose(Exchange<'a>),
 }
 
+impl Body<'_> {
+    /// Enlarges the kernel's buffer of the target's connection for a long response.
+    pub(crate) fn enlarge_buffer(&self) {
+        let exchange = match self {
+            Body::Length(exchange, _) | Body::UntilClose(exchange) => exchange,
+            Body::Chunked(reader) => reader.source(),
+        };
+        exchange.stream.enlarge_buffer();
+    }
+}
+
 impl Read for Body<'_> {
     fn read(&mut self, out: &mut [u8]) -> io::Result<usize> {
         match self {
--- a/crates/tansyknot-fleet/src/response_buffers.rs
+++ b/crates/tansyknot-fleet/src/response_buffers.rs
@@ -15,17 +15,24 @@
 
 use rustix::net::sockopt;
 use tansyknot_core::clock::BootInstant;
+use tansyknot_http::memory::RequestMemory;
+
+use crate::response_parts::ResponseParts;
 
 /// Bytes of each request's responses that are not taken from the total, so that usual responses are
 /// relayed while large ones have used it up.
-pub const UNSHARED_BYTES: u64 = 64 << 10;
-/// The largest part of a body that is held as a whole. The allocator keeps larger blocks after their
-/// end, and growing them takes twice their size.
-const MAX_PART_BYTES: usize = 64 << 10;
-/// The size of the kernel's buffer for bytes that a caller has not read, or a daemon has not read
-/// from a target; Linux uses twice as much. It allows 50 Mbit/s at a round trip of 10 ms. Without a
-/// limit, the buffers of one connection grow to several megabytes.
-pub(crate) const SOCKET_BUFFER_BYTES: usize = 64 << 10;
+pub const UNSHARED_BYTES: u64 = 32 << 10;
+/// The size of the kernel's buffer for bytes that a caller has not read; Linux uses twice as much. It
+/// allows 50 Mbit/s at a round trip of 10 ms. Without a limit, the buffers of one connection grow to
+/// several megabytes.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+/// The size of the kernel's buffer for bytes that the daemon has not read from a target; Linux uses
+/// twice as much.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// The same size for a long response, which takes what Linux uses from the total.
+pub(crate) const LONG_RESPONSE_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// What the daemon and the kernel hold of a response without a share of the total.
+pub const UNSHARED_BYTES_WITH_KERNEL: u64 = UNSHARED_BYTES + 2 * RECEIVE_BUFFER_BYTES as u64;
 /// Maximum time without progress of a write to a caller. A target cuts off a response that is not
 /// read for some seconds, and counts as occupied until then.
 const MAX_STALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -56,14 +63,17 @@
 #[derive(Debug, Default)]
 pub struct ResponseBuffers {
     limits: ResponseLimits,
+    /// The memory that responses share with the bodies of requests.
+    memory: Arc<RequestMemory>,
     shared_bytes: AtomicU64,
     peak_bytes: AtomicU64,
 }
 
 impl ResponseBuffers {
-    /// Creates buffers with these limits.
-    pub fn new(limits: ResponseLimits) -> Self {
-        Self { limits, ..Self::default() }
+    /// Creates buffers with these limits, in the memory that responses share with the bodies of
+    /// requests.
+    pub fn new(limits: ResponseLimits, memory: Arc<RequestMemory>) -> Self {
+        Self { limits, memory, ..Self::default() }
     }
 
     /// Returns the bytes that are taken from the total.
@@ -79,7 +89,7 @@
     /// Bounds the kernel's buffer of a caller's connection, and the time without progress of a write
     /// to it.
     pub(crate) fn limit_connection(&self, caller: &TcpStream) -> io::Result<()> {
-        sockopt::set_socket_send_buffer_size(caller, SOCKET_BUFFER_BYTES)?;
+        sockopt::set_socket_send_buffer_size(caller, SEND_BUFFER_BYTES)?;
         caller.set_write_timeout(Some(self.limits.stall_timeout))
     }
 
@@ -92,10 +102,18 @@
     fn take(&self, bytes: u64) -> bool {
         let add = |held: u64| held.checked_add(bytes).filter(|sum| *sum <= self.limits.total_bytes);
         let taken = self.shared_bytes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, add);
-        if let Ok(before) = taken {
-            self.peak_bytes.fetch_max(before + bytes, Ordering::SeqCst);
+        let Ok(before) = taken else { return false };
+        if !self.memory.take_for_response(bytes) {
+            self.shared_bytes.fetch_sub(bytes, Ordering::SeqCst);
+            return false;
         }
-        taken.is_ok()
+        self.peak_bytes.fetch_max(before + bytes, Ordering::SeqCst);
+        true
+    }
+
+    fn release(&self, bytes: u64) {
+        self.shared_bytes.fetch_sub(bytes, Ordering::SeqCst);
+        self.memory.release_of_response(bytes);
     }
 }
 
@@ -104,12 +122,14 @@
 pub struct Reservation {
     buffers: Arc<ResponseBuffers>,
     bytes: u64,
+    /// The part of the kernel's buffers that is taken from the total.
+    kernel_bytes: u64,
 }
 
 impl Reservation {
     /// Creates a reservation of no bytes.
     pub fn new(buffers: Arc<ResponseBuffers>) -> Self {
-        Self { buffers, bytes: 0 }
+        Self { buffers, bytes: 0, kernel_bytes: 0 }
     }
 
     /// Returns the bytes that are reserved.
@@ -117,40 +137,39 @@
         self.bytes
     }
 
-    /// Appends `more` to `buf`, whose capacity is reserved here; returns `false`, and leaves `buf` as
-    /// it is, if the total does not allow it.
-    pub fn extend(&mut self, buf: &mut Vec<u8>, more: &[u8]) -> bool {
-        let needed = buf.len() + more.len();
-        if needed > buf.capacity() {
-            let (before, capacity) = (buf.capacity(), needed.max(buf.capacity() * 2));
-            // Both buffers are held while the bytes are copied.
-            if !self.grow(capacity as u64) {
-                return false;
-            }
-            buf.reserve_exact(capacity - buf.len());
-            self.shrink_to(self.bytes - before as u64);
-        }
-        buf.extend_from_slice(more);
-        true
+    /// Creates parts for the bytes that are reserved here.
+    pub fn parts(&self) -> ResponseParts {
+        ResponseParts::new(Arc::clone(&self.buffers.memory))
     }
 
-    /// Appends `more` to a body in parts; returns `false` if the total does not allow it.
-    pub fn extend_parts(&mut self, parts: &mut Vec<Vec<u8>>, mut more: &[u8]) -> bool {
+    /// Appends `more` to `parts`, whose lengths are reserved here; returns `false` if the total does
+    /// not allow it.
+    pub fn extend(&mut self, parts: &mut ResponseParts, mut more: &[u8]) -> bool {
         while !more.is_empty() {
-            match parts.last_mut().filter(|part| part.len() < MAX_PART_BYTES) {
-                Some(part) => {
-                    let n = more.len().min(MAX_PART_BYTES - part.len());
-                    if !self.extend(part, &more[..n]) {
-                        return false;
-                    }
-                    more = &more[n..];
+            if let Some(bytes) = parts.next_part_bytes(more.len()) {
+                if !self.grow(bytes as u64) {
+                    return false;
                 }
-                None => parts.push(Vec::new()),
+                parts.add_part(bytes);
             }
+            more = &more[parts.fill_part(more)..];
         }
         true
     }
 
+    /// Takes what the kernel uses for a long response from the total, once. Returns whether its buffer
+    /// may be enlarged now.
+    pub fn takes_larger_buffer(&mut self) -> bool {
+        const MORE_BYTES: u64 =
+            2 * (LONG_RESPONSE_RECEIVE_BUFFER_BYTES - RECEIVE_BUFFER_BYTES) as u64;
+        let is_due = self.kernel_bytes == 0 && self.bytes > UNSHARED_BYTES;
+        let is_granted = is_due && self.buffers.take(MORE_BYTES);
+        if is_granted {
+            self.kernel_bytes = MORE_BYTES;
+        }
+        is_granted
+    }
+
     fn grow(&mut self, by: u64) -> bool {
         let bytes = self.bytes + by;
         let is_granted = self.buffers.take(shared(bytes) - shared(self.bytes));
@@ -163,8 +182,7 @@
     /// Releases all but `bytes`.
     pub fn shrink_to(&mut self, bytes: u64) {
         let bytes = bytes.min(self.bytes);
-        let released = shared(self.bytes) - shared(bytes);
-        self.buffers.shared_bytes.fetch_sub(released, Ordering::SeqCst);
+        self.buffers.release(shared(self.bytes) - shared(bytes));
         self.bytes = bytes;
     }
 }
@@ -172,6 +190,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.shrink_to(0);
+        self.buffers.release(self.kernel_bytes);
     }
 }
 
--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -11,7 +11,8 @@
 use rustix::net::sockopt;
 use tansyknot_core::clock::BootInstant;
 use tansyknot_http::{
-    events, head,
+    events::EventScanner,
+    head,
     respond::{self, ConnectionAction, StreamedResponse},
 };
 
@@ -19,6 +20,7 @@
     condition::interval::IntervalMeter,
     exchange::{Body, Control, Failure, ResponseHead},
     response_buffers::Reservation,
+    response_parts::{Part, ResponseParts},
 };
 
 /// Maximum body of a response that is not a stream, in bytes.
@@ -27,8 +29,6 @@
 const MAX_EVENT_BYTES: usize = 4 << 20;
 /// Maximum bytes of comments before an event. A stream of comments alone makes no progress.
 const MAX_COMMENT_BYTES: usize = 256 << 10;
-/// Maximum bytes of a stream that are written without a check of the deadline.
-const MAX_WRITE_BYTES: usize = 64 << 10;
 /// Size of the read buffer of a stream in bytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -47,14 +47,13 @@
 }
 
 /// A full response of a target.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct TargetResponse {
     /// The HTTP status code.
     pub status: u16,
     content_type: String,
     headers: Vec<(String, String)>,
-    /// The body, in parts.
-    body: Vec<Vec<u8>>,
+    body: ResponseParts,
 }
 
 /// Reads a full response.
@@ -68,21 +67,22 @@
     control: &Control,
     buffer: &mut Reservation,
 ) -> Result<TargetResponse, Failure> {
-    let mut parts = Vec::new();
-    let mut length = 0;
+    let mut parts = buffer.parts();
     let mut chunk = [0; READ_BUFFER_BYTES];
     loop {
         let n = body.read(&mut chunk).map_err(|_| control.failure())?;
         if n == 0 {
             break;
         }
-        length += n as u64;
-        if length > MAX_BODY_BYTES {
+        if (parts.len() + n) as u64 > MAX_BODY_BYTES {
             return Err(Failure::Malformed);
         }
-        if !buffer.extend_parts(&mut parts, &chunk[..n]) {
+        if !buffer.extend(&mut parts, &chunk[..n]) {
             return Err(Failure::NoBuffer);
         }
+        if buffer.takes_larger_buffer() {
+            body.enlarge_buffer();
+        }
     }
     Ok(TargetResponse {
         status: head.status,
@@ -204,10 +204,36 @@
 ) -> Result<(), Failure> {
     let mut out = UntilDeadline { caller: caller.stream, deadline };
     let head = (response.status, response.content_type.as_str(), response.headers.as_slice());
-    respond::write_parts(&mut out, head, &response.body, caller.after)
+    respond::write_parts(&mut out, head, response.body.parts(), caller.after)
         .map_err(|e| caller_failure(&e, caller.stream))
 }
 
+/// What was received of a stream and not forwarded yet.
+struct ReceivedEvents {
+    pending: ResponseParts,
+    scanner: EventScanner,
+    /// What the reservation held before.
+    held_before: u64,
+}
+
+impl ReceivedEvents {
+    fn new(buffer: &Reservation) -> Self {
+        let (pending, held_before) = (buffer.parts(), buffer.bytes());
+        Self { pending, scanner: EventScanner::default(), held_before }
+    }
+
+    fn add(&mut self, bytes: &[u8], buffer: &mut Reservation) -> Result<(), Failure> {
+        let has_room = buffer.extend(&mut self.pending, bytes);
+        has_room.then_some(()).ok_or(Failure::NoBuffer)
+    }
+
+    fn clear(&mut self, buffer: &mut Reservation) {
+        self.pending.clear();
+        buffer.shrink_to(self.held_before);
+        self.scanner = EventScanner::default();
+    }
+}
+
 /// Where the events of a stream go, and within which limits.
 pub struct StreamSink<'a, 'o> {
     /// The caller.
@@ -257,7 +283,7 @@
         let (caller, timeouts) = (sink.caller, sink.timeouts);
         // Only its events show that a stream without a declared end was not cut off.
         let mut may_end = !matches!(body, Body::UntilClose(_));
-        let mut pending = Vec::new();
+        let mut events = ReceivedEvents::new(sink.buffer);
         let mut buf = [0; READ_BUFFER_BYTES];
         control.set_deadline(timeouts.first_by.min(timeouts.deadline));
         loop {
@@ -266,51 +292,55 @@
                 return Err(Failure::ClosedEarly);
             }
             if n == 0 {
-                return self.end(head, &pending, sink);
+                return self.end(head, &events, sink);
             }
-            if !sink.buffer.extend(&mut pending, &buf[..n]) {
-                return Err(Failure::NoBuffer);
-            }
-            if pending.len() > MAX_EVENT_BYTES {
+            let end = events.scanner.last_event_end(&buf[..n]);
+            let (complete, rest) = buf[..n].split_at(end.unwrap_or(0));
+            events.scanner.scan(complete);
+            if events.pending.len() + complete.len() > MAX_EVENT_BYTES {
                 return Err(Failure::Malformed);
             }
-            // The bytes before hold no complete event, except for the first byte of its end.
-            let from = pending.len().saturating_sub(n + events::EVENT_END.len() - 1);
-            let Some(end) = events::last_event_end(&pending[from..]) else { continue };
-            let end = from + end;
-            if !events::has_fields(&pending[..end]) {
+            if end.is_none() || !events.scanner.has_fields() {
                 // Comments are sent with the next event.
-                if end > MAX_COMMENT_BYTES {
+                events.add(complete, sink.buffer)?;
+                if end.is_some() && events.pending.len() > MAX_COMMENT_BYTES {
                     return Err(Failure::Malformed);
                 }
-                continue;
+                events.scanner.scan(rest);
+                events.add(rest, sink.buffer)?;
+            } else {
+                may_end = true;
+                sink.observer.record(events.scanner.count());
+                if !self.has_begun() {
+                    (sink.on_first_event)();
+                }
+                self.send(head, &events, complete, (caller, timeouts.write_by))?;
+                events.clear(sink.buffer);
+                events.scanner.scan(rest);
+                events.add(rest, sink.buffer)?;
+                control.set_deadline((BootInstant::now() + timeouts.gap).min(timeouts.deadline));
             }
-            may_end = true;
-            sink.observer.record(events::count(&pending[..end]));
-            if !self.has_begun() {
-                (sink.on_first_event)();
+            if sink.buffer.takes_larger_buffer() {
+                body.enlarge_buffer();
             }
-            self.send(head, &pending[..end], caller, timeouts.write_by)?;
-            pending.drain(..end);
-            control.set_deadline((BootInstant::now() + timeouts.gap).min(timeouts.deadline));
         }
     }
 
     fn end(
         &mut self,
         head: &ResponseHead,
-        pending: &[u8],
+        events: &ReceivedEvents,
         sink: &StreamSink<'_, '_>,
     ) -> Result<(), Failure> {
         let caller = sink.caller;
-        if pending.is_empty() {
+        if events.pending.is_empty() {
             // A stream without events is still a valid response.
             return self.begin(head, caller).map_err(|e| caller_failure(&e, caller.stream));
         }
-        if events::last_event_end(pending) != Some(pending.len()) {
+        if !events.scanner.is_at_event_end() {
             return Err(Failure::ClosedEarly);
         }
-        self.send(head, pending, caller, sink.timeouts.write_by)
+        self.send(head, events, &[], (caller, sink.timeouts.write_by))
     }
 
     fn begin(&mut self, head: &ResponseHead, caller: CallerConnection<'_>) -> io::Result<()> {
@@ -328,29 +358,34 @@
         Ok(())
     }
 
+    /// Sends complete events: the pending bytes, and `rest` after them.
     fn send(
         &mut self,
         head: &ResponseHead,
-        complete_events: &[u8],
-        caller: CallerConnection<'_>,
-        write_by: BootInstant,
+        events: &ReceivedEvents,
+        rest: &[u8],
+        (caller, write_by): (CallerConnection<'_>, BootInstant),
     ) -> Result<(), Failure> {
-        self.begin(head, caller).map_err(|e| caller_failure(&e, caller.stream))?;
+        let failure = |e: &io::Error| caller_failure(e, caller.stream);
+        self.begin(head, caller).map_err(|e| failure(&e))?;
         let Some(out) = &mut self.out else { return Err(Failure::CallerLeft) };
-        for part in complete_events.chunks(MAX_WRITE_BYTES) {
+        let send = |part: &[u8]| {
             if BootInstant::now() >= write_by {
-                return Err(caller_failure(&io::ErrorKind::TimedOut.into(), caller.stream));
+                return Err(io::ErrorKind::TimedOut.into());
             }
-            out.send(part).map_err(|e| caller_failure(&e, caller.stream))?;
-        }
+            out.send(part)
+        };
+        let pending = events.pending.parts().iter().map(Part::as_ref);
+        let parts = pending.chain((!rest.is_empty()).then_some(rest));
+        parts.into_iter().try_for_each(send).map_err(|e| failure(&e))?;
         let now = BootInstant::now();
         let gap = self.last_at.map_or(Duration::ZERO, |at| now.duration_since(at));
         self.longest_gap = self.longest_gap.max(gap);
         self.last_at = Some(now);
         self.first_at.get_or_insert(now);
-        self.events += events::count(complete_events);
-        if let Some(id) = events::last_id(complete_events) {
-            self.last_id = Some(id);
+        self.events += events.scanner.count();
+        if let Some(id) = events.scanner.last_id() {
+            self.last_id = Some(id.to_owned());
         }
         Ok(())
     }
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -26,6 +26,7 @@
 };
 use tansyknot_http::{
     head::Head,
+    memory::RequestMemory,
     problem,
     respond::{self, ConnectionAction, FullResponse},
     server::{Handler, Lifecycle, Request, RequestLimits},
@@ -101,10 +102,11 @@
         }
     }
 
-    /// Returns this server with limits on the responses that it holds.
+    /// Returns this server with limits on the responses that it holds, in the memory that they share
+    /// with the bodies of requests.
     #[must_use]
-    pub fn with_response_limits(self, limits: ResponseLimits) -> Self {
-        Self { buffers: Arc::new(ResponseBuffers::new(limits)), ..self }
+    pub fn with_response_limits(self, limits: ResponseLimits, memory: Arc<RequestMemory>) -> Self {
+        Self { buffers: Arc::new(ResponseBuffers::new(limits, memory)), ..self }
     }
 
     /// Returns this server with a way to share the origins of streams with other daemons.
--- a/crates/tansyknot-http/src/events.rs
+++ b/crates/tansyknot-http/src/events.rs
@@ -9,21 +9,86 @@
     Some(at + EVENT_END.len())
 }
 
-/// Returns whether `bytes`, which consist of complete blocks, have a field of an event. Blocks without
-/// one are comments.
-pub fn has_fields(bytes: &[u8]) -> bool {
-    bytes.split(|b| *b == b'\n').any(|line| !line.is_empty() && !line.starts_with(b":"))
-}
-
 /// Returns the number of events in `events`, which consists of complete events.
 pub fn count(events: &[u8]) -> u64 {
     events.windows(EVENT_END.len()).filter(|w| *w == EVENT_END).count() as u64
 }
 
-/// Returns the identifier of the last event in `events` that has one; `events` consists of complete
-/// events.
-pub fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|b| *b == b'\n').rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
+/// Longer identifiers of events are cut off.
+const MAX_ID_BYTES: usize = 1 << 10;
+const ID_FIELD: &[u8] = b"id:";
+
+/// What has been received of a stream since its events were last forwarded, without its bytes.
+#[derive(Debug, Default)]
+pub struct EventScanner {
+    /// The beginning of the current line.
+    line: Vec<u8>,
+    line_len: usize,
+    has_bytes: bool,
+    has_fields: bool,
+    count: u64,
+    ends_with_event: bool,
+    last_id: Option<String>,
+}
+
+impl EventScanner {
+    /// Returns the offset in `bytes`, which come next, behind the last event that ends there.
+    pub fn last_event_end(&self, bytes: &[u8]) -> Option<usize> {
+        let begins_with_end = self.is_at_line_end() && bytes.starts_with(b"\n");
+        last_event_end(bytes).or_else(|| begins_with_end.then_some(1))
+    }
+
+    /// Scans the next bytes.
+    pub fn scan(&mut self, bytes: &[u8]) {
+        for line in bytes.split_inclusive(|byte| *byte == b'\n') {
+            let is_whole = line.ends_with(b"\n");
+            let text = &line[..line.len() - usize::from(is_whole)];
+            let kept = text.len().min(MAX_ID_BYTES - self.line.len());
+            self.line.extend_from_slice(&text[..kept]);
+            self.line_len += text.len();
+            self.ends_with_event &= text.is_empty();
+            if is_whole {
+                self.end_line();
+            }
+        }
+        self.has_bytes |= !bytes.is_empty();
+    }
+
+    fn end_line(&mut self) {
+        self.ends_with_event = self.line_len == 0 && self.has_bytes;
+        self.count += u64::from(self.ends_with_event);
+        if self.line_len > 0 && !self.line.starts_with(b":") {
+            self.has_fields = true;
+        }
+        if let Some(id) = self.line.strip_prefix(ID_FIELD) {
+            self.last_id = Some(String::from_utf8_lossy(id).trim().to_owned());
+        }
+        self.line.clear();
+        self.line_len = 0;
+        self.has_bytes = true;
+    }
+
+    fn is_at_line_end(&self) -> bool {
+        self.has_bytes && self.line_len == 0
+    }
+
+    /// Returns whether the scanned bytes end with an event.
+    pub fn is_at_event_end(&self) -> bool {
+        self.ends_with_event
+    }
+
+    /// Returns whether there is a field of an event. Events without one are comments.
+    pub fn has_fields(&self) -> bool {
+        self.has_fields
+    }
+
+    /// Returns the number of events that have ended.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Returns the identifier of the last event that has one.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
 }
--- a/crates/tansyknot-http/src/memory.rs
+++ b/crates/tansyknot-http/src/memory.rs
@@ -1,9 +1,10 @@
 //! Bounds the bytes of requests that a daemon holds, from the first byte of a body until its request
-//! has ended.
+//! has ended, together with those of responses.
 //!
 //! Each body reserves its bytes before it grows. If they are not there, the body that holds most and
 //! makes no progress gives way: clients that stop in the middle of a body would otherwise keep the
-//! memory of all others. If all make progress, the slowest gives way to a body that is whole.
+//! memory of all others. If all make progress, the slowest gives way to a body that is whole. A response
+//! that finds no room does not wait for it.
 
 use std::{
     collections::BTreeMap,
@@ -17,9 +18,9 @@
 
 use crate::receive::ENLARGED_BUFFER_BYTES;
 
-/// The size of the blocks that long bodies consist of. Freed blocks are kept for other bodies, as the
-/// allocator does not reuse the memory of one thread for another one.
-pub(crate) const BLOCK_BYTES: usize = 32 << 10;
+/// The size of the blocks that long bodies and responses consist of. Freed blocks are kept for others,
+/// as the allocator does not reuse the memory of one thread for another one.
+pub const BLOCK_BYTES: usize = 32 << 10;
 /// Bodies up to this length may use the part of the total that longer ones can't take.
 pub(crate) const SMALL_BODY_BYTES: u64 = 64 << 10;
 /// One in so many bytes of the total is kept for small bodies.
@@ -42,9 +43,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NoRoom;
 
-/// The bytes of all requests that a daemon holds.
+/// The bytes of all requests and responses that a daemon holds.
 #[derive(Debug)]
 pub struct RequestMemory {
+    /// What bodies may hold together.
+    body_bytes: u64,
+    /// What bodies and responses may hold together.
     total_bytes: u64,
     state: Mutex<State>,
     released: Condvar,
@@ -54,6 +58,7 @@
 struct State {
     held_bytes: u64,
     peak_bytes: u64,
+    response_bytes: u64,
     evictions: u64,
     next_ticket: u64,
     /// The bodies that are being received.
@@ -85,50 +90,113 @@
 }
 
 impl RequestMemory {
-    /// Creates a bound of `total_bytes`. It is raised if the longest body would find no room in it.
-    pub fn new(total_bytes: u64, max_body_bytes: u64) -> Self {
+    /// Creates a bound of `body_bytes` for bodies, and none for responses. It is raised if the longest
+    /// body would find no room in it.
+    pub fn new(body_bytes: u64, max_body_bytes: u64) -> Self {
         let block = BLOCK_BYTES as u64;
         let longest = max_body_bytes.div_ceil(block).saturating_add(1).saturating_mul(block);
         let longest = longest.saturating_add(ENLARGED_BUFFER_BYTES);
         // What longer bodies can take of the total.
         let needed = longest.saturating_add(longest / (SMALL_BODY_DIVISOR - 1) + 1);
         Self {
-            total_bytes: total_bytes.max(needed),
+            body_bytes: body_bytes.max(needed),
+            total_bytes: u64::MAX,
             state: Mutex::default(),
             released: Condvar::new(),
         }
     }
 
-    /// Returns the bytes that requests hold.
+    /// Returns this bound with one of `total_bytes` for bodies and responses together. It is raised if
+    /// bodies alone would find no room in it, or responses of `response_bytes` alone.
+    #[must_use]
+    pub fn with_total(self, total_bytes: u64, response_bytes: u64) -> Self {
+        let responses = response_bytes.saturating_add(self.small_body_reserve());
+        Self { total_bytes: total_bytes.max(self.body_bytes).max(responses), ..self }
+    }
+
+    /// Takes bytes for a response; returns `false` if there is no room for them.
+    #[must_use]
+    pub fn take_for_response(&self, bytes: u64) -> bool {
+        let limit = self.total_bytes - self.small_body_reserve();
+        let mut state = self.state();
+        let has_room = state.all_bytes().saturating_add(bytes) <= limit;
+        if has_room {
+            state.response_bytes += bytes;
+        }
+        has_room
+    }
+
+    /// Releases bytes that were taken for a response.
+    pub fn release_of_response(&self, bytes: u64) {
+        if bytes > 0 {
+            self.state().response_bytes -= bytes;
+            self.released.notify_all();
+        }
+    }
+
+    /// Returns the bytes that the bodies of requests hold.
     pub fn held_bytes(&self) -> u64 {
         self.state().held_bytes
     }
 
-    /// Returns the most bytes that requests have ever held.
+    /// Returns the most bytes that the bodies of requests have ever held.
     pub fn peak_bytes(&self) -> u64 {
         self.state().peak_bytes
     }
 
+    /// Returns the bytes that responses hold.
+    pub fn response_bytes(&self) -> u64 {
+        self.state().response_bytes
+    }
+
     /// Returns the number of bodies that have given way to others.
     pub fn evictions(&self) -> u64 {
         self.state().evictions
     }
 
+    /// Returns a block of bytes that are reserved or taken.
+    pub fn block(&self) -> Box<[u8]> {
+        let block = self.state().free_blocks.pop();
+        block.unwrap_or_else(|| vec![0; BLOCK_BYTES].into_boxed_slice())
+    }
+
+    /// Keeps those of `blocks` that others can use.
+    pub fn keep_blocks(&self, blocks: impl Iterator<Item = Box<[u8]>>) {
+        self.state().keep_blocks(blocks);
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the bytes that all requests together may hold once a body holds `bytes`.
-    fn limit(&self, bytes: u64) -> u64 {
-        if bytes <= SMALL_BODY_BYTES {
-            self.total_bytes
-        } else {
-            self.total_bytes - self.total_bytes / SMALL_BODY_DIVISOR
-        }
+    /// Returns the bytes that only small bodies may take.
+    fn small_body_reserve(&self) -> u64 {
+        self.body_bytes / SMALL_BODY_DIVISOR
+    }
+
+    /// Returns whether a body may hold `bytes`, which are `more` than now.
+    fn has_room(&self, state: &State, bytes: u64, more: u64) -> bool {
+        let reserve = if bytes <= SMALL_BODY_BYTES { 0 } else { self.small_body_reserve() };
+        state.held_bytes + more <= self.body_bytes - reserve
+            && state.all_bytes() + more <= self.total_bytes - reserve
     }
 }
 
 impl State {
+    /// Returns the bytes of bodies and responses.
+    fn all_bytes(&self) -> u64 {
+        self.held_bytes + self.response_bytes
+    }
+
+    fn keep_blocks(&mut self, blocks: impl Iterator<Item = Box<[u8]>>) {
+        self.free_blocks.extend(blocks.filter(|block| block.len() == BLOCK_BYTES));
+    }
+
+    /// Returns whether waiting may give a body room.
+    fn may_release(&self, ticket: Option<u64>) -> bool {
+        self.response_bytes > 0 || self.has_others(ticket)
+    }
+
     /// Returns whether `ticket` is the one of a body that has given way.
     fn is_evicted(&self, ticket: Option<u64>) -> bool {
         ticket.and_then(|ticket| self.receiving.get(&ticket)).is_some_and(|body| body.is_evicted)
@@ -218,18 +286,17 @@
     /// Fails if there is no room, or if this body has given way itself.
     pub(crate) fn grow(&mut self, more: u64) -> Result<(), NoRoom> {
         let memory = Arc::clone(&self.memory);
-        let limit = memory.limit(self.bytes + more);
         let until = BootInstant::now() + ROOM_TIMEOUT;
         let mut state = memory.state();
         loop {
             if state.is_evicted(self.ticket) {
                 return Err(NoRoom);
             }
-            if state.held_bytes + more <= limit {
+            if memory.has_room(&state, self.bytes + more, more) {
                 break;
             }
             let now = BootInstant::now();
-            if now >= until || !state.has_others(self.ticket) {
+            if now >= until || !state.may_release(self.ticket) {
                 return Err(NoRoom);
             }
             state.evict(self.ticket, now);
@@ -276,15 +343,14 @@
 
     /// Returns a block of the bytes that are reserved.
     pub(crate) fn block(&self) -> Box<[u8]> {
-        let block = self.memory.state().free_blocks.pop();
-        block.unwrap_or_else(|| vec![0; BLOCK_BYTES].into_boxed_slice())
+        self.memory.block()
     }
 
     /// Releases all bytes, and keeps those of `blocks` that other bodies can use.
     pub(crate) fn release(&mut self, blocks: impl Iterator<Item = Box<[u8]>>) {
         let bytes = mem::take(&mut self.bytes);
         let mut state = self.memory.state();
-        state.free_blocks.extend(blocks.filter(|block| block.len() == BLOCK_BYTES));
+        state.keep_blocks(blocks);
         state.held_bytes -= bytes;
         if let Some(ticket) = self.ticket.take() {
             state.receiving.remove(&ticket);
--- a/crates/tansyknot-http/src/respond.rs
+++ b/crates/tansyknot-http/src/respond.rs
@@ -58,21 +58,21 @@
 pub fn write_parts(
     stream: &mut impl Write,
     head: (u16, &str, &[(String, String)]),
-    parts: &[Vec<u8>],
+    parts: &[impl AsRef<[u8]>],
     after: ConnectionAction,
 ) -> io::Result<()> {
-    let length: usize = parts.iter().map(Vec::len).sum();
+    let length: usize = parts.iter().map(|part| part.as_ref().len()).sum();
     let is_copied = length <= MAX_COPIED_BODY_BYTES;
     let mut buf = Vec::with_capacity(256 + if is_copied { length } else { 0 });
     let (status, content_type, headers) = head;
     write_head(&mut buf, status, content_type, headers, after);
     buf.extend_from_slice(format!("content-length: {length}\r\n\r\n").as_bytes());
     if is_copied {
-        parts.iter().for_each(|part| buf.extend_from_slice(part));
+        parts.iter().for_each(|part| buf.extend_from_slice(part.as_ref()));
         return stream.write_all(&buf);
     }
     stream.write_all(&buf)?;
-    parts.iter().try_for_each(|part| stream.write_all(part))
+    parts.iter().try_for_each(|part| stream.write_all(part.as_ref()))
 }
 
 fn write_head(
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -153,9 +153,10 @@
             Arc::clone(&recorder) as _,
             Arc::clone(&lifecycle),
         );
-        let server = server.with_response_limits(response_limits(settings));
-        let server = server.with_origins(Arc::clone(&peer_node) as _);
         let options = host::server_options(&settings.limits, DrainBehaviour::ServeIdle);
+        let memory = Arc::clone(&options.memory);
+        let server = server.with_response_limits(response_limits(settings), memory);
+        let server = server.with_origins(Arc::clone(&peer_node) as _);
         let callers =
             serve(settings.listen.callers, options.clone(), Arc::new(server), &lifecycle)?;
         let ready = ReadyPage {
@@ -268,7 +269,7 @@
 
 fn response_limits(settings: &FleetSettings) -> ResponseLimits {
     let limits = &settings.limits;
-    ResponseLimits::new(limits.response_buffers.get(), limits.write_timeout.duration())
+    ResponseLimits::new(host::response_bytes(limits), limits.write_timeout.duration())
 }
 
 /// Returns the options of the pages' listeners, whose requests have no body.
--- a/crates/tansyknotd/src/fleet/pages.rs
+++ b/crates/tansyknotd/src/fleet/pages.rs
@@ -110,6 +110,7 @@
             (metric::CONFIG_CALL_AGE, age(contacts.config)),
             (metric::REQUEST_BYTES, self.memory.held_bytes() as f64),
             (metric::REQUEST_BYTES_PEAK, self.memory.peak_bytes() as f64),
+            (metric::RESPONSE_BYTES, self.memory.response_bytes() as f64),
             (metric::BODIES_EVICTED, self.memory.evictions() as f64),
         ];
         let (cut_off, failed_paths) = {
--- a/crates/tansyknotd/src/host.rs
+++ b/crates/tansyknotd/src/host.rs
@@ -3,19 +3,30 @@
 use std::sync::Arc;
 
 use rustix::process::{self, Resource};
-use tansyknot_config::settings::Limits;
+use tansyknot_config::{settings::Limits, unit::Bytes};
+use tansyknot_fleet::response_buffers;
 use tansyknot_http::{
     memory::RequestMemory,
     server::{DrainBehaviour, ServerOptions},
 };
 
-/// One in so many bytes of the host's memory is for the bodies of requests, and as many for
-/// connections. The rest is for responses and the daemon's own state.
-const MEMORY_DIVISOR: u64 = 4;
-/// The touched part of a connection's stack, and the kernel's receive buffer.
-const CONNECTION_BYTES: u64 = 32 << 10;
-/// A head is held as it is received, and as it is parsed.
-const HEAD_COPIES: u64 = 2;
+/// The parts of the host's memory are counted in eighths. One of them is for the daemon's own state.
+const EIGHTHS: u64 = 8;
+/// For the bodies of requests.
+const BODY_EIGHTHS: u64 = 2;
+/// For responses, if no setting gives another number.
+const RESPONSE_EIGHTHS: u64 = 2;
+/// For bodies and responses together.
+const BODY_AND_RESPONSE_EIGHTHS: u64 = 3;
+/// For connections.
+const CONNECTION_EIGHTHS: u64 = 4;
+/// The kernel's receive buffer of a connection.
+const RECEIVE_BUFFER_BYTES: u64 = 32 << 10;
+/// The touched part of a connection's stack while a head is received.
+const RECEIVING_STACK_BYTES: u64 = 16 << 10;
+/// The touched part of a connection's stack while its request is served, with the buffers of the
+/// relay.
+const SERVING_STACK_BYTES: u64 = 48 << 10;
 /// A request needs a descriptor for its caller and one for its target.
 const DESCRIPTORS_PER_CONNECTION: u32 = 2;
 /// Descriptors for files, the store, and the connections and tunnels of other daemons.
@@ -23,11 +34,13 @@
 
 /// Returns the options of a listener for callers.
 pub(crate) fn server_options(limits: &Limits, on_drain: DrainBehaviour) -> ServerOptions {
-    let request_bytes = limits.memory.get() / MEMORY_DIVISOR;
+    let eighth = limits.memory.get() / EIGHTHS;
+    let memory = RequestMemory::new(eighth * BODY_EIGHTHS, limits.body.get())
+        .with_total(eighth * BODY_AND_RESPONSE_EIGHTHS, response_bytes(limits));
     ServerOptions {
         max_head_bytes: limits.head.get(),
         max_body_bytes: limits.body.get(),
-        memory: Arc::new(RequestMemory::new(request_bytes, limits.body.get())),
+        memory: Arc::new(memory),
         max_connections: max_connections(limits),
         head_timeout: limits.receive_timeout.duration(),
         body_timeout: limits.receive_timeout.duration(),
@@ -37,9 +50,14 @@
     }
 }
 
+/// Returns the limit on the responses that the daemon holds together.
+pub(crate) fn response_bytes(limits: &Limits) -> u64 {
+    let default = limits.memory.get() / EIGHTHS * RESPONSE_EIGHTHS;
+    limits.response_buffers.map_or(default, Bytes::get)
+}
+
 fn max_connections(limits: &Limits) -> u32 {
-    let connection_bytes = CONNECTION_BYTES + HEAD_COPIES * limits.head.get();
-    let by_memory = limits.memory.get() / MEMORY_DIVISOR / connection_bytes;
+    let by_memory = limits.memory.get() / EIGHTHS * CONNECTION_EIGHTHS / connection_bytes(limits);
     let descriptors = limits.descriptors.unwrap_or_else(process_descriptors);
     let other = OTHER_DESCRIPTORS.min(descriptors / 2);
     let by_descriptors = (descriptors - other) / DESCRIPTORS_PER_CONNECTION;
@@ -47,6 +65,15 @@
     limits.connections.min(by_memory).min(by_descriptors).max(1)
 }
 
+/// Returns what a connection takes at most, beside its shares of the totals.
+fn connection_bytes(limits: &Limits) -> u64 {
+    let head = limits.head.get();
+    // The head is held as it is received, and as it is parsed.
+    let receiving = RECEIVING_STACK_BYTES + 2 * head;
+    let serving = SERVING_STACK_BYTES + head + response_buffers::UNSHARED_BYTES_WITH_KERNEL;
+    RECEIVE_BUFFER_BYTES + receiving.max(serving)
+}
+
 /// Returns the number of descriptors that the system allows this process.
 fn process_descriptors() -> u32 {
     let limit = process::getrlimit(Resource::Nofile).current;
