Tests: clients that read no response of the gateway (known red)

100 clients with a small receive buffer read nothing of responses of 4 MiB, at a gateway with default settings. Crowd and bound are fixed before the product changes.

--- a/crates/tansyknotd/tests/gateway_crowds.rs
+++ b/crates/tansyknotd/tests/gateway_crowds.rs
@@ -6,17 +6,22 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpListener, TcpStream},
     thread,
     time::Duration,
 };
 
-use crowd::{Crowd, HOST_BYTES, MAX_BODY_BYTES, ProcessUse, ProcessWatch, Then};
+use crowd::{
+    Crowd, HOST_BYTES, MAX_BODY_BYTES, ProcessUse, ProcessWatch, Then, random::RandomClient,
+};
 use support::{DaemonProcess, KEY, Platform};
 use tansyknot_core::host::Fencing;
 
 /// Clients that each send a body of the largest size.
 const LARGE_BODIES: usize = 48;
+/// Clients that read nothing of a response of a plain service, and its length.
+const SILENT_READERS: usize = 100;
+const RESPONSE_BYTES: usize = 4 << 20;
 /// The connections that the daemon of a crowd of connections accepts.
 const MAX_CONNECTIONS: usize = 64;
 /// Clients of that daemon.
@@ -47,8 +52,8 @@
     panic!("no ordinary request was answered");
 }
 
-fn outlast(daemon: &mut DaemonProcess, crowd: Crowd) -> ProcessUse {
-    let watch = ProcessWatch::start(daemon.pid(), daemon.callers);
+fn outlast(daemon: &mut DaemonProcess, crowd: Crowd, targets: Vec<SocketAddr>) -> ProcessUse {
+    let watch = ProcessWatch::start_with_targets(daemon.pid(), daemon.callers, targets);
     crowd.await_settled();
     await_answer(daemon);
     crowd.end();
@@ -71,7 +76,7 @@
     .into_bytes();
     bytes.resize(bytes.len() + MAX_BODY_BYTES - 1, b' ');
     let crowd = Crowd::start(LARGE_BODIES, daemon.callers, bytes, Then::Stays);
-    let most = outlast(&mut daemon, crowd);
+    let most = outlast(&mut daemon, crowd, Vec::new());
     assert!(most.bytes <= HOST_BYTES, "{most:?}");
 }
 
@@ -82,7 +87,50 @@
     let settings = format!("limits: {{connections: {MAX_CONNECTIONS}}}\n");
     let mut daemon = platform.daemon_with("crowd-silent", &settings);
     let crowd = Crowd::start(CONNECTIONS, daemon.callers, Vec::new(), Then::Stays);
-    let most = outlast(&mut daemon, crowd);
+    let most = outlast(&mut daemon, crowd, Vec::new());
     assert!(most.bytes <= HOST_BYTES, "{most:?}");
     assert!(most.descriptors <= MAX_CONNECTIONS + OTHER_DESCRIPTORS, "{most:?}");
 }
+
+/// Answers each request with a body of [`RESPONSE_BYTES`].
+fn start_plain_target() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let mut head = [0; 4096];
+                let _ = stream.read(&mut head);
+                let mut response =
+                    format!("HTTP/1.1 200 OK\r\ncontent-length: {RESPONSE_BYTES}\r\n\r\n")
+                        .into_bytes();
+                response.resize(response.len() + RESPONSE_BYTES, b'r');
+                // The daemon may have given the response up.
+                let _ = stream.write_all(&response);
+            });
+        }
+    });
+    address
+}
+
+fn keyed_request(n: usize) -> Vec<u8> {
+    format!(
+        "POST /services/registry/x HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n\
+         idempotency-key: crowd-{n}\r\ncontent-length: 0\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+#[test]
+fn gateway_crowd_of_clients_that_read_no_response() {
+    let _alone = crowd::run_alone();
+    let platform = Platform::new(Fencing::Checked);
+    let target = start_plain_target();
+    platform.move_plain(target);
+    let mut daemon = platform.daemon("crowd-readers");
+    let client = |n| RandomClient { parts: [keyed_request(n), Vec::new()], then: Then::Ignores };
+    let clients = (0..SILENT_READERS).map(client).collect();
+    let crowd = Crowd::start_random(daemon.callers, clients);
+    let most = outlast(&mut daemon, crowd, vec![target]);
+    assert!(most.bytes <= HOST_BYTES, "{most:?}");
+}
--- a/crates/tansyknotd/tests/support/mod.rs
+++ b/crates/tansyknotd/tests/support/mod.rs
@@ -114,6 +114,14 @@
         Self { table, hosts, engines, plain, table_address, hosts_address, running }
     }
 
+    /// Lists another address for the plain service.
+    pub(crate) fn move_plain(&self, address: SocketAddr) {
+        let mut targets = self.hosts.list();
+        let plain = targets.iter_mut().filter(|target| target.kind == TargetKind::Plain);
+        plain.for_each(|target| target.address = address);
+        self.hosts.set(targets);
+    }
+
     /// Starts a daemon as a child process and waits until it is ready.
     pub(crate) fn daemon(&self, name: &str) -> DaemonProcess {
         self.daemon_with(name, "")
