Gateway: responses take their share of the memory

What callers saw: clients that read nothing of whole responses end a daemon of the gateway: it holds up to 32 MiB for each until its write times out, and nothing counts these together. Cause: the account of responses was the fleet's alone. Its shares are now in `tansyknot-http` (`memory::ResponseShare`); the gateway takes them before a body or an event grows, and knows by the announced length what a response will hold. A response without room is answered with 502 and not sent again, as a target has run it. The kernel's buffers of connections to targets are bounded as the fleet's are. Responses may hold by default what bodies leave of the total, so that the longest one fits the smallest host.

--- a/crates/tansyknot-config/src/settings.rs
+++ b/crates/tansyknot-config/src/settings.rs
@@ -93,8 +93,8 @@
     pub idle_timeout: DurationSetting,
     /// The timeout of a write to a caller.
     pub write_timeout: DurationSetting,
-    /// The maximum size of the responses that a daemon of a fleet holds for its callers together; by
-    /// default, a quarter of `memory`.
+    /// The maximum size of the responses that a daemon holds for its callers together; by default,
+    /// what a share of `memory` for requests and responses leaves.
     pub response_buffers: Option<Bytes>,
     /// The maximum number of requests that wait for one service.
     pub waiting_per_service: u32,
--- a/crates/tansyknot-edge/src/gateway.rs
+++ b/crates/tansyknot-edge/src/gateway.rs
@@ -31,6 +31,7 @@
     explain::{Decision, Explainer, Trail},
     http::{
         head::Head,
+        memory::{RequestMemory, ResponseShare},
         respond::{self, ConnectionAction, FullResponse},
         server::{Handler, Lifecycle, Request},
     },
@@ -90,6 +91,8 @@
     pub explainer: Arc<Explainer>,
     /// Watches the callers with an attempt in progress.
     pub watch: Arc<CallerWatch>,
+    /// The memory for requests and responses.
+    pub memory: Arc<RequestMemory>,
 }
 
 /// Options of the pipeline.
@@ -125,6 +128,8 @@
     after: ConnectionAction,
     span: Span,
     account: Account,
+    /// What its response holds, until it has been written.
+    share: ResponseShare,
 }
 
 /// The state of the response to the caller after an attempt.
@@ -257,7 +262,9 @@
         let version = self.parts.config.version();
         let trail = Trail::new(request_id.clone(), self.options.daemon.clone(), version, now);
         let account = Account { trail, received_at: now, first_part_at: None, queued: false };
-        let mut active = ActiveRequest { req: &req, request_id, stream, after, span, account };
+        let share = ResponseShare::new(Arc::clone(&self.parts.memory));
+        let mut active =
+            ActiveRequest { req: &req, request_id, stream, after, span, account, share };
         let result = match identify::route(&active.req.head) {
             Ok(Route::Health) => {
                 let health = self.health();
--- a/crates/tansyknot-edge/src/gateway/responses.rs
+++ b/crates/tansyknot-edge/src/gateway/responses.rs
@@ -10,7 +10,7 @@
     stage::{
         attempt::{self, Attempt, Failure, TargetResponse},
         identify::ServiceKind,
-        relay::{self, EndMarker, EventRelay, StreamEnd},
+        relay::{self, EndMarker, EventRelay, ReadFailure, StreamEnd},
     },
 };
 
@@ -28,11 +28,12 @@
         if relay::is_stream(&response) {
             return self.relay_stream(active, attempt, response);
         }
-        match relay::read_full(response, &active.request_id) {
+        match relay::read_full(response, &active.request_id, &mut active.share) {
             Ok(whole) => {
                 active.account.first_part_at = Some(self.now());
                 Ok(AttemptOutcome::Responded(CallerResponse::Pending(whole)))
             }
+            Err(ReadFailure::NoRoom) => Err(no_room()),
             Err(_) if attempt.handle.is_aborted() => Err(caller_left()),
             Err(_) if self.now() >= attempt.identified.deadline => {
                 Ok(AttemptOutcome::Failed(Failure::TimedOut))
@@ -62,7 +63,7 @@
             let Some(part) = response.take() else { break };
             let clock = &self.parts.clock;
             let first_part_at = &mut active.account.first_part_at;
-            let end = relay.relay(part, || {
+            let end = relay.relay(part, &mut active.share, || {
                 first_part_at.get_or_insert_with(|| clock.now());
             });
             match end {
@@ -119,3 +120,8 @@
         CallerResponse::Partial(refusal)
     }
 }
+
+/// Another run's response would find no room either, so the request is not sent again.
+fn no_room() -> Refusal {
+    Refusal::unknown(Reason::TargetFailed, "the daemon has no memory for the response")
+}
--- a/crates/tansyknot-edge/src/stage/relay.rs
+++ b/crates/tansyknot-edge/src/stage/relay.rs
@@ -12,6 +12,7 @@
 use super::attempt::TargetResponse;
 use crate::http::{
     events, head,
+    memory::ResponseShare,
     respond::{self, ConnectionAction, FullResponse, StreamedResponse},
 };
 
@@ -50,25 +51,66 @@
     headers
 }
 
-/// Reads a full response, before any byte of it is sent to the caller.
+/// Why a full response was not read.
+#[derive(Debug)]
+pub enum ReadFailure {
+    /// It is truncated, or too long.
+    Broken(io::Error),
+    /// The daemon has no memory left for it.
+    NoRoom,
+}
+
+impl From<io::Error> for ReadFailure {
+    fn from(e: io::Error) -> Self {
+        Self::Broken(e)
+    }
+}
+
+/// Reads a full response into `share`, before any byte of it is sent to the caller.
 ///
 /// # Errors
 ///
-/// Fails if the response is truncated or too long.
-pub fn read_full(mut response: TargetResponse, request_id: &RequestId) -> io::Result<FullResponse> {
+/// Fails if the response is truncated or too long, or finds no room.
+pub fn read_full(
+    mut response: TargetResponse,
+    request_id: &RequestId,
+    share: &mut ResponseShare,
+) -> Result<FullResponse, ReadFailure> {
     let status = response.status().as_u16();
     let content_type = content_type(&response);
     let headers = headers(&response, request_id);
     let declared = response.headers().get("content-length").and_then(|v| v.to_str().ok());
     let declared: Option<usize> = declared.and_then(|v| v.parse().ok());
+    if declared.is_some_and(|n| n as u64 > MAX_FULL_RESPONSE_BYTES) {
+        return Err(io::Error::from(io::ErrorKind::InvalidData).into());
+    }
     let limited = response.body_mut().with_config().limit(MAX_FULL_RESPONSE_BYTES);
-    let body = limited.read_to_vec().map_err(io::Error::other)?;
+    let body = read_body(&mut limited.reader(), declared, share)?;
     if declared.is_some_and(|n| n != body.len()) {
-        return Err(io::ErrorKind::UnexpectedEof.into());
+        return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
     }
     Ok(FullResponse { status, content_type, headers, body })
 }
 
+fn read_body(
+    reader: &mut impl Read,
+    declared: Option<usize>,
+    share: &mut ResponseShare,
+) -> Result<Vec<u8>, ReadFailure> {
+    let mut body = Vec::new();
+    let mut buf = [0; READ_BUFFER_BYTES];
+    loop {
+        let n = reader.read(&mut buf)?;
+        if n == 0 {
+            return Ok(body);
+        }
+        if !share.reserve(&mut body, n, declared) {
+            return Err(ReadFailure::NoRoom);
+        }
+        body.extend_from_slice(&buf[..n]);
+    }
+}
+
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
@@ -141,7 +183,14 @@
     }
 
     /// Relays events until the target's response ends. Calls `on_write` after each write.
-    pub fn relay(&mut self, response: TargetResponse, mut on_write: impl FnMut()) -> StreamEnd {
+    ///
+    /// An event that finds no room in `share` breaks the stream.
+    pub fn relay(
+        &mut self,
+        response: TargetResponse,
+        share: &mut ResponseShare,
+        mut on_write: impl FnMut(),
+    ) -> StreamEnd {
         let mut reader = response.into_body().into_reader();
         let mut buf = [0; READ_BUFFER_BYTES];
         // A resumed stream starts with a complete event, so a partial event is discarded.
@@ -149,7 +198,7 @@
         loop {
             match reader.read(&mut buf) {
                 Ok(0) => return self.end_of_body(),
-                Ok(n) => match self.relay_events(&buf[..n]) {
+                Ok(n) => match self.relay_events(&buf[..n], share) {
                     Ok(true) => on_write(),
                     Ok(false) => {}
                     Err(end) => return end,
@@ -160,7 +209,10 @@
     }
 
     /// Appends received bytes and relays the complete events. Returns whether there were any.
-    fn relay_events(&mut self, bytes: &[u8]) -> Result<bool, StreamEnd> {
+    fn relay_events(&mut self, bytes: &[u8], share: &mut ResponseShare) -> Result<bool, StreamEnd> {
+        if !share.reserve(&mut self.pending, bytes.len(), None) {
+            return Err(StreamEnd::Broken);
+        }
         self.pending.extend_from_slice(bytes);
         if self.pending.len() > MAX_EVENT_BYTES {
             return Err(StreamEnd::Broken);
--- a/crates/tansyknot-edge/src/upstream.rs
+++ b/crates/tansyknot-edge/src/upstream.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use rustix::net::sockopt;
 use ureq::{
     Error, Timeout,
     unversioned::{
@@ -24,6 +25,9 @@
 const INPUT_BUFFER_BYTES: usize = 16 << 10;
 /// Size of a connection's output buffer.
 const OUTPUT_BUFFER_BYTES: usize = 8 << 10;
+/// The size of the kernel's buffer for bytes that the daemon has not read from a target; Linux uses
+/// twice as much.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Timeout for opening a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections to each target.
@@ -166,6 +170,8 @@
             match TcpStream::connect_timeout(addr, CONNECT_TIMEOUT) {
                 Ok(stream) => {
                     stream.set_nodelay(true)?;
+                    sockopt::set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER_BYTES)
+                        .map_err(io::Error::from)?;
                     return Ok(Some(TrackedTransport::new(stream)));
                 }
                 Err(e) => last = Error::Io(e),
--- a/crates/tansyknot-edge/tests/support/mod.rs
+++ b/crates/tansyknot-edge/tests/support/mod.rs
@@ -242,6 +242,7 @@
             lifecycle: Arc::clone(&lifecycle),
             explainer: Arc::clone(&explainer),
             watch: Arc::clone(&watch),
+            memory: Arc::default(),
         };
         let gateway = GatewayOptions {
             daemon: DaemonName::from("d0"),
--- a/crates/tansyknot-fleet/src/response_buffers.rs
+++ b/crates/tansyknot-fleet/src/response_buffers.rs
@@ -3,25 +3,14 @@
 //! A daemon reads no more of a response than it can forward: a stream up to the end of an event, and
 //! a plain response as a whole. What it has read counts here until the caller has taken it.
 
-use std::{
-    io,
-    net::TcpStream,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{io, net::TcpStream, sync::Arc, time::Duration};
 
 use rustix::net::sockopt;
 use tansyknot_core::clock::BootInstant;
-use tansyknot_http::memory::RequestMemory;
+use tansyknot_http::memory::{self, RequestMemory, ResponseShare};
 
 use crate::response_parts::ResponseParts;
 
-/// Bytes of each request's responses that are not taken from the total, so that usual responses are
-/// relayed while large ones have used it up.
-pub const UNSHARED_BYTES: u64 = 32 << 10;
 /// The size of the kernel's buffer for bytes that a caller has not read; Linux uses twice as much. It
 /// allows 50 Mbit/s at a round trip of 10 ms. Without a limit, the buffers of one connection grow to
 /// several megabytes.
@@ -32,114 +21,79 @@
 /// The same size for a long response, which takes what Linux uses from the total.
 pub(crate) const LONG_RESPONSE_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// What the daemon and the kernel hold of a response without a share of the total.
-pub const UNSHARED_BYTES_WITH_KERNEL: u64 = UNSHARED_BYTES + 2 * RECEIVE_BUFFER_BYTES as u64;
+pub const UNSHARED_BYTES_WITH_KERNEL: u64 =
+    memory::UNSHARED_RESPONSE_BYTES + 2 * RECEIVE_BUFFER_BYTES as u64;
 /// Maximum time without progress of a write to a caller. A target cuts off a response that is not
 /// read for some seconds, and counts as occupied until then.
 const MAX_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Limits on the responses that a daemon holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ResponseLimits {
-    /// The bytes of all responses together, without [`UNSHARED_BYTES`] of each.
-    pub total_bytes: u64,
+/// The bytes of all responses that a daemon holds.
+#[derive(Debug)]
+pub struct ResponseBuffers {
+    /// The memory that responses share with the bodies of requests.
+    memory: Arc<RequestMemory>,
     /// A caller to which a write makes no progress for this long is disconnected.
-    pub stall_timeout: Duration,
-}
-
-impl ResponseLimits {
-    /// Derives the limits from the settings.
-    pub fn new(total_bytes: u64, write_timeout: Duration) -> Self {
-        Self { total_bytes, stall_timeout: write_timeout.min(MAX_STALL_TIMEOUT) }
-    }
+    stall_timeout: Duration,
 }
 
-impl Default for ResponseLimits {
+impl Default for ResponseBuffers {
     fn default() -> Self {
-        Self::new(32 << 20, MAX_STALL_TIMEOUT)
+        Self::new(Arc::default(), MAX_STALL_TIMEOUT)
     }
 }
 
-/// The bytes of all responses that a daemon holds.
-#[derive(Debug, Default)]
-pub struct ResponseBuffers {
-    limits: ResponseLimits,
-    /// The memory that responses share with the bodies of requests.
-    memory: Arc<RequestMemory>,
-    shared_bytes: AtomicU64,
-    peak_bytes: AtomicU64,
-}
-
 impl ResponseBuffers {
-    /// Creates buffers with these limits, in the memory that responses share with the bodies of
-    /// requests.
-    pub fn new(limits: ResponseLimits, memory: Arc<RequestMemory>) -> Self {
-        Self { limits, memory, ..Self::default() }
+    /// Creates buffers in `memory`, for callers whose writes have this timeout.
+    pub fn new(memory: Arc<RequestMemory>, write_timeout: Duration) -> Self {
+        Self { memory, stall_timeout: write_timeout.min(MAX_STALL_TIMEOUT) }
     }
 
     /// Returns the bytes that are taken from the total.
     pub fn shared_bytes(&self) -> u64 {
-        self.shared_bytes.load(Ordering::SeqCst)
+        self.memory.response_bytes()
     }
 
     /// Returns the most bytes that have ever been taken from the total.
     pub fn peak_bytes(&self) -> u64 {
-        self.peak_bytes.load(Ordering::SeqCst)
+        self.memory.response_peak_bytes()
     }
 
     /// Bounds the kernel's buffer of a caller's connection, and the time without progress of a write
     /// to it.
     pub(crate) fn limit_connection(&self, caller: &TcpStream) -> io::Result<()> {
         sockopt::set_socket_send_buffer_size(caller, SEND_BUFFER_BYTES)?;
-        caller.set_write_timeout(Some(self.limits.stall_timeout))
+        caller.set_write_timeout(Some(self.stall_timeout))
     }
 
     /// Returns until when a response to a request with this deadline may be written. A caller that
     /// takes it slowly but steadily would otherwise occupy the target for any time.
     pub(crate) fn write_deadline(&self, deadline: BootInstant) -> BootInstant {
-        deadline + self.limits.stall_timeout
-    }
-
-    fn take(&self, bytes: u64) -> bool {
-        let add = |held: u64| held.checked_add(bytes).filter(|sum| *sum <= self.limits.total_bytes);
-        let taken = self.shared_bytes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, add);
-        let Ok(before) = taken else { return false };
-        if !self.memory.take_for_response(bytes) {
-            self.shared_bytes.fetch_sub(bytes, Ordering::SeqCst);
-            return false;
-        }
-        self.peak_bytes.fetch_max(before + bytes, Ordering::SeqCst);
-        true
-    }
-
-    fn release(&self, bytes: u64) {
-        self.shared_bytes.fetch_sub(bytes, Ordering::SeqCst);
-        self.memory.release_of_response(bytes);
+        deadline + self.stall_timeout
     }
 }
 
 /// The bytes that one request holds; they are released when it is dropped.
 #[derive(Debug)]
 pub struct Reservation {
-    buffers: Arc<ResponseBuffers>,
-    bytes: u64,
+    share: ResponseShare,
     /// The part of the kernel's buffers that is taken from the total.
     kernel_bytes: u64,
 }
 
 impl Reservation {
     /// Creates a reservation of no bytes.
-    pub fn new(buffers: Arc<ResponseBuffers>) -> Self {
-        Self { buffers, bytes: 0, kernel_bytes: 0 }
+    pub fn new(buffers: &ResponseBuffers) -> Self {
+        Self { share: ResponseShare::new(Arc::clone(&buffers.memory)), kernel_bytes: 0 }
     }
 
     /// Returns the bytes that are reserved.
     pub fn bytes(&self) -> u64 {
-        self.bytes
+        self.share.bytes()
     }
 
     /// Creates parts for the bytes that are reserved here.
     pub fn parts(&self) -> ResponseParts {
-        ResponseParts::new(Arc::clone(&self.buffers.memory))
+        ResponseParts::new(Arc::clone(self.share.memory()))
     }
 
     /// Appends `more` to `parts`, whose lengths are reserved here; returns `false` if the total does
@@ -147,7 +101,7 @@
     pub fn extend(&mut self, parts: &mut ResponseParts, mut more: &[u8]) -> bool {
         while !more.is_empty() {
             if let Some(bytes) = parts.next_part_bytes(more.len()) {
-                if !self.grow(bytes as u64) {
+                if !self.share.grow(bytes as u64) {
                     return false;
                 }
                 parts.add_part(bytes);
@@ -162,39 +116,22 @@
     pub fn takes_larger_buffer(&mut self) -> bool {
         const MORE_BYTES: u64 =
             2 * (LONG_RESPONSE_RECEIVE_BUFFER_BYTES - RECEIVE_BUFFER_BYTES) as u64;
-        let is_due = self.kernel_bytes == 0 && self.bytes > UNSHARED_BYTES;
-        let is_granted = is_due && self.buffers.take(MORE_BYTES);
+        let is_due = self.kernel_bytes == 0 && self.bytes() > memory::UNSHARED_RESPONSE_BYTES;
+        let is_granted = is_due && self.share.memory().take_for_response(MORE_BYTES);
         if is_granted {
             self.kernel_bytes = MORE_BYTES;
         }
         is_granted
     }
 
-    fn grow(&mut self, by: u64) -> bool {
-        let bytes = self.bytes + by;
-        let is_granted = self.buffers.take(shared(bytes) - shared(self.bytes));
-        if is_granted {
-            self.bytes = bytes;
-        }
-        is_granted
-    }
-
     /// Releases all but `bytes`.
     pub fn shrink_to(&mut self, bytes: u64) {
-        let bytes = bytes.min(self.bytes);
-        self.buffers.release(shared(self.bytes) - shared(bytes));
-        self.bytes = bytes;
+        self.share.shrink_to(bytes);
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.shrink_to(0);
-        self.buffers.release(self.kernel_bytes);
+        self.share.memory().release_of_response(self.kernel_bytes);
     }
 }
-
-/// Returns the part of `bytes` that is taken from the total.
-fn shared(bytes: u64) -> u64 {
-    bytes.saturating_sub(UNSHARED_BYTES)
-}
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -26,7 +26,6 @@
 };
 use tansyknot_http::{
     head::Head,
-    memory::RequestMemory,
     problem,
     respond::{self, ConnectionAction, FullResponse},
     server::{Handler, Lifecycle, Request, RequestLimits},
@@ -42,7 +41,7 @@
     platform_api::{Dialect, RequestParams},
     poison::key::RequestSuspects,
     residency::ZoneSet,
-    response_buffers::{Reservation, ResponseBuffers, ResponseLimits},
+    response_buffers::{Reservation, ResponseBuffers},
     response_relay::{self, CallerConnection, EventRelay, TargetResponse},
     state::State,
     stream_origin::{NoPeers, Origin, OriginDirectory},
@@ -102,11 +101,10 @@
         }
     }
 
-    /// Returns this server with limits on the responses that it holds, in the memory that they share
-    /// with the bodies of requests.
+    /// Returns this server with bounds on the responses that it holds.
     #[must_use]
-    pub fn with_response_limits(self, limits: ResponseLimits, memory: Arc<RequestMemory>) -> Self {
-        Self { buffers: Arc::new(ResponseBuffers::new(limits, memory)), ..self }
+    pub fn with_response_buffers(self, buffers: ResponseBuffers) -> Self {
+        Self { buffers: Arc::new(buffers), ..self }
     }
 
     /// Returns this server with a way to share the origins of streams with other daemons.
@@ -509,7 +507,7 @@
             body_end: BodyEnd::default(),
             tried: Vec::new(),
             relay: EventRelay::default(),
-            buffer: Reservation::new(Arc::clone(&self.buffers)),
+            buffer: Reservation::new(&self.buffers),
             fallback: None,
             waited: Duration::ZERO,
             retry_after: None,
--- a/crates/tansyknot-http/src/memory.rs
+++ b/crates/tansyknot-http/src/memory.rs
@@ -34,6 +34,10 @@
 /// How often a body that waits looks for others that have become stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Bytes of each response that are not taken from the total, so that usual responses are relayed while
+/// large ones have used it up.
+pub const UNSHARED_RESPONSE_BYTES: u64 = 32 << 10;
+
 /// The total of a daemon without settings: a quarter of the smallest host's memory.
 const DEFAULT_TOTAL_BYTES: u64 = 30 << 20;
 /// The longest body of a daemon without settings.
@@ -48,6 +52,8 @@
 pub struct RequestMemory {
     /// What bodies may hold together.
     body_bytes: u64,
+    /// What responses may hold together, without [`UNSHARED_RESPONSE_BYTES`] of each.
+    response_bytes: u64,
     /// What bodies and responses may hold together.
     total_bytes: u64,
     state: Mutex<State>,
@@ -59,6 +65,7 @@
     held_bytes: u64,
     peak_bytes: u64,
     response_bytes: u64,
+    response_peak_bytes: u64,
     evictions: u64,
     next_ticket: u64,
     /// The bodies that are being received.
@@ -100,28 +107,40 @@
         let needed = longest.saturating_add(longest / (SMALL_BODY_DIVISOR - 1) + 1);
         Self {
             body_bytes: body_bytes.max(needed),
+            response_bytes: u64::MAX,
             total_bytes: u64::MAX,
             state: Mutex::default(),
             released: Condvar::new(),
         }
     }
 
-    /// Returns this bound with one of `total_bytes` for bodies and responses together. It is raised if
-    /// bodies alone would find no room in it, or responses of `response_bytes` alone.
+    /// Returns this bound with one of `total_bytes` for bodies and responses together; of these,
+    /// responses leave the reserve for small bodies. It is raised if bodies alone would find no room.
+    #[must_use]
+    pub fn with_total(self, total_bytes: u64) -> Self {
+        let total_bytes = total_bytes.max(self.body_bytes);
+        let response_bytes = total_bytes - self.small_body_reserve();
+        Self { response_bytes, total_bytes, ..self }
+    }
+
+    /// Returns this bound with another one of `response_bytes` for responses. The total is raised if
+    /// these alone would find no room.
     #[must_use]
-    pub fn with_total(self, total_bytes: u64, response_bytes: u64) -> Self {
-        let responses = response_bytes.saturating_add(self.small_body_reserve());
-        Self { total_bytes: total_bytes.max(self.body_bytes).max(responses), ..self }
+    pub fn with_responses(self, response_bytes: u64) -> Self {
+        let needed = response_bytes.saturating_add(self.small_body_reserve());
+        Self { response_bytes, total_bytes: self.total_bytes.max(needed), ..self }
     }
 
-    /// Takes bytes for a response; returns `false` if there is no room for them.
+    /// Takes bytes of the total for a response; returns `false` if there is no room for them.
     #[must_use]
     pub fn take_for_response(&self, bytes: u64) -> bool {
         let limit = self.total_bytes - self.small_body_reserve();
         let mut state = self.state();
-        let has_room = state.all_bytes().saturating_add(bytes) <= limit;
+        let has_room = state.response_bytes.saturating_add(bytes) <= self.response_bytes
+            && state.all_bytes().saturating_add(bytes) <= limit;
         if has_room {
             state.response_bytes += bytes;
+            state.response_peak_bytes = state.response_peak_bytes.max(state.response_bytes);
         }
         has_room
     }
@@ -144,7 +163,12 @@
         self.state().peak_bytes
     }
 
-    /// Returns the bytes that responses hold.
+    /// Returns the most bytes of the total that responses have ever held.
+    pub fn response_peak_bytes(&self) -> u64 {
+        self.state().response_peak_bytes
+    }
+
+    /// Returns the bytes of the total that responses hold.
     pub fn response_bytes(&self) -> u64 {
         self.state().response_bytes
     }
@@ -367,3 +391,75 @@
         }
     }
 }
+
+/// The bytes that one response holds; they are released when it is dropped.
+#[derive(Debug)]
+pub struct ResponseShare {
+    memory: Arc<RequestMemory>,
+    bytes: u64,
+}
+
+impl ResponseShare {
+    /// Creates a share of no bytes.
+    pub fn new(memory: Arc<RequestMemory>) -> Self {
+        Self { memory, bytes: 0 }
+    }
+
+    /// Returns the bytes that the response holds.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Returns the memory of which this is a share.
+    pub fn memory(&self) -> &Arc<RequestMemory> {
+        &self.memory
+    }
+
+    /// Takes `more` bytes; returns `false` if there is no room for them.
+    #[must_use]
+    pub fn grow(&mut self, more: u64) -> bool {
+        let bytes = self.bytes + more;
+        let has_room = self.memory.take_for_response(shared(bytes) - shared(self.bytes));
+        if has_room {
+            self.bytes = bytes;
+        }
+        has_room
+    }
+
+    /// Releases all but `bytes`.
+    pub fn shrink_to(&mut self, bytes: u64) {
+        let bytes = bytes.min(self.bytes);
+        self.memory.release_of_response(shared(self.bytes) - shared(bytes));
+        self.bytes = bytes;
+    }
+
+    /// Reserves room for `more` bytes in `buf`, whose capacity is a part of this share; returns `false`
+    /// if there is none. A `length` that is known avoids that `buf` grows in steps.
+    #[must_use]
+    pub fn reserve(&mut self, buf: &mut Vec<u8>, more: usize, length: Option<usize>) -> bool {
+        let needed = buf.len() + more;
+        let before = buf.capacity();
+        if needed <= before {
+            return true;
+        }
+        let capacity = length.unwrap_or(before * 2).max(needed);
+        // Both buffers are held while the bytes are copied.
+        if !self.grow(capacity as u64) {
+            return false;
+        }
+        buf.reserve_exact(capacity - buf.len());
+        self.shrink_to(self.bytes - before as u64);
+        true
+    }
+}
+
+impl Drop for ResponseShare {
+    fn drop(&mut self) {
+        self.shrink_to(0);
+    }
+}
+
+/// Returns the part of `bytes` that is taken from the total.
+fn shared(bytes: u64) -> u64 {
+    bytes.saturating_sub(UNSHARED_RESPONSE_BYTES)
+}
--- a/crates/tansyknotd/src/daemon.rs
+++ b/crates/tansyknotd/src/daemon.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use tansyknot_config::settings::{Limits, Settings};
+use tansyknot_config::settings::Settings;
 use tansyknot_control::{
     config::ConfigView,
     directory::ReplicaCache,
@@ -34,7 +34,10 @@
 use tansyknot_edge::{
     explain::Explainer,
     gateway::{self, Gateway, GatewayOptions},
-    http::server::{self, DrainBehaviour, Handler, Lifecycle},
+    http::{
+        memory::RequestMemory,
+        server::{self, DrainBehaviour, Handler, Lifecycle, ServerOptions},
+    },
     watch::CallerWatch,
 };
 use tansyknot_gossip::{
@@ -167,7 +170,12 @@
         }))
     }
 
-    fn gateway(&self, settings: &Settings, reconciler: &Arc<Reconciler>) -> Gateway {
+    fn gateway(
+        &self,
+        settings: &Settings,
+        reconciler: &Arc<Reconciler>,
+        memory: &Arc<RequestMemory>,
+    ) -> Gateway {
         let replicas = EngineReplicas::new(
             Arc::clone(reconciler),
             Arc::clone(&self.engine),
@@ -185,6 +193,7 @@
             lifecycle: Arc::clone(&self.lifecycle),
             explainer: Arc::clone(&self.explainer),
             watch: Arc::clone(&self.watch),
+            memory: Arc::clone(memory),
         };
         let options = GatewayOptions {
             daemon: settings.name.clone(),
@@ -249,10 +258,12 @@
         let reconciler = shared.reconciler();
         shared.node.set_listener(Arc::clone(&reconciler) as Arc<dyn PeerListener>);
         let control = Arc::new(shared.control(settings, &reconciler));
-        let gateway: Arc<dyn Handler> = Arc::new(shared.gateway(settings, &reconciler));
+        let options = host::server_options(&settings.limits, DrainBehaviour::CloseIdle);
+        let gateway: Arc<dyn Handler> =
+            Arc::new(shared.gateway(settings, &reconciler, &options.memory));
 
         let mut threads = vec![
-            serve_callers(listener, &settings.limits, gateway, &shared.lifecycle),
+            serve_callers(listener, options, gateway, &shared.lifecycle),
             serve_operators(operators_server, &stop_loops),
         ];
         let registration =
@@ -345,11 +356,10 @@
 
 fn serve_callers(
     listener: TcpListener,
-    limits: &Limits,
+    options: ServerOptions,
     gateway: Arc<dyn Handler>,
     lifecycle: &Arc<Lifecycle>,
 ) -> JoinHandle<()> {
-    let options = host::server_options(limits, DrainBehaviour::CloseIdle);
     let lifecycle = Arc::clone(lifecycle);
     spawn("callers", move || {
         // The listener fails only if the system closes it. The platform then finds that the daemon
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -37,7 +37,7 @@
     poison::keeper::PoisonKeeper,
     probe::TargetProbes,
     residency::Regions,
-    response_buffers::ResponseLimits,
+    response_buffers::ResponseBuffers,
     serve::Server,
     shutdown::ShutdownPlan,
     snapshot::{
@@ -154,8 +154,8 @@
             Arc::clone(&lifecycle),
         );
         let options = host::server_options(&settings.limits, DrainBehaviour::ServeIdle);
-        let memory = Arc::clone(&options.memory);
-        let server = server.with_response_limits(response_limits(settings), memory);
+        let buffers = ResponseBuffers::new(Arc::clone(&options.memory), options.write_timeout);
+        let server = server.with_response_buffers(buffers);
         let server = server.with_origins(Arc::clone(&peer_node) as _);
         let callers =
             serve(settings.listen.callers, options.clone(), Arc::new(server), &lifecycle)?;
@@ -267,11 +267,6 @@
     }
 }
 
-fn response_limits(settings: &FleetSettings) -> ResponseLimits {
-    let limits = &settings.limits;
-    ResponseLimits::new(host::response_bytes(limits), limits.write_timeout.duration())
-}
-
 /// Returns the options of the pages' listeners, whose requests have no body.
 fn page_options(callers: &ServerOptions) -> ServerOptions {
     ServerOptions { max_connections: MAX_PAGE_CONNECTIONS, max_body_bytes: 0, ..callers.clone() }
--- a/crates/tansyknotd/src/host.rs
+++ b/crates/tansyknotd/src/host.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rustix::process::{self, Resource};
-use tansyknot_config::{settings::Limits, unit::Bytes};
+use tansyknot_config::settings::Limits;
 use tansyknot_fleet::response_buffers;
 use tansyknot_http::{
     memory::RequestMemory,
@@ -14,8 +14,6 @@
 const EIGHTHS: u64 = 8;
 /// For the bodies of requests.
 const BODY_EIGHTHS: u64 = 2;
-/// For responses, if no setting gives another number.
-const RESPONSE_EIGHTHS: u64 = 2;
 /// For bodies and responses together.
 const BODY_AND_RESPONSE_EIGHTHS: u64 = 3;
 /// For connections.
@@ -36,7 +34,11 @@
 pub(crate) fn server_options(limits: &Limits, on_drain: DrainBehaviour) -> ServerOptions {
     let eighth = limits.memory.get() / EIGHTHS;
     let memory = RequestMemory::new(eighth * BODY_EIGHTHS, limits.body.get())
-        .with_total(eighth * BODY_AND_RESPONSE_EIGHTHS, response_bytes(limits));
+        .with_total(eighth * BODY_AND_RESPONSE_EIGHTHS);
+    let memory = match limits.response_buffers {
+        Some(bytes) => memory.with_responses(bytes.get()),
+        None => memory,
+    };
     ServerOptions {
         max_head_bytes: limits.head.get(),
         max_body_bytes: limits.body.get(),
@@ -50,12 +52,6 @@
     }
 }
 
-/// Returns the limit on the responses that the daemon holds together.
-pub(crate) fn response_bytes(limits: &Limits) -> u64 {
-    let default = limits.memory.get() / EIGHTHS * RESPONSE_EIGHTHS;
-    limits.response_buffers.map_or(default, Bytes::get)
-}
-
 fn max_connections(limits: &Limits) -> u32 {
     let by_memory = limits.memory.get() / EIGHTHS * CONNECTION_EIGHTHS / connection_bytes(limits);
     let descriptors = limits.descriptors.unwrap_or_else(process_descriptors);
