Limits: the daemon's own state has a least share of the memory

Cause: an eighth of a small host's memory is less than a daemon takes without any request (17 MB, debug build), so that connections and bodies were given what is not there. Its share is now an eighth, and 16 MiB at least; the rest is for connections, bodies and responses as before. The host of 120 MB has 360 connections instead of 366.

--- a/crates/tansyknotd/src/host.rs
+++ b/crates/tansyknotd/src/host.rs
@@ -10,14 +10,18 @@
     server::{DrainBehaviour, ServerOptions},
 };
 
-/// The parts of the host's memory are counted in eighths. One of them is for the daemon's own state.
-const EIGHTHS: u64 = 8;
+/// One in so many bytes of the host's memory is for the daemon's own state.
+const STATE_DIVISOR: u64 = 8;
+/// The least that the daemon's own state takes.
+const MIN_STATE_BYTES: u64 = 16 << 20;
+/// The rest is counted in sevenths.
+const SEVENTHS: u64 = 7;
 /// For the bodies of requests.
-const BODY_EIGHTHS: u64 = 2;
+const BODY_SEVENTHS: u64 = 2;
 /// For bodies and responses together.
-const BODY_AND_RESPONSE_EIGHTHS: u64 = 3;
+const BODY_AND_RESPONSE_SEVENTHS: u64 = 3;
 /// For connections.
-const CONNECTION_EIGHTHS: u64 = 4;
+const CONNECTION_SEVENTHS: u64 = 4;
 /// The kernel's receive buffer of a connection.
 const RECEIVE_BUFFER_BYTES: u64 = 32 << 10;
 /// The touched part of a connection's stack while a head is received.
@@ -32,9 +36,9 @@
 
 /// Returns the options of a listener for callers.
 pub(crate) fn server_options(limits: &Limits, on_drain: DrainBehaviour) -> ServerOptions {
-    let eighth = limits.memory.get() / EIGHTHS;
-    let memory = RequestMemory::new(eighth * BODY_EIGHTHS, limits.body.get())
-        .with_total(eighth * BODY_AND_RESPONSE_EIGHTHS);
+    let seventh = seventh_bytes(limits);
+    let memory = RequestMemory::new(seventh * BODY_SEVENTHS, limits.body.get())
+        .with_total(seventh * BODY_AND_RESPONSE_SEVENTHS);
     let memory = match limits.response_buffers {
         Some(bytes) => memory.with_responses(bytes.get()),
         None => memory,
@@ -52,8 +56,15 @@
     }
 }
 
+/// Returns a seventh of the memory that the daemon's own state leaves.
+fn seventh_bytes(limits: &Limits) -> u64 {
+    let memory = limits.memory.get();
+    let state = (memory / STATE_DIVISOR).max(MIN_STATE_BYTES);
+    memory.saturating_sub(state) / SEVENTHS
+}
+
 fn max_connections(limits: &Limits) -> u32 {
-    let by_memory = limits.memory.get() / EIGHTHS * CONNECTION_EIGHTHS / connection_bytes(limits);
+    let by_memory = seventh_bytes(limits) * CONNECTION_SEVENTHS / connection_bytes(limits);
     let descriptors = limits.descriptors.unwrap_or_else(process_descriptors);
     let other = OTHER_DESCRIPTORS.min(descriptors / 2);
     let by_descriptors = (descriptors - other) / DESCRIPTORS_PER_CONNECTION;
