Memory: a body waits for responses only where these hold what it lacks

Cause: a body for which bodies themselves leave no room waited for a second whenever a response held any byte, though nothing that it could wait for would end. It is refused at once again. The size of the kernel's receive buffer stands once.

--- a/crates/tansyknot-http/src/memory.rs
+++ b/crates/tansyknot-http/src/memory.rs
@@ -47,6 +47,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NoRoom;
 
+/// What a body lacks room for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shortage {
+    /// Bodies hold their share.
+    Bodies,
+    /// Bodies and responses hold the total.
+    Responses,
+}
+
 /// The bytes of all requests and responses that a daemon holds.
 #[derive(Debug)]
 pub struct RequestMemory {
@@ -198,11 +207,14 @@
         self.body_bytes / SMALL_BODY_DIVISOR
     }
 
-    /// Returns whether a body may hold `bytes`, which are `more` than now.
-    fn has_room(&self, state: &State, bytes: u64, more: u64) -> bool {
+    /// Returns what keeps a body from holding `bytes`, which are `more` than now.
+    fn shortage(&self, state: &State, bytes: u64, more: u64) -> Option<Shortage> {
         let reserve = if bytes <= SMALL_BODY_BYTES { 0 } else { self.small_body_reserve() };
-        state.held_bytes + more <= self.body_bytes - reserve
-            && state.all_bytes() + more <= self.total_bytes - reserve
+        if state.held_bytes + more > self.body_bytes - reserve {
+            return Some(Shortage::Bodies);
+        }
+        let is_short = state.all_bytes() + more > self.total_bytes - reserve;
+        is_short.then_some(Shortage::Responses)
     }
 }
 
@@ -216,11 +228,6 @@
         self.free_blocks.extend(blocks.filter(|block| block.len() == BLOCK_BYTES));
     }
 
-    /// Returns whether waiting may give a body room.
-    fn may_release(&self, ticket: Option<u64>) -> bool {
-        self.response_bytes > 0 || self.has_others(ticket)
-    }
-
     /// Returns whether `ticket` is the one of a body that has given way.
     fn is_evicted(&self, ticket: Option<u64>) -> bool {
         ticket.and_then(|ticket| self.receiving.get(&ticket)).is_some_and(|body| body.is_evicted)
@@ -303,7 +310,8 @@
         Self { memory: Arc::clone(memory), bytes: 0, ticket: Some(ticket) }
     }
 
-    /// Reserves `more` bytes. Waits if other bodies may give way, and fails at once if none can.
+    /// Reserves `more` bytes. Waits if other bodies may give way, or responses hold what is missing, and
+    /// fails at once otherwise.
     ///
     /// # Errors
     ///
@@ -316,11 +324,10 @@
             if state.is_evicted(self.ticket) {
                 return Err(NoRoom);
             }
-            if memory.has_room(&state, self.bytes + more, more) {
-                break;
-            }
+            let Some(shortage) = memory.shortage(&state, self.bytes + more, more) else { break };
             let now = BootInstant::now();
-            if now >= until || !state.may_release(self.ticket) {
+            let may_end = shortage == Shortage::Responses || state.has_others(self.ticket);
+            if now >= until || !may_end {
                 return Err(NoRoom);
             }
             state.evict(self.ticket, now);
--- a/crates/tansyknot-http/src/receive.rs
+++ b/crates/tansyknot-http/src/receive.rs
@@ -15,6 +15,8 @@
 /// The size of the kernel's buffer for bytes that a caller has sent and the daemon has not read; Linux
 /// uses twice as much. Without a limit, the buffer of each connection grows to several megabytes.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// What the kernel's buffer may hold of a connection.
+pub const BUFFER_BYTES: u64 = 2 * RECEIVE_BUFFER_BYTES as u64;
 /// The same size while a long body is received. It allows 50 Mbit/s at a round trip of 10 ms.
 const LONG_BODY_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// What the kernel's buffer may hold once it was enlarged for a long body.
--- a/crates/tansyknot-http/tests/bodies.rs
+++ b/crates/tansyknot-http/tests/bodies.rs
@@ -18,7 +18,7 @@
 use tansyknot_http::{
     body::{self, Body},
     head::Framing,
-    memory::RequestMemory,
+    memory::{RequestMemory, ResponseShare, UNSHARED_RESPONSE_BYTES},
     receive::{Receiver, Source},
 };
 use yare::parameterized;
@@ -231,6 +231,23 @@
     receive(LIMIT as usize, &memory).expect("the bytes are released");
 }
 
+/// Guards against responses that take what small bodies need.
+#[test]
+fn responses_leave_room_for_small_bodies() {
+    let memory = Arc::new(RequestMemory::new(0, LIMIT).with_total(0));
+    let mut share = ResponseShare::new(Arc::clone(&memory));
+    while share.grow(1000) {}
+    assert!(share.bytes() > LIMIT, "{} bytes", share.bytes());
+    receive(32 << 10, &memory).expect("small bodies have a reserve");
+    assert_eq!(receive(LIMIT as usize, &memory), Err(Reason::NoMemory));
+    // What each response may hold by itself is not counted.
+    let mut other = ResponseShare::new(Arc::clone(&memory));
+    assert!(other.grow(UNSHARED_RESPONSE_BYTES) && !other.grow(1000));
+    drop((share, other));
+    assert_eq!(memory.response_bytes(), 0);
+    receive(LIMIT as usize, &memory).expect("the bytes are released");
+}
+
 /// Guards against slow bodies, each of which makes progress, that together keep all memory until they
 /// are whole.
 #[test]
--- a/crates/tansyknotd/src/host.rs
+++ b/crates/tansyknotd/src/host.rs
@@ -7,6 +7,7 @@
 use tansyknot_fleet::response_buffers;
 use tansyknot_http::{
     memory::RequestMemory,
+    receive,
     server::{DrainBehaviour, ServerOptions},
 };
 
@@ -22,8 +23,6 @@
 const BODY_AND_RESPONSE_SEVENTHS: u64 = 3;
 /// For connections.
 const CONNECTION_SEVENTHS: u64 = 4;
-/// The kernel's receive buffer of a connection.
-const RECEIVE_BUFFER_BYTES: u64 = 32 << 10;
 /// The touched part of a connection's stack while a head is received.
 const RECEIVING_STACK_BYTES: u64 = 16 << 10;
 /// The touched part of a connection's stack while its request is served, with the buffers of the
@@ -78,7 +77,7 @@
     // The head is held as it is received, and as it is parsed.
     let receiving = RECEIVING_STACK_BYTES + 2 * head;
     let serving = SERVING_STACK_BYTES + head + response_buffers::UNSHARED_BYTES_WITH_KERNEL;
-    RECEIVE_BUFFER_BYTES + receiving.max(serving)
+    receive::BUFFER_BYTES + receiving.max(serving)
 }
 
 /// Returns the number of descriptors that the system allows this process.
