Tests: clients of a crowd try again to connect

A client that was not connected within a second counted as one that has sent what it can, so that a daemon which accepts slowly met a smaller crowd than the test names. It tries ten times now.

--- a/crates/tansyknotd/tests/crowd/mod.rs
+++ b/crates/tansyknotd/tests/crowd/mod.rs
@@ -22,9 +22,11 @@
 pub(crate) const HOST_BYTES: u64 = 120 << 20;
 /// The longest body that the daemon's default limits allow.
 pub(crate) const MAX_BODY_BYTES: usize = 4 << 20;
-/// A client that is not connected, or whose write makes no progress, for this long has sent what it
-/// can.
+/// A client whose write makes no progress for this long has sent what it can.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The timeout of a connect, and how often a client tries. A daemon may accept a crowd slowly.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_ATTEMPTS: usize = 10;
 /// The pause between two bytes of a client that trickles.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -92,7 +94,7 @@
             let (ends, settled) = (Arc::clone(&ends), Arc::clone(&settled));
             let begun = Arc::clone(&begun);
             let client = move || {
-                let connected = TcpStream::connect_timeout(&address, WRITE_TIMEOUT);
+                let connected = connect(address);
                 let connected = connected.and_then(|stream| {
                     if then == Then::Ignores {
                         sockopt::set_socket_recv_buffer_size(&stream, SMALL_BUFFER_BYTES)?;
@@ -127,6 +129,13 @@
     }
 }
 
+fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let attempt = || TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+    let mut attempts = (0..CONNECT_ATTEMPTS).map(|_| attempt());
+    let is_last = |connected: &io::Result<TcpStream>| !matches!(connected, Err(e) if e.kind() == io::ErrorKind::TimedOut);
+    attempts.find(is_last).unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+}
+
 /// Sends bytes until the connection takes no more for a while; a daemon that closed it is no error.
 fn send(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
     stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
