Responses: one whose status does not exist is not relayed

Callers got a runner's response with status 000 as a response, with its body and seal: "HTTP/1.1 0 Status". The parser of the head takes any three digits, and nothing looked at the number afterwards.

The head of a response is a module of its own now, beside the head of a request. It accepts 100 to 599, the classes that HTTP defines, and no 101, which no request asks for. Anything else is a malformed response: a repeatable request goes to another target, any other gets 502.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -17,7 +17,12 @@
     io::Errno,
 };
 use tansyknot_core::clock::BootInstant;
-use tansyknot_http::{chunked::ChunkedReader, disconnect, receive::ReadBuffer};
+use tansyknot_http::{
+    chunked::ChunkedReader,
+    disconnect,
+    receive::ReadBuffer,
+    response_head::{self, Framing, ResponseHead},
+};
 use thiserror::Error;
 
 use crate::connection::TargetStream;
@@ -30,8 +35,6 @@
 const READ_BUFFER_BYTES: usize = 8 << 10;
 /// Maximum size of a response head in bytes, with the interim responses before it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Maximum number of header lines in a response head.
-const MAX_HEADERS: usize = 64;
 
 /// Why an exchange has no full response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -87,31 +90,6 @@
     }
 }
 
-/// The head of a response.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ResponseHead {
-    /// The HTTP status.
-    pub status: u16,
-    /// Header names in lower case, and values.
-    pub headers: Vec<(String, String)>,
-    framing: Framing,
-}
-
-impl ResponseHead {
-    /// Returns the value of a header; `name` is in lower case.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
-    }
-
-    /// Returns what ends the body.
-    pub fn body_end(&self) -> BodyEnd {
-        match self.framing {
-            Framing::UntilClose => BodyEnd::Close,
-            Framing::Empty | Framing::Length(_) | Framing::Chunked => BodyEnd::Declared,
-        }
-    }
-}
-
 /// What ends the body of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -122,12 +100,14 @@
     Close,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Empty,
-    Length(u64),
-    Chunked,
-    UntilClose,
+impl BodyEnd {
+    /// Returns what ends the body that follows `head`.
+    pub fn of(head: &ResponseHead) -> Self {
+        match head.framing {
+            Framing::UntilClose => BodyEnd::Close,
+            Framing::Empty | Framing::Length(_) | Framing::Chunked => BodyEnd::Declared,
+        }
+    }
 }
 
 /// The deadline and the last failure of an exchange's reads, shared with the code that set it up.
@@ -244,9 +224,10 @@
     pub fn head(&mut self) -> Result<ResponseHead, Failure> {
         let mut interim_bytes = 0;
         loop {
-            if let Some((head, length)) = parse_head(self.buf.unread())? {
+            let parsed = response_head::parse(self.buf.unread()).map_err(|_| Failure::Malformed)?;
+            if let Some((head, length)) = parsed {
                 self.buf.consume(length);
-                if !(100..200).contains(&head.status) {
+                if !head.is_interim() {
                     return Ok(head);
                 }
                 interim_bytes += length;
@@ -398,40 +379,3 @@
         }
     }
 }
-
-fn parse_head(buf: &[u8]) -> Result<Option<(ResponseHead, usize)>, Failure> {
-    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut res = httparse::Response::new(&mut lines);
-    let length = match res.parse(buf) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(Failure::Malformed),
-    };
-    let mut headers = Vec::with_capacity(res.headers.len());
-    for line in res.headers.iter() {
-        let value = std::str::from_utf8(line.value).map_err(|_| Failure::Malformed)?;
-        headers.push((line.name.to_ascii_lowercase(), value.trim().to_owned()));
-    }
-    let status = res.code.ok_or(Failure::Malformed)?;
-    let framing = framing(status, &headers)?;
-    Ok(Some((ResponseHead { status, headers, framing }, length)))
-}
-
-fn framing(status: u16, headers: &[(String, String)]) -> Result<Framing, Failure> {
-    let mut values = headers.iter().filter(|(n, _)| n == "transfer-encoding");
-    let coding = values.next().map(|(_, v)| v.as_str());
-    let mut lengths = headers.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v);
-    let length = lengths.next();
-    if lengths.any(|other| Some(other) != length) {
-        return Err(Failure::Malformed);
-    }
-    if status == 204 || status == 304 || (100..200).contains(&status) {
-        return Ok(Framing::Empty);
-    }
-    match (coding, length) {
-        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-        (Some(_), _) => Err(Failure::Malformed),
-        (None, Some(length)) => length.parse().map(Framing::Length).map_err(|_| Failure::Malformed),
-        (None, None) => Ok(Framing::UntilClose),
-    }
-}
--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -14,11 +14,12 @@
     events::EventScanner,
     head,
     respond::{self, ConnectionAction, StreamedResponse},
+    response_head::ResponseHead,
 };
 
 use crate::{
     condition::interval::IntervalMeter,
-    exchange::{Body, Control, Failure, ResponseHead},
+    exchange::{Body, Control, Failure},
     response_buffers::Reservation,
     response_parts::{Part, ResponseParts},
 };
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -7,6 +7,7 @@
     metric,
     name::{ModelName, SoftwareVersion},
 };
+use tansyknot_http::response_head::ResponseHead;
 
 use super::{
     MAX_SENDS, Server,
@@ -20,7 +21,7 @@
     condition::interval::MIN_INTERVALS,
     connection::TargetStream,
     dissemination::{message, scheduling::ObservedOutcome},
-    exchange::{BodyEnd, Exchange, Failure, ResponseHead},
+    exchange::{BodyEnd, Exchange, Failure},
     fleet::{ResponseLimits, WaitEnd},
     platform_api::{ForwardParams, ResponseClass},
     reachability::Path,
@@ -198,7 +199,7 @@
             }
         }
         request.runs += 1;
-        request.body_end = head.body_end();
+        request.body_end = BodyEnd::of(&head);
         let result = if response_relay::is_stream(&head) && head.status == 200 {
             let body = exchange.body(&head);
             let model = request.params.model.clone();
--- a/crates/tansyknot-fleet/src/serve/signal.rs
+++ b/crates/tansyknot-fleet/src/serve/signal.rs
@@ -5,11 +5,11 @@
     event, metric,
     name::{ServiceName, TargetName},
 };
+use tansyknot_http::response_head::ResponseHead;
 
 use super::{Server, request::ActiveRequest};
 use crate::{
     backpressure::{Interval, RunOutcome, Signal, Signals, run_state::SignalChange},
-    exchange::ResponseHead,
     platform_api::ResponseClass,
     target::Target,
 };
--- a/crates/tansyknot-http/src/lib.rs
+++ b/crates/tansyknot-http/src/lib.rs
@@ -1,4 +1,5 @@
-//! HTTP/1.1 server side towards callers: reads requests within limits and writes responses.
+//! HTTP/1.1 server side towards callers: reads requests within limits and writes responses. Heads and
+//! chunks of targets' responses are decoded here as well.
 
 pub mod body;
 pub mod chunked;
@@ -11,4 +12,5 @@
 pub mod problem;
 pub mod receive;
 pub mod respond;
+pub mod response_head;
 pub mod server;
