Responses: one that does not say clearly where it ends is not relayed

Callers got a spoilt response as a complete one, with a body that was not the runner's: of "content-length: +2" two bytes, as the standard library's parser of numbers takes a sign; of two lines with codings the first alone counted; chunks of HTTP/1.0 were taken for the body itself; and a line whose name was spoilt counted as no length, so that the frames of the chunks were relayed as the body once the runner closed the connection.

A length consists of digits alone. A coding is "chunked", once, in HTTP/1.1, without a length beside it. Status 204 and interim responses declare no body. Without both, a body ends with its connection only if the connection does not persist (RFC 9112, 9.3), that is if the head says so: a response that keeps its connection can't end with it. Anything else is malformed.

--- a/crates/tansyknot-http/src/response_head.rs
+++ b/crates/tansyknot-http/src/response_head.rs
@@ -1,4 +1,7 @@
 //! The head of a response, parsed by `httparse`, and what it says about the end of the body.
+//!
+//! A head that does not say clearly where the body ends is malformed: its body could be taken for another
+//! one.
 
 use std::ops::RangeInclusive;
 
@@ -25,6 +28,15 @@
     Framing,
 }
 
+/// The version of the protocol of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Version {
+    /// HTTP/1.0, which has no chunks.
+    Http10,
+    /// HTTP/1.1.
+    Http11,
+}
+
 /// How the body of a response is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -82,33 +94,79 @@
         headers.push((line.name.to_ascii_lowercase(), value.to_owned()));
     }
     let status = res.code.ok_or(HeadError::Syntax)?;
+    let version = if res.version == Some(0) { Version::Http10 } else { Version::Http11 };
+    let framing = framing(version, status, &headers)?;
+    Ok(Some((ResponseHead { status, headers, framing }, length)))
+}
+
+/// Returns how the body of a response is framed. The names of `headers` are in lower case.
+///
+/// # Errors
+///
+/// Fails if HTTP has no such status, or if the headers do not say clearly where the body ends.
+pub fn framing(
+    version: Version,
+    status: u16,
+    headers: &[(String, String)],
+) -> Result<Framing, HeadError> {
     if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
         return Err(HeadError::Status);
     }
-    let framing = framing(status, &headers)?;
-    Ok(Some((ResponseHead { status, headers, framing }, length)))
+    let framing = match (is_chunked(version, headers)?, content_length(headers)?) {
+        (true, Some(_)) => return Err(HeadError::Framing),
+        (true, None) => Framing::Chunked,
+        (false, Some(length)) => Framing::Length(length),
+        (false, None) => Framing::UntilClose,
+    };
+    let has_no_body = is_interim(status) || status == 204;
+    match framing {
+        Framing::Chunked | Framing::Length(1..) if has_no_body => Err(HeadError::Framing),
+        _ if has_no_body || status == 304 => Ok(Framing::Empty),
+        Framing::UntilClose if is_persistent(version, headers) => Err(HeadError::Framing),
+        framing => Ok(framing),
+    }
 }
 
-fn framing(status: u16, headers: &[(String, String)]) -> Result<Framing, HeadError> {
-    let coding = values(headers, "transfer-encoding").next();
+fn is_interim(status: u16) -> bool {
+    (100..200).contains(&status)
+}
+
+/// Returns whether the body is sent in chunks. No other coding is asked for.
+fn is_chunked(version: Version, headers: &[(String, String)]) -> Result<bool, HeadError> {
+    let mut codings = values(headers, "transfer-encoding");
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None)
+            if coding.eq_ignore_ascii_case("chunked") && version == Version::Http11 =>
+        {
+            Ok(true)
+        }
+        _ => Err(HeadError::Framing),
+    }
+}
+
+fn content_length(headers: &[(String, String)]) -> Result<Option<u64>, HeadError> {
     let mut lengths = values(headers, "content-length");
-    let length = lengths.next();
-    if lengths.any(|other| Some(other) != length) {
+    let Some(length) = lengths.next() else { return Ok(None) };
+    // The parser of the standard library accepts a sign.
+    let is_number = length.bytes().all(|b| b.is_ascii_digit());
+    if !is_number || lengths.any(|other| other != length) {
         return Err(HeadError::Framing);
     }
-    if status == 204 || status == 304 || is_interim(status) {
-        return Ok(Framing::Empty);
-    }
-    match (coding, length) {
-        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-        (Some(_), _) => Err(HeadError::Framing),
-        (None, Some(length)) => length.parse().map(Framing::Length).map_err(|_| HeadError::Framing),
-        (None, None) => Ok(Framing::UntilClose),
-    }
+    length.parse().map(Some).map_err(|_| HeadError::Framing)
 }
 
-fn is_interim(status: u16) -> bool {
-    (100..200).contains(&status)
+/// Returns whether the sender keeps the connection open (RFC 9112, 9.3), so that its end can't be the
+/// body's.
+fn is_persistent(version: Version, headers: &[(String, String)]) -> bool {
+    let has_option = |option: &str| {
+        let mut options = values(headers, "connection").flat_map(|v| v.split(','));
+        options.any(|o| o.trim().eq_ignore_ascii_case(option))
+    };
+    match version {
+        Version::Http10 => has_option("keep-alive") && !has_option("close"),
+        Version::Http11 => !has_option("close"),
+    }
 }
 
 fn values<'a>(headers: &'a [(String, String)], name: &str) -> impl Iterator<Item = &'a str> {
