Gateway: a response that does not say clearly where it ends is not relayed

Callers of the product's gateway got spoilt responses of plain services as complete ones: status 600; and with a spoilt coding, several codings, a length beside chunks, or chunks of HTTP/1.0 the frames of the chunks, or a part of them, as the body. The HTTP client takes any coding that it doesn't know for a body that ends with its connection, and ignores a length beside chunks.

The head of each response, and of each resumption, goes through the check of the fleet's path (response_head::framing). What fails it counts as an attempt that may have run: repeated elsewhere if the service allows it, else 502 with an unknown outcome.

--- a/crates/tansyknot-edge/src/stage/attempt.rs
+++ b/crates/tansyknot-edge/src/stage/attempt.rs
@@ -10,7 +10,11 @@
 
 use super::identify::{IdentifiedRequest, ServiceKind};
 use crate::{
-    http::{head, server::Request},
+    http::{
+        head,
+        response_head::{self, Version},
+        server::Request,
+    },
     upstream::{self, AttemptHandle},
 };
 
@@ -92,7 +96,10 @@
 pub fn send(agent: &ureq::Agent, attempt: &Attempt<'_>) -> Result<TargetResponse, Failure> {
     let response = upstream::with_handle(attempt.handle, || call(agent, attempt));
     match response {
-        Ok(response) => check_started(attempt.identified.kind, response),
+        Ok(response) => {
+            check_head(&attempt.req.head.method, &response)?;
+            check_started(attempt.identified.kind, response)
+        }
         Err(_) if !attempt.handle.may_have_sent() => Err(Failure::NotSent),
         Err(ureq::Error::Timeout(_)) => Err(Failure::TimedOut),
         Err(_) => Err(Failure::Broken),
@@ -135,6 +142,31 @@
     Ok(req.body(SendBody::from_reader(reader))?)
 }
 
+/// The headers that say where the body ends.
+const FRAMING_HEADERS: [http::HeaderName; 3] =
+    [http::header::CONNECTION, http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
+
+/// Fails if a response does not say clearly where its body ends. The HTTP client ignores codings that it
+/// does not know, and a length beside chunks.
+fn check_head(method: &str, response: &TargetResponse) -> Result<(), Failure> {
+    let status = response.status().as_u16();
+    if method == "HEAD" {
+        return response_head::check_status(status).map_err(|_| Failure::Broken);
+    }
+    let version = match response.version() {
+        http::Version::HTTP_10 => Version::Http10,
+        _ => Version::Http11,
+    };
+    let mut headers = Vec::new();
+    for name in &FRAMING_HEADERS {
+        for value in response.headers().get_all(name) {
+            let value = value.to_str().map_err(|_| Failure::Broken)?;
+            headers.push((name.as_str().to_owned(), value.to_owned()));
+        }
+    }
+    response_head::framing(version, status, &headers).map(drop).map_err(|_| Failure::Broken)
+}
+
 /// Distinguishes an engine's refusal to start a request from a response to relay.
 ///
 /// Engines respond with 404, 429 and 503 only before they start a request. Plain services give no
@@ -175,7 +207,10 @@
         req.config().timeout_global(Some(time_left)).build().call()
     };
     match upstream::with_handle(attempt.handle, call) {
-        Ok(response) if response.status().as_u16() == 200 => Ok(response),
+        Ok(response) if response.status().as_u16() == 200 => {
+            check_head("GET", &response)?;
+            Ok(response)
+        }
         _ => Err(Failure::Broken),
     }
 }
--- a/crates/tansyknot-http/src/response_head.rs
+++ b/crates/tansyknot-http/src/response_head.rs
@@ -99,6 +99,16 @@
     Ok(Some((ResponseHead { status, headers, framing }, length)))
 }
 
+/// Checks that HTTP has a status, and that it may be the final one or an interim one of a request.
+///
+/// # Errors
+///
+/// Fails if it is no such status.
+pub fn check_status(status: u16) -> Result<(), HeadError> {
+    let is_valid = STATUSES.contains(&status) && status != SWITCHING_PROTOCOLS;
+    is_valid.then_some(()).ok_or(HeadError::Status)
+}
+
 /// Returns how the body of a response is framed. The names of `headers` are in lower case.
 ///
 /// # Errors
@@ -109,9 +119,7 @@
     status: u16,
     headers: &[(String, String)],
 ) -> Result<Framing, HeadError> {
-    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
-        return Err(HeadError::Status);
-    }
+    check_status(status)?;
     let framing = match (is_chunked(version, headers)?, content_length(headers)?) {
         (true, Some(_)) => return Err(HeadError::Framing),
         (true, None) => Framing::Chunked,
