Gateway: whole responses are held in blocks

Bytes that a plain service sends without end, in a body that ends with its connection, took the memory of the daemon beyond that of the smallest host: 164 MB with 64 such responses at once (host: 120 MiB, 126 MB). Their account was kept, but each buffer was doubled as it grew, and the allocator keeps the halves that were freed, for each thread by itself.

Whole responses of the gateway consist of the same blocks as those of the fleet's daemons and as bodies of requests; freed blocks are used again. The module moves from the fleet's crate to that of HTTP, beside the account. What the daemon answers by itself (list of models, stored responses) stays as it was, a variant of its own.

--- a/crates/tansyknot-edge/src/gateway.rs
+++ b/crates/tansyknot-edge/src/gateway.rs
@@ -41,6 +41,7 @@
         admit::CallerGate,
         attempt::Failure,
         identify::{self, IdentifiedRequest, Route},
+        relay::WholeResponse,
     },
     upstream::{self, ConnectionReuse},
     watch::CallerWatch,
@@ -135,7 +136,9 @@
 /// The state of the response to the caller after an attempt.
 enum CallerResponse {
     /// The full response has been read but not yet written to the caller.
-    Pending(FullResponse),
+    Pending(WholeResponse),
+    /// The daemon responds by itself; the response has not been written to the caller.
+    Local(FullResponse),
     /// The full response has been written as a stream.
     Streamed(u16),
     /// A part of a stream has been written, followed by an error event.
@@ -177,7 +180,11 @@
         let mut key = None;
         let result = self.try_targets(active, &req, &permit, &mut key);
         self.settle_key(&result, key);
-        if let Ok(CallerResponse::Pending(_) | CallerResponse::Streamed(_)) = &result {
+        let is_success = matches!(
+            result,
+            Ok(CallerResponse::Pending(_) | CallerResponse::Local(_) | CallerResponse::Streamed(_))
+        );
+        if is_success {
             permit.success();
         }
         result
@@ -209,9 +216,12 @@
     ) -> io::Result<ConnectionAction> {
         let (end, write_result) = match result {
             Ok(CallerResponse::Pending(whole)) => {
-                let status = whole.status;
-                let write_result = respond::write_response(stream, &whole, active.after);
-                (Ended::Answered(status), write_result.map(|()| active.after))
+                let write_result = whole.write(stream, active.after);
+                (Ended::Answered(whole.status), write_result.map(|()| active.after))
+            }
+            Ok(CallerResponse::Local(response)) => {
+                let write_result = respond::write_response(stream, &response, active.after);
+                (Ended::Answered(response.status), write_result.map(|()| active.after))
             }
             Ok(CallerResponse::Streamed(status)) => {
                 (Ended::Answered(status), Ok(self.after_stream(&active)))
@@ -271,7 +281,7 @@
                 respond::write_response(stream, &health, after)?;
                 return Ok(after);
             }
-            Ok(Route::Models) => self.models(&active).map(CallerResponse::Pending),
+            Ok(Route::Models) => self.models(&active).map(CallerResponse::Local),
             Ok(route) => self.process(&mut active, &route),
             Err(refusal) => Err(refusal),
         };
--- a/crates/tansyknot-edge/src/gateway/attempts.rs
+++ b/crates/tansyknot-edge/src/gateway/attempts.rs
@@ -73,7 +73,7 @@
             if key.is_none()
                 && let Some(replay) = self.take_key(active, req, key)?
             {
-                return Ok(CallerResponse::Pending(replay));
+                return Ok(CallerResponse::Local(replay));
             }
             let started_at = self.now();
             let target = guard.target.clone();
--- a/crates/tansyknot-edge/src/gateway/keys.rs
+++ b/crates/tansyknot-edge/src/gateway/keys.rs
@@ -15,6 +15,7 @@
     stage::{
         admit::{self, KeyVerdict},
         identify::IdentifiedRequest,
+        relay::WholeResponse,
     },
 };
 
@@ -56,7 +57,9 @@
             Ok(CallerResponse::Pending(whole)) => {
                 idempotency::finish(table, &handle, stored_response(whole))
             }
-            Ok(CallerResponse::Streamed(_)) => idempotency::finish(table, &handle, None),
+            Ok(CallerResponse::Streamed(_) | CallerResponse::Local(_)) => {
+                idempotency::finish(table, &handle, None)
+            }
             Err(refusal) if refusal.outcome == Outcome::NotRun => {
                 idempotency::release(table, &handle)
             }
@@ -81,10 +84,10 @@
     }
 }
 
-fn stored_response(whole: &FullResponse) -> Option<StoredResponse> {
+fn stored_response(whole: &WholeResponse) -> Option<StoredResponse> {
     if whole.body.len() > idempotency::MAX_STORED_RESPONSE_BYTES {
         return None;
     }
-    let body = String::from_utf8(whole.body.clone()).ok()?;
+    let body = String::from_utf8(whole.body.contiguous()).ok()?;
     Some(StoredResponse { status: whole.status, content_type: whole.content_type.clone(), body })
 }
--- a/crates/tansyknot-edge/src/gateway/responses.rs
+++ b/crates/tansyknot-edge/src/gateway/responses.rs
@@ -28,7 +28,7 @@
         if relay::is_stream(&response) {
             return self.relay_stream(active, attempt, response);
         }
-        match relay::read_full(response, &active.request_id, &mut active.share) {
+        match relay::read_whole(response, &active.request_id, &mut active.share) {
             Ok(whole) => {
                 active.account.first_part_at = Some(self.now());
                 Ok(AttemptOutcome::Responded(CallerResponse::Pending(whole)))
--- a/crates/tansyknot-edge/src/stage/relay.rs
+++ b/crates/tansyknot-edge/src/stage/relay.rs
@@ -13,7 +13,8 @@
 use crate::http::{
     events, head,
     memory::ResponseShare,
-    respond::{self, ConnectionAction, FullResponse, StreamedResponse},
+    respond::{self, ConnectionAction, StreamedResponse},
+    response_parts::ResponseParts,
 };
 
 /// Maximum length of a response that is not a stream.
@@ -66,48 +67,71 @@
     }
 }
 
+/// A full response of a target.
+#[derive(Debug)]
+pub struct WholeResponse {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The headers for the caller.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: ResponseParts,
+}
+
+impl WholeResponse {
+    /// Writes the response to the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has left or does not read.
+    pub fn write(&self, mut stream: &TcpStream, after: ConnectionAction) -> io::Result<()> {
+        let head = (self.status, self.content_type.as_str(), self.headers.as_slice());
+        respond::write_parts(&mut stream, head, self.body.parts(), after)
+    }
+}
+
 /// Reads a full response into `share`, before any byte of it is sent to the caller.
 ///
 /// # Errors
 ///
 /// Fails if the response is truncated or too long, or finds no room.
-pub fn read_full(
+pub fn read_whole(
     mut response: TargetResponse,
     request_id: &RequestId,
     share: &mut ResponseShare,
-) -> Result<FullResponse, ReadFailure> {
+) -> Result<WholeResponse, ReadFailure> {
     let status = response.status().as_u16();
     let content_type = content_type(&response);
     let headers = headers(&response, request_id);
     let declared = response.headers().get("content-length").and_then(|v| v.to_str().ok());
-    let declared: Option<usize> = declared.and_then(|v| v.parse().ok());
-    if declared.is_some_and(|n| n as u64 > MAX_FULL_RESPONSE_BYTES) {
+    let declared: Option<u64> = declared.and_then(|v| v.parse().ok());
+    if declared.is_some_and(|n| n > MAX_FULL_RESPONSE_BYTES) {
         return Err(io::Error::from(io::ErrorKind::InvalidData).into());
     }
     let limited = response.body_mut().with_config().limit(MAX_FULL_RESPONSE_BYTES);
-    let body = read_body(&mut limited.reader(), declared, share)?;
-    if declared.is_some_and(|n| n != body.len()) {
+    let body = read_body(&mut limited.reader(), share)?;
+    if declared.is_some_and(|n| n != body.len() as u64) {
         return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
     }
-    Ok(FullResponse { status, content_type, headers, body })
+    Ok(WholeResponse { status, content_type, headers, body })
 }
 
 fn read_body(
     reader: &mut impl Read,
-    declared: Option<usize>,
     share: &mut ResponseShare,
-) -> Result<Vec<u8>, ReadFailure> {
-    let mut body = Vec::new();
+) -> Result<ResponseParts, ReadFailure> {
+    let mut body = share.parts();
     let mut buf = [0; READ_BUFFER_BYTES];
     loop {
         let n = reader.read(&mut buf)?;
         if n == 0 {
             return Ok(body);
         }
-        if !share.reserve(&mut body, n, declared) {
+        if !share.extend(&mut body, &buf[..n]) {
             return Err(ReadFailure::NoRoom);
         }
-        body.extend_from_slice(&buf[..n]);
     }
 }
 
@@ -210,7 +234,7 @@
 
     /// Appends received bytes and relays the complete events. Returns whether there were any.
     fn relay_events(&mut self, bytes: &[u8], share: &mut ResponseShare) -> Result<bool, StreamEnd> {
-        if !share.reserve(&mut self.pending, bytes.len(), None) {
+        if !share.reserve(&mut self.pending, bytes.len()) {
             return Err(StreamEnd::Broken);
         }
         self.pending.extend_from_slice(bytes);
--- a/crates/tansyknot-fleet/src/lib.rs
+++ b/crates/tansyknot-fleet/src/lib.rs
@@ -32,7 +32,6 @@
 pub mod reachability;
 pub mod residency;
 pub mod response_buffers;
-pub mod response_parts;
 pub mod response_relay;
 pub mod scheduling;
 pub mod serve;
--- a/crates/tansyknot-fleet/src/response_buffers.rs
+++ b/crates/tansyknot-fleet/src/response_buffers.rs
@@ -7,9 +7,10 @@
 
 use rustix::net::sockopt;
 use tansyknot_core::clock::BootInstant;
-use tansyknot_http::memory::{self, RequestMemory, ResponseShare};
-
-use crate::response_parts::ResponseParts;
+use tansyknot_http::{
+    memory::{self, RequestMemory, ResponseShare},
+    response_parts::ResponseParts,
+};
 
 /// The size of the kernel's buffer for bytes that a caller has not read; Linux uses twice as much. It
 /// allows 50 Mbit/s at a round trip of 10 ms. Without a limit, the buffers of one connection grow to
@@ -93,22 +94,14 @@
 
     /// Creates parts for the bytes that are reserved here.
     pub fn parts(&self) -> ResponseParts {
-        ResponseParts::new(Arc::clone(self.share.memory()))
+        self.share.parts()
     }
 
     /// Appends `more` to `parts`, whose lengths are reserved here; returns `false` if the total does
     /// not allow it.
-    pub fn extend(&mut self, parts: &mut ResponseParts, mut more: &[u8]) -> bool {
-        while !more.is_empty() {
-            if let Some(bytes) = parts.next_part_bytes(more.len()) {
-                if !self.share.grow(bytes as u64) {
-                    return false;
-                }
-                parts.add_part(bytes);
-            }
-            more = &more[parts.fill_part(more)..];
-        }
-        true
+    #[must_use]
+    pub fn extend(&mut self, parts: &mut ResponseParts, more: &[u8]) -> bool {
+        self.share.extend(parts, more)
     }
 
     /// Takes what the kernel uses for a long response from the total, once. Returns whether its buffer
--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -15,13 +15,13 @@
     head,
     respond::{self, ConnectionAction, StreamedResponse},
     response_head::ResponseHead,
+    response_parts::{Part, ResponseParts},
 };
 
 use crate::{
     condition::interval::IntervalMeter,
     exchange::{Body, Control, Failure},
     response_buffers::Reservation,
-    response_parts::{Part, ResponseParts},
 };
 
 /// Maximum body of a response that is not a stream, in bytes.
--- a/crates/tansyknot-http/src/lib.rs
+++ b/crates/tansyknot-http/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod receive;
 pub mod respond;
 pub mod response_head;
+pub mod response_parts;
 pub mod server;
--- a/crates/tansyknot-http/src/memory.rs
+++ b/crates/tansyknot-http/src/memory.rs
@@ -16,7 +16,7 @@
 
 use tansyknot_core::clock::BootInstant;
 
-use crate::receive::ENLARGED_BUFFER_BYTES;
+use crate::{receive::ENLARGED_BUFFER_BYTES, response_parts::ResponseParts};
 
 /// The size of the blocks that long bodies and responses consist of. Freed blocks are kept for others,
 /// as the allocator does not reuse the memory of one thread for another one.
@@ -433,6 +433,26 @@
         has_room
     }
 
+    /// Creates parts for the bytes that are taken here.
+    pub fn parts(&self) -> ResponseParts {
+        ResponseParts::new(Arc::clone(&self.memory))
+    }
+
+    /// Appends `more` to `parts`, whose lengths are taken here; returns `false` if there is no room.
+    #[must_use]
+    pub fn extend(&mut self, parts: &mut ResponseParts, mut more: &[u8]) -> bool {
+        while !more.is_empty() {
+            if let Some(bytes) = parts.next_part_bytes(more.len()) {
+                if !self.grow(bytes as u64) {
+                    return false;
+                }
+                parts.add_part(bytes);
+            }
+            more = &more[parts.fill_part(more)..];
+        }
+        true
+    }
+
     /// Releases all but `bytes`.
     pub fn shrink_to(&mut self, bytes: u64) {
         let bytes = bytes.min(self.bytes);
@@ -441,15 +461,15 @@
     }
 
     /// Reserves room for `more` bytes in `buf`, whose capacity is a part of this share; returns `false`
-    /// if there is none. A `length` that is known avoids that `buf` grows in steps.
+    /// if there is none.
     #[must_use]
-    pub fn reserve(&mut self, buf: &mut Vec<u8>, more: usize, length: Option<usize>) -> bool {
+    pub fn reserve(&mut self, buf: &mut Vec<u8>, more: usize) -> bool {
         let needed = buf.len() + more;
         let before = buf.capacity();
         if needed <= before {
             return true;
         }
-        let capacity = length.unwrap_or(before * 2).max(needed);
+        let capacity = needed.max(before * 2);
         // Both buffers are held while the bytes are copied.
         if !self.grow(capacity as u64) {
             return false;
--- a/crates/tansyknot-fleet/src/response_parts.rs
+++ b/crates/tansyknot-http/src/response_parts.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use tansyknot_http::memory::{BLOCK_BYTES, RequestMemory};
+use crate::memory::{BLOCK_BYTES, RequestMemory};
 
 /// The least bytes that are added to the first part.
 const MIN_PART_BYTES: usize = 8 << 10;
@@ -52,6 +52,12 @@
         &self.parts
     }
 
+    /// Returns all bytes in one piece.
+    pub fn contiguous(&self) -> Vec<u8> {
+        let parts: Vec<&[u8]> = self.parts.iter().map(Part::as_ref).collect();
+        parts.concat()
+    }
+
     /// Returns how many bytes the next part takes, if the last one has no room for any of `more`.
     pub(crate) fn next_part_bytes(&self, more: usize) -> Option<usize> {
         let is_full = self.parts.last().is_none_or(|part| part.length == part.bytes.len());
@@ -82,7 +88,7 @@
     }
 
     /// Removes all bytes.
-    pub(crate) fn clear(&mut self) {
+    pub fn clear(&mut self) {
         self.length = 0;
         if !self.parts.is_empty() {
             self.memory.keep_blocks(self.parts.drain(..).map(|part| part.bytes));
--- a/crates/tansyknotd/tests/gateway_crowds.rs
+++ b/crates/tansyknotd/tests/gateway_crowds.rs
@@ -1,4 +1,5 @@
-//! Crowds of clients that do not behave, before a daemon of the gateway as a process.
+//! Crowds of clients that do not behave, and targets whose responses have no end, before and behind a
+//! daemon of the gateway as a process.
 #![cfg(feature = "services")]
 
 mod crowd;
@@ -7,6 +8,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
     thread,
     time::Duration,
 };
@@ -16,6 +18,7 @@
 };
 use support::{DaemonProcess, KEY, Platform};
 use tansyknot_core::host::Fencing;
+use yare::parameterized;
 
 /// Clients that each send a body of the largest size.
 const LARGE_BODIES: usize = 48;
@@ -134,3 +137,72 @@
     let most = outlast(&mut daemon, crowd, vec![target]);
     assert!(most.bytes <= HOST_BYTES, "{most:?}");
 }
+
+/// Clients whose responses have no end.
+const CLIENTS_OF_ENDLESS_RESPONSES: usize = 64;
+/// Engines whose responses have no end, beside two that are sound.
+const ENDLESS_ENGINES: usize = 6;
+
+/// Answers each request with `begin`, and `repeated` after it until its connection is closed.
+fn start_endless_target(begin: &'static str, repeated: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    let repeated: Arc<str> = repeated.repeat((16 << 10) / repeated.len()).into();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let repeated = Arc::clone(&repeated);
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0; 4096]);
+                let mut sent = stream.write_all(begin.as_bytes());
+                while sent.is_ok() {
+                    sent = stream.write_all(repeated.as_bytes());
+                }
+            });
+        }
+    });
+    address
+}
+
+#[parameterized(
+    status_line = { "HTTP/1.1 200 ", "OK" },
+    no_response = { "", "bytes" },
+    header_line = { "HTTP/1.1 200 OK\r\nx-a: ", "b" },
+    header_lines = { "HTTP/1.1 200 OK\r\n", "x-a: b\r\n" },
+    interim_responses = { "", "HTTP/1.1 102 Processing\r\n\r\n" },
+    chunk_size = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1" },
+    chunk_extension = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;a=", "b" },
+    trailers = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-a: b\r\n" },
+    chunks = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\nbody\r\n" },
+    until_close = { "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", "body" },
+    event = { "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\n\r\ndata: ",
+              "token" },
+)]
+fn gateway_of_responses_without_end(begin: &'static str, repeated: &'static str) {
+    let _alone = crowd::run_alone();
+    let platform = Platform::new(Fencing::Checked);
+    let target = start_endless_target(begin, repeated);
+    platform.move_plain(target);
+    let mut daemon = platform.daemon("endless");
+    let client = |n| RandomClient { parts: [keyed_request(n), Vec::new()], then: Then::Reads };
+    let clients = (0..CLIENTS_OF_ENDLESS_RESPONSES).map(client).collect();
+    let crowd = Crowd::start_random(daemon.callers, clients);
+    let most = outlast(&mut daemon, crowd, vec![target]);
+    assert!(most.bytes <= HOST_BYTES, "{most:?}");
+}
+
+#[parameterized(
+    until_close = { "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", " " },
+    chunks = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\n    \r\n" },
+)]
+fn gateway_of_engines_whose_responses_to_orders_have_no_end(
+    begin: &'static str,
+    repeated: &'static str,
+) {
+    let _alone = crowd::run_alone();
+    let platform = Platform::new(Fencing::Checked);
+    platform.add_engines((0..ENDLESS_ENGINES).map(|_| start_endless_target(begin, repeated)));
+    let mut daemon = platform.daemon("endless-engines");
+    let crowd = Crowd::start(1, daemon.callers, Vec::new(), Then::Stays);
+    let most = outlast(&mut daemon, crowd, Vec::new());
+    assert!(most.bytes <= HOST_BYTES, "{most:?}");
+}
--- a/crates/tansyknotd/tests/support/mod.rs
+++ b/crates/tansyknotd/tests/support/mod.rs
@@ -122,6 +122,13 @@
         self.hosts.set(targets);
     }
 
+    /// Lists further engines at these addresses, before the others.
+    pub(crate) fn add_engines(&self, addresses: impl Iterator<Item = SocketAddr>) {
+        let engine = |(n, address)| target(&format!("a{n}"), address, TargetKind::Engine, "models");
+        let engines = addresses.enumerate().map(engine);
+        self.hosts.set(engines.chain(self.hosts.list()).collect());
+    }
+
     /// Starts a daemon as a child process and waits until it is ready.
     pub(crate) fn daemon(&self, name: &str) -> DaemonProcess {
         self.daemon_with(name, "")
