Gateway: responses of engines to control calls are read up to 1 MiB

An engine that answers a control call with bytes without end had the daemon read 64 MiB, the bound of the platform's lists, for each of its calls: loads, status, and one more for each caller that leaves a stream or names an adapter. Two such calls at once exceed the smallest host.

The client of the engines has a bound of its own; a longer response is a call whose outcome is unknown, as before.

engines_response_without_end_is_not_read_to_the_timeout failed before with 70 MB sent, bound 8 MiB with the kernel's buffers of both sides, and passes.

--- a/crates/tansyknot-platform/src/engine.rs
+++ b/crates/tansyknot-platform/src/engine.rs
@@ -12,6 +12,9 @@
 
 use crate::http::{HttpResponse, JsonClient};
 
+/// A call whose response body is longer than this fails. The longest one lists an engine's models.
+const MAX_RESPONSE_BYTES: u64 = 1 << 20;
+
 /// A client of model engines over HTTP and JSON.
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
@@ -37,7 +40,8 @@
 impl HttpEngine {
     /// Creates a client whose calls time out after `timeout`.
     pub fn new(timeout: Duration) -> Self {
-        Self { http: JsonClient::new("engine", timeout) }
+        let http = JsonClient::new("engine", timeout);
+        Self { http: http.with_max_response_bytes(MAX_RESPONSE_BYTES) }
     }
 
     fn send_order<T: Serialize>(&self, target: &Target, path: &str, doc: &T) -> Result<()> {
--- a/crates/tansyknot-platform/src/http.rs
+++ b/crates/tansyknot-platform/src/http.rs
@@ -8,7 +8,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tansyknot_core::{Error, Result};
 
-/// A call whose response body is longer than this fails.
+/// A call whose response body is longer than this fails, unless the client has another bound. The longest
+/// responses are the platform's lists.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 
 /// A response with its body as text.
@@ -35,6 +36,7 @@
 pub struct JsonClient {
     service: &'static str,
     agent: ureq::Agent,
+    max_response_bytes: u64,
 }
 
 impl JsonClient {
@@ -47,7 +49,14 @@
             .max_redirects(0)
             .proxy(None)
             .build();
-        Self { service, agent: cfg.new_agent() }
+        Self { service, agent: cfg.new_agent(), max_response_bytes: MAX_RESPONSE_BYTES }
+    }
+
+    /// Returns this client with a bound on the body of each response. Without it, a service that sends
+    /// bytes without end could take the memory of a small host.
+    #[must_use]
+    pub fn with_max_response_bytes(self, bytes: u64) -> Self {
+        Self { max_response_bytes: bytes, ..self }
     }
 
     /// Gets `url` with query parameters.
@@ -125,7 +134,7 @@
         let status = res.status().as_u16();
         let etag = res.headers().get("etag").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let mut bytes = Vec::new();
-        let mut body = res.body_mut().with_config().limit(MAX_RESPONSE_BYTES).reader();
+        let mut body = res.body_mut().with_config().limit(self.max_response_bytes).reader();
         body.read_to_end(&mut bytes).map_err(|e| self.body_error(&e, bytes.len()))?;
         let text = String::from_utf8(bytes).map_err(|e| Error::malformed(self.service, e))?;
         Ok(HttpResponse { status, text, etag, headers: std::mem::take(res.headers_mut()) })
--- a/crates/tansyknot-platform/tests/clients.rs
+++ b/crates/tansyknot-platform/tests/clients.rs
@@ -146,3 +146,28 @@
     let lost = client.load(&target, &order(7, 60)).expect_err("the response was dropped");
     assert!(lost.may_have_taken_effect(), "{lost:?}");
 }
+
+/// What a client may read of an engine's response, and the kernel's buffers on both sides.
+const MAX_ENGINE_RESPONSE_BYTES: usize = 8 << 20;
+
+#[test]
+fn engines_response_without_end_is_not_read_to_the_timeout() {
+    let listener = TcpListener::bind(loopback()).expect("a port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let _ = stream.read(&mut [0; 1024]).expect("the client sends a request");
+        let mut sent = 0;
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n");
+        while let Ok(n) = stream.write(&[b' '; 16 << 10]) {
+            sent += n;
+        }
+        sent
+    });
+    let client = HttpEngine::new(Duration::from_secs(20));
+    let e = client.status(&target(address)).expect_err("the response has no end");
+    assert!(e.may_have_taken_effect(), "{e:?}");
+    drop(client);
+    let sent = server.join().expect("the server thread does not panic");
+    assert!(sent <= MAX_ENGINE_RESPONSE_BYTES, "{sent} bytes");
+}
