Stop: requests at their targets are answered when the grace period ends

In a planned stop, requests that their targets had not answered by the end of the grace period were cut off: their callers got a closed connection and no answer, also those of requests that may run at most once. And a request that its first target had refused was passed on to another target at any time of the grace period, late as it may be.

The process ended while its threads still waited for targets. These look at the daemon's progress now, every 50 ms once it drains: at the end of the grace period (abort_after, in its last sixth as before) requests in progress are answered with 502, or their streams end incomplete, and the process exits as soon as all are answered, 0.3 s later at most (exit_after). From refuse_after on, a request that has not run is refused with 503 and Retry-After 0 wherever it is; one that may have run is still repeated, until abort_after.

--- a/crates/tansyknot-fleet/src/exchange.rs
+++ b/crates/tansyknot-fleet/src/exchange.rs
@@ -2,7 +2,8 @@
 //!
 //! Each exchange has a new connection: no byte of an earlier response can be taken for this one,
 //! and a failure to connect proves that nothing was sent. While an exchange waits for the target it
-//! watches the caller's connection, and it closes the target's at once when the caller leaves.
+//! watches the caller's connection, and it closes the target's at once when the caller leaves or the daemon
+//! ends.
 
 use std::{
     cell::Cell,
@@ -22,6 +23,7 @@
     disconnect,
     receive::ReadBuffer,
     response_head::{self, Framing, ResponseHead},
+    server::Lifecycle,
 };
 use thiserror::Error;
 
@@ -31,6 +33,8 @@
 /// suspended, which would delay a deadline by as much; an idle target costs two wake-ups per
 /// second.
 pub(crate) const MAX_POLL_WAIT: Duration = Duration::from_millis(500);
+/// The same while the daemon drains, so that callers are answered before it ends.
+const MAX_DRAIN_POLL_WAIT: Duration = Duration::from_millis(50);
 /// Size of the read buffer in bytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 /// Maximum size of a response head in bytes, with the interim responses before it.
@@ -75,6 +79,9 @@
     /// The daemon has no file descriptors left for a socket.
     #[error("no socket")]
     NoSocket,
+    /// The daemon ends.
+    #[error("daemon ends")]
+    Stopping,
     /// Sending was no longer allowed once the connection was open; nothing was sent.
     #[error("not allowed")]
     NotAllowed,
@@ -135,11 +142,20 @@
     fn on_timeout(&self) -> Option<BootInstant>;
 }
 
+/// What an exchange is made for, and whose end ends it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Requester<'a> {
+    /// The caller's connection.
+    pub caller: Option<&'a TcpStream>,
+    /// The daemon's progress towards its end.
+    pub lifecycle: Option<&'a Lifecycle>,
+}
+
 /// An open exchange, from which the response is read.
 pub struct Exchange<'a> {
     stream: TargetStream,
-    /// The caller's connection, while it is watched.
-    caller: Option<&'a TcpStream>,
+    /// Its caller is absent once it can't be watched any more.
+    requester: Requester<'a>,
     /// Consulted when the deadline passes; without a policy the exchange fails.
     timeout_policy: Option<&'a dyn TimeoutPolicy>,
     buf: ReadBuffer,
@@ -157,7 +173,7 @@
     pub fn open(
         stream: TargetStream,
         request: &[&[u8]],
-        caller: Option<&'a TcpStream>,
+        requester: Requester<'a>,
         deadline: BootInstant,
         may_send: &dyn Fn() -> bool,
     ) -> Result<Self, Failure> {
@@ -166,7 +182,7 @@
             return Err(Failure::NotConnected);
         }
         stream.configure(left).map_err(|_| Failure::NotConnected)?;
-        if caller.is_some_and(disconnect::has_disconnected) {
+        if requester.caller.is_some_and(disconnect::has_disconnected) {
             return Err(Failure::CallerLeft);
         }
         if !may_send() {
@@ -176,7 +192,7 @@
             Control { deadline: Rc::new(Cell::new(deadline)), failure: Rc::new(Cell::new(None)) };
         let mut exchange = Self {
             stream,
-            caller,
+            requester,
             timeout_policy: None,
             buf: ReadBuffer::default(),
             control,
@@ -186,8 +202,8 @@
         Ok(exchange)
     }
 
-    /// Sends a part of the request until the deadline, or until the caller leaves: a target may read a
-    /// long one slowly.
+    /// Sends a part of the request until the deadline, or until the caller leaves or the daemon ends: a
+    /// target may read a long one slowly.
     fn send(&mut self, mut bytes: &[u8]) -> Result<(), Failure> {
         while !bytes.is_empty() {
             match self.stream.try_send(bytes) {
@@ -287,10 +303,10 @@
                 self.control.set_deadline(deadline);
                 continue;
             }
-            let timeout = timespec(left.min(MAX_POLL_WAIT));
+            let timeout = timespec(left.min(self.max_poll_wait()?));
             let mut fds = Vec::with_capacity(2);
             fds.push(PollFd::new(&self.stream, flags));
-            fds.extend(self.caller.map(|caller| PollFd::new(caller, PollFlags::IN)));
+            fds.extend(self.requester.caller.map(|caller| PollFd::new(caller, PollFlags::IN)));
             match rustix::event::poll(&mut fds, Some(&timeout)) {
                 Err(Errno::INTR) => continue,
                 Err(_) => return Err(Failure::ClosedEarly),
@@ -299,18 +315,27 @@
             let is_target_ready = !fds[0].revents().is_empty();
             let is_caller_ready = fds.get(1).is_some_and(|fd| !fd.revents().is_empty());
             if is_caller_ready {
-                if self.caller.is_some_and(disconnect::has_disconnected) {
+                if self.requester.caller.is_some_and(disconnect::has_disconnected) {
                     return Err(Failure::CallerLeft);
                 }
                 // The caller has pipelined its next request, so its connection stays readable and
                 // can no longer be watched.
-                self.caller = None;
+                self.requester.caller = None;
             }
             if is_target_ready {
                 return Ok(());
             }
         }
     }
+
+    /// Returns how long to wait before the daemon's progress towards its end is looked at again.
+    fn max_poll_wait(&self) -> Result<Duration, Failure> {
+        match self.requester.lifecycle {
+            Some(lifecycle) if lifecycle.is_aborting() => Err(Failure::Stopping),
+            Some(lifecycle) if lifecycle.is_draining() => Ok(MAX_DRAIN_POLL_WAIT),
+            _ => Ok(MAX_POLL_WAIT),
+        }
+    }
 }
 
 /// Converts a timeout of `poll`.
--- a/crates/tansyknot-fleet/src/paths.rs
+++ b/crates/tansyknot-fleet/src/paths.rs
@@ -11,7 +11,7 @@
 use crate::{
     connection::{self, CONNECT_TIMEOUT, PROBE_TIMEOUT, TargetStream},
     dissemination::{message, peers::PeerEntry},
-    exchange::{Exchange, Failure},
+    exchange::{Exchange, Failure, Requester},
     poison::Presence,
     reachability::{PROBE_INTERVAL, Path},
     residency::ZoneSet,
@@ -185,9 +185,9 @@
             let (stream, tunnel) = self.open_tunnel(target, tunnel_use, deadline).ok()?;
             Some(TargetStream::tunnelled(stream, tunnel))
         });
-        let exchange = stream
-            .ok_or(Failure::NotConnected)
-            .and_then(|stream| Exchange::open(stream, &[call], None, deadline, &|| true));
+        let exchange = stream.ok_or(Failure::NotConnected).and_then(|stream| {
+            Exchange::open(stream, &[call], Requester::default(), deadline, &|| true)
+        });
         exchange.and_then(|mut e| e.head()).is_ok_and(|head| head.status != MISDIRECTED)
     }
 
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -233,6 +233,10 @@
                 SendOutcome::MayHaveRun(Failure::CallerStalled) => {
                     return Ended::Aborted(Reason::CallerStalled);
                 }
+                SendOutcome::MayHaveRun(Failure::Stopping) => {
+                    request.may_have_run = true;
+                    return self.give_up(request, Reason::TargetFailed);
+                }
                 // The response of another run would find no room either.
                 SendOutcome::MayHaveRun(Failure::NoBuffer) => {
                     return self.give_up(request, Reason::NoBuffer);
--- a/crates/tansyknot-fleet/src/serve/attempt.rs
+++ b/crates/tansyknot-fleet/src/serve/attempt.rs
@@ -21,7 +21,7 @@
     condition::interval::MIN_INTERVALS,
     connection::TargetStream,
     dissemination::{message, scheduling::ObservedOutcome},
-    exchange::{BodyEnd, Exchange, Failure},
+    exchange::{BodyEnd, Exchange, Failure, Requester},
     fleet::{ResponseLimits, WaitEnd},
     platform_api::{ForwardParams, ResponseClass},
     reachability::Path,
@@ -58,11 +58,14 @@
         let (events, transmissions) = (request.relay.events, request.transmissions);
         // A conviction or a signal may have arrived since the target was selected.
         let may_send = || !self.is_rejected(request) && self.is_send_allowed(request, target);
-        let caller = Some(request.caller.stream.as_ref());
+        let requester = Requester {
+            caller: Some(request.caller.stream.as_ref()),
+            lifecycle: Some(self.lifecycle.as_ref()),
+        };
         let connected = self.paths.connect(target, request.zones.as_ref(), deadline);
         let via = connected.as_ref().ok().and_then(TargetStream::via);
         let opened = connected
-            .and_then(|stream| Exchange::open(stream, &parts, caller, deadline, &may_send));
+            .and_then(|stream| Exchange::open(stream, &parts, requester, deadline, &may_send));
         let outcome = match opened {
             Ok(exchange) => {
                 let software = target.software.as_ref().map_or("unknown", SoftwareVersion::as_str);
@@ -347,7 +350,8 @@
                 Failure::CallerLeft
                 | Failure::CallerStalled
                 | Failure::NoBuffer
-                | Failure::PathLost,
+                | Failure::PathLost
+                | Failure::Stopping,
             ) => {}
             SendOutcome::MayHaveRun(Failure::TimedOut) => {
                 fleet.record_failure(&target.name);
@@ -368,7 +372,9 @@
         // The intervals of its events have been observed.
         SendOutcome::Relayed(_) if request.relay.events > MIN_INTERVALS as u64 => None,
         SendOutcome::Relayed(_) => Some(ObservedOutcome::Answered),
-        SendOutcome::MayHaveRun(Failure::CallerLeft | Failure::PathLost) => None,
+        SendOutcome::MayHaveRun(Failure::CallerLeft | Failure::PathLost | Failure::Stopping) => {
+            None
+        }
         SendOutcome::ServerError(_)
         | SendOutcome::MayHaveRun(_)
         | SendOutcome::NotRun(NotRun::Unreachable) => Some(ObservedOutcome::Failed),
--- a/crates/tansyknot-fleet/src/serve/wait.rs
+++ b/crates/tansyknot-fleet/src/serve/wait.rs
@@ -129,6 +129,9 @@
             if self.is_rejected(request) {
                 return Err(Reason::PoisonRequest);
             }
+            if !self.may_still_send(request) {
+                return Err(Reason::Stopping);
+            }
             if self.state.reachability().is_outage_confirmed(&request.service, now) {
                 return Err(Reason::TargetsUnreachable);
             }
@@ -191,6 +194,13 @@
         }
     }
 
+    /// Returns whether the daemon may send a request before it ends. One that has not run may still be
+    /// served by another daemon.
+    fn may_still_send(&self, request: &ActiveRequest<'_>) -> bool {
+        let has_time = !self.lifecycle.is_ending();
+        has_time || (request.may_have_run && !self.lifecycle.is_aborting())
+    }
+
     /// Counts a request that signals have delayed, diverted to another target or caused to be
     /// rejected.
     fn count_backpressure(
--- a/crates/tansyknot-fleet/tests/slow_targets.rs
+++ b/crates/tansyknot-fleet/tests/slow_targets.rs
@@ -10,7 +10,7 @@
 use tansyknot_core::clock::BootInstant;
 use tansyknot_fleet::{
     connection::TargetStream,
-    exchange::{Exchange, Failure},
+    exchange::{Exchange, Failure, Requester},
 };
 
 /// More than the kernel's buffers of a connection hold.
@@ -35,7 +35,8 @@
 fn send(time_left: Duration, caller: Option<&TcpStream>) -> Result<(), Failure> {
     let request = vec![b'.'; REQUEST_BYTES];
     let deadline = BootInstant::now() + time_left;
-    Exchange::open(connect_to_slow_target(), &[&request], caller, deadline, &|| true).map(drop)
+    let requester = Requester { caller, lifecycle: None };
+    Exchange::open(connect_to_slow_target(), &[&request], requester, deadline, &|| true).map(drop)
 }
 
 #[test]
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -137,6 +137,7 @@
 pub struct Lifecycle {
     draining: AtomicBool,
     ending: AtomicBool,
+    aborting: AtomicBool,
     closed: AtomicBool,
     connections: AtomicU32,
     busy: AtomicU32,
@@ -159,6 +160,16 @@
         self.ending.load(Ordering::SeqCst)
     }
 
+    /// Marks the point from which requests in progress are answered without their result.
+    pub fn abort(&self) {
+        self.aborting.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether requests in progress are answered without their result.
+    pub fn is_aborting(&self) -> bool {
+        self.aborting.load(Ordering::SeqCst)
+    }
+
     /// Stops accepting connections.
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -55,6 +55,8 @@
 
 /// How often a stop checks whether requests are in flight.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How often it checks whether the aborted requests have been answered.
+const ABORT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// A daemon with a slower link than this takes the lease over only if no other daemon does so for a
 /// while. A planner sends up to 15 Mbit/s to 295 daemons while many of 264 targets change, and its
 /// updates use at most a fifth of its link; event 1625 reports their cost.
@@ -230,6 +232,10 @@
             thread::sleep(STOP_POLL_INTERVAL);
         }
         let aborted = self.lifecycle.requests_in_flight();
+        self.lifecycle.abort();
+        while self.lifecycle.requests_in_flight() > 0 && started_at.elapsed() < plan.exit_after {
+            thread::sleep(ABORT_POLL_INTERVAL);
+        }
         event::STOPPED.emit(&[("cut", &aborted)]);
         aborted
     }
