Stop: a draining daemon refuses requests whose run would outlast it

The drain knows when requests in progress are aborted. A request whose expected service time, the mean that this daemon has observed for its model or service, is longer than what is left is refused with 503 and Retry-After 0: it has not run, and another daemon can serve it. Without an observation, it is taken as before.

--- a/crates/tansyknot-fleet/src/fleet/places.rs
+++ b/crates/tansyknot-fleet/src/fleet/places.rs
@@ -67,6 +67,11 @@
         self.service_times.observe(want, took);
     }
 
+    /// Returns for how long a request is expected to occupy a slot, if that is known.
+    pub fn expected_service_time(&self, want: &TargetRequirements<'_>) -> Option<Duration> {
+        self.service_times.mean(want)
+    }
+
     /// Returns the slots of the targets that hold what a request needs, and how long requests occupy
     /// them; `None` if no service time is known.
     pub fn capacity(&self, want: &TargetRequirements<'_>, now: Time) -> Option<Capacity> {
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -190,6 +190,9 @@
     }
 
     fn serve(&self, request: &mut ActiveRequest<'_>) -> Ended {
+        if !self.may_finish(request) {
+            return Ended::Refused(Reason::Stopping);
+        }
         let now = self.state.now();
         let convicted = self.state.poison().convicted_of(&request.suspects);
         if let [key] = convicted[..] {
@@ -255,6 +258,13 @@
         }
     }
 
+    /// Returns whether a request may finish before the daemon's end, as far as is known.
+    fn may_finish(&self, request: &ActiveRequest<'_>) -> bool {
+        let Some(left) = self.lifecycle.time_until_abort() else { return true };
+        let expected = self.state.fleet().expected_service_time(&request.want());
+        expected.is_none_or(|expected| expected <= left)
+    }
+
     /// Ends a request with the best result available: a target's error response, or else `reason`.
     fn give_up(&self, request: &mut ActiveRequest<'_>, reason: Reason) -> Ended {
         if reason == Reason::CallerLeft {
--- a/crates/tansyknot-http/src/server.rs
+++ b/crates/tansyknot-http/src/server.rs
@@ -4,7 +4,7 @@
     io,
     net::{TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
@@ -12,7 +12,10 @@
 };
 
 use serde::{Deserialize, Serialize};
-use tansyknot_core::refusal::{Reason, Refusal};
+use tansyknot_core::{
+    clock::BootInstant,
+    refusal::{Reason, Refusal},
+};
 
 use crate::{
     body::Body,
@@ -138,6 +141,7 @@
     draining: AtomicBool,
     ending: AtomicBool,
     aborting: AtomicBool,
+    abort_at: OnceLock<BootInstant>,
     closed: AtomicBool,
     connections: AtomicU32,
     busy: AtomicU32,
@@ -150,6 +154,18 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Starts the drain of a daemon that aborts the requests in progress at `abort_at`.
+    pub fn drain_until(&self, abort_at: BootInstant) {
+        // A drain keeps the time with which it was started.
+        let _ = self.abort_at.set(abort_at);
+        self.drain();
+    }
+
+    /// Returns how long requests in progress have left; `None` if the daemon does not abort them.
+    pub fn time_until_abort(&self) -> Option<Duration> {
+        self.abort_at.get().map(|at| at.duration_since(BootInstant::now()))
+    }
+
     /// Marks the point from which new requests would not finish before the daemon's end.
     pub fn end(&self) {
         self.ending.store(true, Ordering::SeqCst);
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -217,10 +217,10 @@
     /// Finishes the requests in flight within the grace period and returns how many were aborted.
     pub fn stop(&self) -> u32 {
         let started_at = BootInstant::now();
-        self.lifecycle.drain();
+        let plan = ShutdownPlan::for_grace_period(self.grace);
+        self.lifecycle.drain_until(started_at + plan.abort_after);
         event::DRAIN_BEGUN.emit(&[("busy", &self.lifecycle.requests_in_flight())]);
         self.keeper.release();
-        let plan = ShutdownPlan::for_grace_period(self.grace);
         while started_at.elapsed() < plan.abort_after {
             let refuses = started_at.elapsed() >= plan.refuse_after;
             if refuses {
