Streams: daemons that start hear for how long callers may resume

After all daemons had ended at once, callers' streams went on at another software version than the one that began them, if the servers of the old one had just left and the callers came back later than the route's timeout: 200, to the end, with events of two versions and nothing to show it.

Nobody is left then that knows the origins, and a daemon takes the only version of a service for the origin once it has been the only one for as long as a stream may last. That was the longest of the routes' timeouts and the callers' deadlines that this daemon had seen, which are none right after its start; but callers may come back for longer than a route's timeout.

The planner's row says what the planner knows of the callers' deadlines, as it says since when a service has one version; each daemon that reads it waits as long. A planner that releases the row says both as well, it said neither before. Rows of earlier builds name no time; they are read as before.

--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -93,6 +93,10 @@
     /// daemons that start while no other is left at which software a resumed stream began.
     #[serde(default)]
     pub software: SoleVersions,
+    /// The longest time in milliseconds for which any caller could resume its stream, as far as the
+    /// holder knows. It tells the same daemons for how long a service must have run one version.
+    #[serde(default)]
+    pub longest_stream_ms: u64,
 }
 
 /// The interval that must pass between the orders of two holders.
--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -416,7 +416,8 @@
     fn identity(&self) -> LeaseHolder {
         let extends = self.me.extends && !self.state.requires_keys();
         let software = self.state.fleet().sole_versions(self.state.now());
-        LeaseHolder { extends, software, ..self.me.clone() }
+        let longest_stream_ms = lease::millis(self.state.longest_stream());
+        LeaseHolder { extends, software, longest_stream_ms, ..self.me.clone() }
     }
 
     /// Reads the row; returns whether the store responded.
@@ -455,11 +456,13 @@
         }
     }
 
-    /// Takes over what an earlier planner knew of the software, unless the row is an older copy.
+    /// Takes over what an earlier planner knew of streams, and of the software unless the row is an older
+    /// copy.
     fn inherit_software(&self, holder: &LeaseHolder, version: u64) {
         let is_current = holder.era == store_version::era(version);
         let software = if is_current { holder.software.clone() } else { SoleVersions::new() };
         self.state.fleet().inherit_software(software);
+        self.state.record_longest_stream(Duration::from_millis(holder.longest_stream_ms));
     }
 
     /// Writes a claim; returns whether it succeeded.
@@ -518,7 +521,8 @@
     fn yield_lease(&self) {
         event::FLEET_LEASE_YIELDED.emit(&[("fence", &self.shared.fence())]);
         let _row_access = self.row_access();
-        let released = self.shared.lease().release(&self.me, self.state.now());
+        let me = self.identity();
+        let released = self.shared.lease().release(&me, self.state.now());
         self.write_released(released);
     }
 
@@ -527,12 +531,13 @@
     pub fn release(&self) {
         let _row_access = self.row_access();
         let now = self.state.now();
+        let me = self.identity();
         let released = {
             let mut lease = self.shared.lease();
             if self.me.extends {
                 lease.retire();
             }
-            lease.release(&self.me, now)
+            lease.release(&me, now)
         };
         self.write_released(released);
     }
@@ -580,6 +585,7 @@
             all_rest: lease::millis(options.unknown_holder_cooldown()),
             era: store_version::era(row.version),
             software: SoleVersions::new(),
+            longest_stream_ms: 0,
         }
     })
 }
--- a/crates/tansyknot-fleet/src/state/origins.rs
+++ b/crates/tansyknot-fleet/src/state/origins.rs
@@ -32,10 +32,19 @@
     /// Records the origin of a stream.
     pub fn record_origin(&self, record: StreamRecord) {
         let now = self.now();
-        let lifetime = Duration::from_millis(record.lifetime_ms.into());
+        self.record_longest_stream(Duration::from_millis(record.lifetime_ms.into()));
+        self.origins().records.add(record, now);
+    }
+
+    /// Returns the longest time for which any caller could resume its stream, as far as is known.
+    pub fn longest_stream(&self) -> Duration {
+        self.origins().longest_lifetime
+    }
+
+    /// Records that the caller of a stream that another daemon has seen could resume it for `lifetime`.
+    pub fn record_longest_stream(&self, lifetime: Duration) {
         let mut origins = self.origins();
         origins.longest_lifetime = origins.longest_lifetime.max(lifetime);
-        origins.records.add(record, now);
     }
 
     /// Records whether the view of the targets' software is current.
@@ -51,7 +60,7 @@
         let now = self.now();
         self.record_software_view(now);
         let timeout = self.catalog().map_or(Duration::ZERO, |c| c.longest_timeout(service));
-        let longest_stream = self.origins().longest_lifetime.max(timeout);
+        let longest_stream = self.longest_stream().max(timeout);
         let sole = self.fleet().sole_software(service, now)?;
         (Duration::from_millis(sole.for_ms) >= longest_stream).then_some(sole.version)
     }
--- a/crates/tansyknot-fleet/tests/lease_extension.rs
+++ b/crates/tansyknot-fleet/tests/lease_extension.rs
@@ -246,5 +246,6 @@
         all_rest: 0,
         era: 0,
         software: Default::default(),
+        longest_stream_ms: 0,
     }
 }
--- a/crates/tansyknot-fleet/tests/store_eras.rs
+++ b/crates/tansyknot-fleet/tests/store_eras.rs
@@ -141,6 +141,7 @@
         all_rest: 0,
         era: 0,
         software: Default::default(),
+        longest_stream_ms: 0,
     }
 }
 
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -78,6 +78,7 @@
             all_rest: 0,
             era: 0,
             software: Default::default(),
+            longest_stream_ms: 0,
         };
         let keeper = Arc::new(LeaseKeeper::new(
             Arc::clone(&state),
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -263,6 +263,7 @@
             all_rest: 0,
             era: 0,
             software: Default::default(),
+            longest_stream_ms: 0,
         };
         let is_disconnected = Arc::new(AtomicBool::new(false));
         let store_client = StoreClient {
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -111,6 +111,7 @@
             all_rest: 0,
             era: 0,
             software: Default::default(),
+            longest_stream_ms: 0,
         };
         let options = LeaseOptions { handover_interval: settings.bounds.order_turn.duration() };
         let keeper = Arc::new(LeaseKeeper::new(
--- a/crates/tansyknotd/tests/stream_versions.rs
+++ b/crates/tansyknotd/tests/stream_versions.rs
@@ -45,10 +45,15 @@
 
 impl Deployment {
     fn start(daemons: usize, versions: &[&str]) -> Self {
+        Self::with_timeout(daemons, versions, 10_000)
+    }
+
+    /// Starts a deployment whose routes have this timeout.
+    fn with_timeout(daemons: usize, versions: &[&str], timeout_ms: u64) -> Self {
         let store = Store::new();
         Configuration {
             version: 3,
-            timeout_ms: 10_000,
+            timeout_ms,
             objective_ms: 500,
             gap_ms: 300,
             models_per_engine: 1,
@@ -70,6 +75,18 @@
         deployment
     }
 
+    /// Ends all daemons at once and starts as many others.
+    fn replace_daemons(&mut self, signal: Signal) {
+        let count = self.daemons.len();
+        self.daemons.iter().for_each(|daemon| daemon.signal(signal));
+        for mut daemon in self.daemons.drain(..) {
+            daemon.child.wait().expect("the daemon ends");
+        }
+        let address = self.store.open_endpoint().address;
+        let start = |n| Daemon::start(&format!("v{n}"), address);
+        self.daemons = (count..2 * count).map(start).collect();
+    }
+
     /// Waits until each daemon has received events of each version.
     fn wait_for_runners(&self) {
         for (d, daemon) in self.daemons.iter().enumerate() {
@@ -241,3 +258,17 @@
         assert_eq!(rest.status, if is_gone { 503 } else { 200 }, "{id}: {rest:?}");
     }
 }
+
+/// Guards against a guess by the routes' timeouts: a caller may resume its stream for longer.
+#[parameterized(killed = { Signal::KILL }, stopped = { Signal::TERM })]
+fn stream_that_outlives_all_daemons_does_not_go_on_at_another_software_version(signal: Signal) {
+    const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_500);
+    let timeout_ms = ROUTE_TIMEOUT.as_millis() as u64;
+    let mut deployment = Deployment::with_timeout(2, &["v1", "v1.1"], timeout_ms);
+    let begun = deployment.begin_streams(0, 20);
+    deployment.store.remove("servers", "i-0");
+    thread::sleep(Duration::from_millis(500));
+    deployment.replace_daemons(signal);
+    thread::sleep(2 * ROUTE_TIMEOUT);
+    take_up(&deployment, 0, &begun);
+}
