Streams: one that outlives all daemons goes on at no other service of its route

On a route that leads to several services, a stream that was resumed after all daemons had ended went on at the service that the new attempt was drawn for, with the events of two services in one text. The version that is taken for the origin where nobody knows it is the only one of a service; which service began the stream is not known either, unless the route has only one.

The guess is made for routes with one service alone. Streams of other routes whose origin nobody knows are refused with 503, as where versions differ.

stream_that_outlives_all_daemons_does_not_go_on_at_another_service_of_its_route (processes) failed before, s-1 had events of v1 and w1, and passes.

--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -70,6 +70,14 @@
         self.split.iter().any(|(name, weight)| name == service && *weight > 0)
     }
 
+    /// Returns the service that receives all requests of the route, if there is only one.
+    pub fn sole_service(&self) -> Option<&ServiceName> {
+        let mut services =
+            self.split.iter().filter(|(_, weight)| *weight > 0).map(|(name, _)| name);
+        let service = services.next()?;
+        services.next().is_none().then_some(service)
+    }
+
     /// Selects a service by `draw`, a uniformly distributed number, in proportion to the weights.
     pub fn service(&self, draw: u64) -> Option<&ServiceName> {
         let total: u64 = self.split.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/crates/tansyknot-fleet/src/serve.rs
+++ b/crates/tansyknot-fleet/src/serve.rs
@@ -132,7 +132,7 @@
         let service = route.service(hash).cloned().ok_or_else(no_route)?;
         let identity = self.identify(head, &route, &catalog, &view, arrived)?;
         let zones = self.state.regions.allowed_zones(&identity.residency_bounds(&route));
-        let origin = self.resumed_origin(params, &route, &service)?;
+        let origin = self.resumed_origin(params, &route)?;
         let origin_service = origin.get().map(|origin| origin.service.clone());
         let service = origin_service.filter(|s| route.leads_to(s)).unwrap_or(service);
         let cache = self.cache_need(params, &catalog, &service)?;
--- a/crates/tansyknot-fleet/src/serve/origin.rs
+++ b/crates/tansyknot-fleet/src/serve/origin.rs
@@ -56,25 +56,21 @@
         &self,
         params: &RequestParams,
         route: &Route,
-        service: &ServiceName,
     ) -> Result<Rc<OnceCell<Origin>>, Reason> {
         let is_stream = route.repeatability.is_stream();
         let Some(resumption) = params.resumption.as_ref().filter(|_| is_stream) else {
             return Ok(Rc::default());
         };
         let began = BootInstant::now();
-        let found = self.find_origin(resumption, service);
+        let found = self.find_origin(resumption, route);
         let label = ServiceName::new(route.name.clone());
         self.recorder.time(metric::ORIGIN_LOOKUP.name, &label, began.elapsed());
         found.map(|origin| Rc::new(OnceCell::from(origin))).ok_or(Reason::OriginUnknown)
     }
 
-    fn find_origin(&self, resumption: &Resumption, service: &ServiceName) -> Option<Origin> {
+    fn find_origin(&self, resumption: &Resumption, route: &Route) -> Option<Origin> {
         let stream = resumption.first_attempt.as_deref().map(StreamKey::of_attempt);
-        let sole = self.state.sole_software(service).map(|version| Origin {
-            service: service.clone(),
-            software: Software::Version(version),
-        });
+        let sole = route.sole_service().and_then(|service| self.sole_origin(service));
         let timeout = if sole.is_some() { LOOKUP_INTERVAL } else { LOOKUP_TIMEOUT };
         match stream.and_then(|stream| self.known_origin(stream, timeout)) {
             Some(Known::Origin(origin)) => Some(Origin::clone(&origin)),
@@ -83,6 +79,12 @@
         }
     }
 
+    /// Returns the origin of all streams of a service that callers may resume, if they have only one.
+    fn sole_origin(&self, service: &ServiceName) -> Option<Origin> {
+        let version = self.state.sole_software(service)?;
+        Some(Origin { service: service.clone(), software: Software::Version(version) })
+    }
+
     /// Returns what this daemon or another one knows of a stream.
     fn known_origin(&self, stream: StreamKey, timeout: Duration) -> Option<Known> {
         let known = self.recorded_origin(stream);
--- a/crates/tansyknotd/tests/stream_versions.rs
+++ b/crates/tansyknotd/tests/stream_versions.rs
@@ -13,6 +13,7 @@
 
 use launch::Daemon;
 use rustix::process::Signal;
+use serde_json::{Value, json};
 use tansyknot_adapter_standins::{
     caller::Request,
     operator::{Configuration, MODELS},
@@ -272,3 +273,36 @@
     thread::sleep(2 * ROUTE_TIMEOUT);
     take_up(&deployment, 0, &begun);
 }
+
+/// Guards against a guess at the service that the new attempt is drawn for.
+#[test]
+fn stream_that_outlives_all_daemons_does_not_go_on_at_another_service_of_its_route() {
+    let mut deployment = Deployment::start(2, &["v1"]);
+    let other = Runner::start_version(&deployment.store, OTHER_MODELS, "o-0", &["m0"], "w1");
+    other.set_event_gap(EVENT_GAP);
+    deployment.runners.push(other);
+    deployment.store.put("op", "config", &split_configuration());
+    deployment.wait_for_runners();
+    // By now each service has had one version for longer than any stream may last.
+    thread::sleep(Duration::from_millis(DEADLINE_MS + 500));
+    let begun = deployment.begin_streams(0, 20);
+    deployment.replace_daemons(Signal::KILL);
+    take_up(&deployment, 0, &begun);
+}
+
+/// A second service of the route for streams that may be resumed.
+const OTHER_MODELS: &str = "other-models";
+
+/// Returns a configuration whose streams go to two services.
+fn split_configuration() -> Value {
+    let configuration = Configuration { version: 4, ..Configuration::single_model(4) };
+    let mut document = configuration.document();
+    let mut service = document["services"][1].clone();
+    service["name"] = OTHER_MODELS.into();
+    document["services"].as_array_mut().expect("it is a list").push(service);
+    let route = &mut document["routes"][2];
+    route.as_object_mut().expect("it is an object").remove("service");
+    let half = |service: &str| json!({ "service": service, "weight": 0.5 });
+    route["split"] = json!([half(MODELS), half(OTHER_MODELS)]);
+    document
+}
