Streams: one that outlives all daemons does not follow its route to another service

Where a configuration had just moved a route to another service and all daemons ended then, streams of the route that were resumed went on at the new service, with the events of both in one text: the guess of an origin that nobody knows asked since when the service has one version, not since when the route leads there.

Each daemon records when the routes of streams to a service changed, and the planner's row names digests of them, so that daemons that start see a change that came while there was none. A service's version is taken for an origin only if both, version and routes, have stood for as long as a stream may last. Rows of earlier builds name no routes and are read as before.

stream_that_outlives_all_daemons_does_not_go_on_where_its_route_leads_now (processes) failed before, s-0 had events of v1 and w1, and passes; five cases of the history of routes without a network.

--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -2,13 +2,21 @@
 
 pub mod change;
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 use tansyknot_core::name::{ModelName, ServiceName};
 use tansyknot_http::server::RequestLimits;
+use xxhash_rust::xxh3;
 
-use crate::{access::team::Teams, fleet::warm_up::WarmUpPolicy, residency::RegionSet};
+use crate::{
+    access::team::Teams, fleet::warm_up::WarmUpPolicy, residency::RegionSet,
+    stream_origin::routing::RouteDigests,
+};
 
 /// Whether a request may be retried after it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -251,6 +259,26 @@
         self.longest_timeouts.get(service).copied().unwrap_or_default()
     }
 
+    /// Returns digests of the routes of streams that lead to each service. They are the same at all
+    /// daemons.
+    pub fn stream_routes(&self) -> RouteDigests {
+        let mut lines: BTreeMap<ServiceName, BTreeSet<String>> = BTreeMap::new();
+        let routes = self.routes.values().flatten();
+        for route in routes.filter(|route| route.repeatability.is_stream()) {
+            let split = route.split.iter().filter(|(_, weight)| *weight > 0);
+            let services: BTreeSet<&ServiceName> = split.map(|(name, _)| name).collect();
+            let line = format!("{} {} {services:?}", route.host, route.prefix);
+            for service in services {
+                lines.entry(service.clone()).or_default().insert(line.clone());
+            }
+        }
+        let digest = |lines: BTreeSet<String>| {
+            let text: Vec<String> = lines.into_iter().collect();
+            xxh3::xxh3_64(text.join("\n").as_bytes())
+        };
+        lines.into_iter().map(|(service, lines)| (service, digest(lines))).collect()
+    }
+
     /// Returns the engine properties of a service; `None` for a plain or unknown service.
     pub fn engine(&self, service: &ServiceName) -> Option<&Engine> {
         self.services.get(service)?.engine.as_ref()
--- a/crates/tansyknot-fleet/src/lease.rs
+++ b/crates/tansyknot-fleet/src/lease.rs
@@ -31,7 +31,11 @@
 use serde::{Deserialize, Serialize};
 use tansyknot_core::{clock::Time, name::TargetName};
 
-use crate::{platform_api::PeerAddress, store_version, stream_origin::history::SoleVersions};
+use crate::{
+    platform_api::PeerAddress,
+    store_version,
+    stream_origin::{history::SoleVersions, routing::RouteDigests},
+};
 
 use promise::{EXTENSION_LIMIT, MadePromise, PROMISE_DURATION, Promise, ReceivedPromises};
 
@@ -97,6 +101,9 @@
     /// holder knows. It tells the same daemons for how long a service must have run one version.
     #[serde(default)]
     pub longest_stream_ms: u64,
+    /// The routes of streams that lead to each service; none in rows of earlier builds.
+    #[serde(default)]
+    pub stream_routes: Option<RouteDigests>,
 }
 
 /// The interval that must pass between the orders of two holders.
--- a/crates/tansyknot-fleet/src/lease_keeper.rs
+++ b/crates/tansyknot-fleet/src/lease_keeper.rs
@@ -415,9 +415,10 @@
     /// quotas or confirm keys, and leaves both to a successor.
     fn identity(&self) -> LeaseHolder {
         let extends = self.me.extends && !self.state.requires_keys();
-        let software = self.state.fleet().sole_versions(self.state.now());
+        let software = self.state.sole_versions_on_routes();
         let longest_stream_ms = lease::millis(self.state.longest_stream());
-        LeaseHolder { extends, software, longest_stream_ms, ..self.me.clone() }
+        let stream_routes = self.state.origins().routing.in_force();
+        LeaseHolder { extends, software, longest_stream_ms, stream_routes, ..self.me.clone() }
     }
 
     /// Reads the row; returns whether the store responded.
@@ -463,6 +464,8 @@
         let software = if is_current { holder.software.clone() } else { SoleVersions::new() };
         self.state.fleet().inherit_software(software);
         self.state.record_longest_stream(Duration::from_millis(holder.longest_stream_ms));
+        let now = self.state.now();
+        self.state.origins().routing.inherit(holder.stream_routes.clone(), now);
     }
 
     /// Writes a claim; returns whether it succeeded.
@@ -586,6 +589,7 @@
             era: store_version::era(row.version),
             software: SoleVersions::new(),
             longest_stream_ms: 0,
+            stream_routes: None,
         }
     })
 }
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -482,7 +482,11 @@
         let mut current = self.catalog.write().expect("no holder of the lock panics");
         let is_newer = current.as_ref().is_none_or(|c| c.version < catalog.version);
         if is_newer {
+            let routes = catalog.stream_routes();
             *current = Some(Arc::new(catalog));
+            drop(current);
+            let now = self.now();
+            self.origins().routing.put_in_force(routes, now);
         }
         is_newer
     }
--- a/crates/tansyknot-fleet/src/state/origins.rs
+++ b/crates/tansyknot-fleet/src/state/origins.rs
@@ -8,9 +8,14 @@
 };
 
 use super::State;
-use crate::stream_origin::{
-    lookup::Lookups,
-    records::{StreamRecord, StreamRecords},
+use crate::{
+    lease,
+    stream_origin::{
+        history::{SoleVersion, SoleVersions},
+        lookup::Lookups,
+        records::{StreamRecord, StreamRecords},
+        routing::RoutingHistory,
+    },
 };
 
 /// The maximum age of a view of the targets' software, as a multiple of that at which a daemon calls
@@ -26,6 +31,8 @@
     pub lookups: Lookups,
     /// The longest time for which any caller could resume its stream.
     longest_lifetime: Duration,
+    /// The routes by which streams come to their services.
+    pub routing: RoutingHistory,
 }
 
 impl State {
@@ -55,16 +62,39 @@
     }
 
     /// Returns the version of all targets that a service has had for as long as a stream may have
-    /// lasted, if it is known to be only one.
+    /// lasted, if it is known to be only one and the same routes have led there.
     pub fn sole_software(&self, service: &ServiceName) -> Option<SoftwareVersion> {
         let now = self.now();
         self.record_software_view(now);
         let timeout = self.catalog().map_or(Duration::ZERO, |c| c.longest_timeout(service));
         let longest_stream = self.longest_stream().max(timeout);
         let sole = self.fleet().sole_software(service, now)?;
+        let sole = self.bounded_by_routing(service, sole, now);
         (Duration::from_millis(sole.for_ms) >= longest_stream).then_some(sole.version)
     }
 
+    /// Returns the sole versions of all services, each for as long as the same routes have led there.
+    pub fn sole_versions_on_routes(&self) -> SoleVersions {
+        let now = self.now();
+        let versions = self.fleet().sole_versions(now).into_iter();
+        let bounded = versions.map(|(service, sole)| {
+            let sole = self.bounded_by_routing(&service, sole, now);
+            (service, sole)
+        });
+        bounded.collect()
+    }
+
+    fn bounded_by_routing(
+        &self,
+        service: &ServiceName,
+        sole: SoleVersion,
+        now: Time,
+    ) -> SoleVersion {
+        let unchanged_for = self.origins().routing.unchanged_for(service, now);
+        let unchanged_ms = unchanged_for.map_or(u64::MAX, lease::millis);
+        SoleVersion { for_ms: sole.for_ms.min(unchanged_ms), ..sole }
+    }
+
     /// Returns the age of the view of the targets; `None` if there is none, or it has gaps.
     fn list_age(&self, now: Time) -> Option<Duration> {
         let own_read_at = self.store_contacts().list;
--- a/crates/tansyknot-fleet/src/stream_origin.rs
+++ b/crates/tansyknot-fleet/src/stream_origin.rs
@@ -12,6 +12,7 @@
 pub mod history;
 pub mod lookup;
 pub mod records;
+pub mod routing;
 
 use serde::{Deserialize, Serialize};
 use tansyknot_core::name::{ServiceName, SoftwareVersion, TargetName};
--- a/crates/tansyknot-fleet/tests/lease_extension.rs
+++ b/crates/tansyknot-fleet/tests/lease_extension.rs
@@ -247,5 +247,6 @@
         era: 0,
         software: Default::default(),
         longest_stream_ms: 0,
+        stream_routes: None,
     }
 }
--- a/crates/tansyknot-fleet/tests/store_eras.rs
+++ b/crates/tansyknot-fleet/tests/store_eras.rs
@@ -142,6 +142,7 @@
         era: 0,
         software: Default::default(),
         longest_stream_ms: 0,
+        stream_routes: None,
     }
 }
 
--- a/crates/tansyknot-fleet/tests/stream_origin.rs
+++ b/crates/tansyknot-fleet/tests/stream_origin.rs
@@ -17,6 +17,7 @@
         history::{SoleVersion, SoleVersions},
         lookup::{Lookups, Progress},
         records::{Known, StreamKey, StreamRecord, StreamRecords},
+        routing::{RouteDigests, RoutingHistory},
     },
     target::{Removal, Target},
 };
@@ -236,3 +237,50 @@
     bytes[0] = bytes[0].wrapping_sub(1);
     assert_eq!(datagram::decode(&bytes), None);
 }
+
+/// Returns digests of the routes of the services `a` and `b`.
+fn routes(a: u64, b: u64) -> RouteDigests {
+    [("a".into(), a), ("b".into(), b)].into()
+}
+
+#[parameterized(
+    same_routes = { Some(routes(1, 2)), None },
+    another_route_to_b = { Some(routes(1, 3)), Some(900) },
+    only_a_had_routes = { Some([("a".into(), 1)].into()), Some(900) },
+    row_of_an_earlier_build = { None, None },
+)]
+fn routes_that_changed_while_all_daemons_were_gone_are_new(
+    in_row: Option<RouteDigests>,
+    b_unchanged_ms: Option<u64>,
+) {
+    for reads_row_first in [true, false] {
+        let mut history = RoutingHistory::default();
+        let inherit = |history: &mut RoutingHistory| history.inherit(in_row.clone(), at(100));
+        if reads_row_first {
+            inherit(&mut history);
+        }
+        history.put_in_force(routes(1, 2), at(100));
+        if !reads_row_first {
+            inherit(&mut history);
+        }
+        // Rows that are read later are of daemons that have this configuration, or will.
+        history.inherit(Some(routes(7, 7)), at(500));
+        let unchanged = |service: &str| {
+            let service = ServiceName::from(service);
+            history.unchanged_for(&service, at(1_000)).map(|d| d.as_millis() as u64)
+        };
+        assert_eq!((unchanged("a"), unchanged("b")), (None, b_unchanged_ms));
+    }
+}
+
+#[test]
+fn routes_that_another_configuration_changes_are_new() {
+    let mut history = RoutingHistory::default();
+    history.put_in_force(routes(1, 2), at(0));
+    history.put_in_force(routes(1, 3), at(400));
+    history.put_in_force(routes(1, 3), at(700));
+    let unchanged = |service: &str| history.unchanged_for(&ServiceName::from(service), at(1_000));
+    assert_eq!(unchanged("a"), None);
+    assert_eq!(unchanged("b"), Some(Duration::from_millis(600)));
+    assert_eq!(history.in_force(), Some(routes(1, 3)));
+}
--- a/crates/tansyknot-fleet/tests/support/mod.rs
+++ b/crates/tansyknot-fleet/tests/support/mod.rs
@@ -79,6 +79,7 @@
             era: 0,
             software: Default::default(),
             longest_stream_ms: 0,
+            stream_routes: None,
         };
         let keeper = Arc::new(LeaseKeeper::new(
             Arc::clone(&state),
--- a/crates/tansyknot-fleet/tests/support/network.rs
+++ b/crates/tansyknot-fleet/tests/support/network.rs
@@ -264,6 +264,7 @@
             era: 0,
             software: Default::default(),
             longest_stream_ms: 0,
+            stream_routes: None,
         };
         let is_disconnected = Arc::new(AtomicBool::new(false));
         let store_client = StoreClient {
--- a/crates/tansyknotd/src/fleet.rs
+++ b/crates/tansyknotd/src/fleet.rs
@@ -112,6 +112,7 @@
             era: 0,
             software: Default::default(),
             longest_stream_ms: 0,
+            stream_routes: None,
         };
         let options = LeaseOptions { handover_interval: settings.bounds.order_turn.duration() };
         let keeper = Arc::new(LeaseKeeper::new(
--- a/crates/tansyknotd/tests/stream_versions.rs
+++ b/crates/tansyknotd/tests/stream_versions.rs
@@ -274,35 +274,55 @@
     take_up(&deployment, 0, &begun);
 }
 
+/// A second service for streams that may be resumed.
+const OTHER_MODELS: &str = "other-models";
+
+/// Returns a configuration of two services, whose route for streams that may be resumed has `field`.
+fn configuration_of_two_services(version: u64, (name, value): (&str, Value)) -> Value {
+    let mut document = Configuration::single_model(version).document();
+    let mut service = document["services"][1].clone();
+    service["name"] = OTHER_MODELS.into();
+    document["services"].as_array_mut().expect("it is a list").push(service);
+    let route = document["routes"][2].as_object_mut().expect("it is an object");
+    route.remove("service");
+    route.insert(name.to_owned(), value);
+    document
+}
+
+impl Deployment {
+    /// Starts a runner of the other service, and waits until a configuration with both is in force and
+    /// each service has had one version for longer than any stream may last.
+    fn add_other_service(&mut self, configuration: &Value) {
+        let other = Runner::start_version(&self.store, OTHER_MODELS, "o-0", &["m0"], "w1");
+        other.set_event_gap(EVENT_GAP);
+        self.runners.push(other);
+        self.store.put("op", "config", configuration);
+        thread::sleep(Duration::from_millis(DEADLINE_MS + 2_500));
+    }
+}
+
 /// Guards against a guess at the service that the new attempt is drawn for.
 #[test]
 fn stream_that_outlives_all_daemons_does_not_go_on_at_another_service_of_its_route() {
     let mut deployment = Deployment::start(2, &["v1"]);
-    let other = Runner::start_version(&deployment.store, OTHER_MODELS, "o-0", &["m0"], "w1");
-    other.set_event_gap(EVENT_GAP);
-    deployment.runners.push(other);
-    deployment.store.put("op", "config", &split_configuration());
-    deployment.wait_for_runners();
-    // By now each service has had one version for longer than any stream may last.
-    thread::sleep(Duration::from_millis(DEADLINE_MS + 500));
+    let half = |service: &str| json!({ "service": service, "weight": 0.5 });
+    let split = json!([half(MODELS), half(OTHER_MODELS)]);
+    deployment.add_other_service(&configuration_of_two_services(4, ("split", split)));
     let begun = deployment.begin_streams(0, 20);
     deployment.replace_daemons(Signal::KILL);
     take_up(&deployment, 0, &begun);
 }
 
-/// A second service of the route for streams that may be resumed.
-const OTHER_MODELS: &str = "other-models";
-
-/// Returns a configuration whose streams go to two services.
-fn split_configuration() -> Value {
-    let configuration = Configuration { version: 4, ..Configuration::single_model(4) };
-    let mut document = configuration.document();
-    let mut service = document["services"][1].clone();
-    service["name"] = OTHER_MODELS.into();
-    document["services"].as_array_mut().expect("it is a list").push(service);
-    let route = &mut document["routes"][2];
-    route.as_object_mut().expect("it is an object").remove("service");
-    let half = |service: &str| json!({ "service": service, "weight": 0.5 });
-    route["split"] = json!([half(MODELS), half(OTHER_MODELS)]);
-    document
+/// Guards against a guess at the service to which a route has just been moved.
+#[test]
+fn stream_that_outlives_all_daemons_does_not_go_on_where_its_route_leads_now() {
+    let mut deployment = Deployment::start(2, &["v1"]);
+    let leads_to = |service: &str| ("service", service.into());
+    deployment.add_other_service(&configuration_of_two_services(4, leads_to(MODELS)));
+    let begun = deployment.begin_streams(0, 20);
+    let moved = configuration_of_two_services(5, leads_to(OTHER_MODELS));
+    deployment.store.put("op", "config", &moved);
+    thread::sleep(Duration::from_millis(2_500));
+    deployment.replace_daemons(Signal::KILL);
+    take_up(&deployment, 0, &begun);
 }
