--- a/crates/tansyknot-fleet/src/state/origins.rs
+++ b/crates/tansyknot-fleet/src/state/origins.rs
@@ -11,7 +11,7 @@
 use crate::{
     lease,
     stream_origin::{
-        history::{SoleVersion, SoleVersions},
+        history::{RETENTION, SoleVersion, SoleVersions},
         lookup::Lookups,
         records::{StreamRecord, StreamRecords},
         routing::RoutingHistory,
@@ -48,10 +48,11 @@
         self.origins().longest_lifetime
     }
 
-    /// Records that the caller of a stream that another daemon has seen could resume it for `lifetime`.
+    /// Records that the caller of a stream could resume it for `lifetime`. What exceeds the time for which
+    /// versions are remembered does not count: a caller may name any deadline.
     pub fn record_longest_stream(&self, lifetime: Duration) {
         let mut origins = self.origins();
-        origins.longest_lifetime = origins.longest_lifetime.max(lifetime);
+        origins.longest_lifetime = origins.longest_lifetime.max(lifetime.min(RETENTION));
     }
 
     /// Records whether the view of the targets' software is current.
--- a/crates/tansyknot-fleet/src/stream_origin/history.rs
+++ b/crates/tansyknot-fleet/src/stream_origin/history.rs
@@ -14,7 +14,7 @@
 use crate::target::Target;
 
 /// How long a version of a service that has gone is remembered: longer than a stream may last.
-const RETENTION: Duration = Duration::from_secs(120);
+pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
 /// The only version that a service's targets run, and for how long they have run no other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/tansyknot-fleet/tests/stream_origin.rs
+++ b/crates/tansyknot-fleet/tests/stream_origin.rs
@@ -177,6 +177,22 @@
     assert_eq!(state.sole_software(&service), None, "versions may have come and gone meanwhile");
 }
 
+/// Guards against a caller whose deadline has streams of unknown origin refused for good.
+#[test]
+fn deadline_beyond_all_streams_counts_as_the_longest_one() {
+    let clock = ManualClock::default();
+    let state = support::state(&clock);
+    let service = ServiceName::from("s");
+    state.record_origin(record("a", "v1", 3_600_000));
+    for _ in 0..260 {
+        state.fleet().apply_full_list(vec![running("t", Some("v1"))], 1, None, state.now());
+        state.store_contacts().list = Some(state.now());
+        state.record_software_view(state.now());
+        clock.advance(Duration::from_millis(500));
+    }
+    assert_eq!(state.sole_software(&service), Some("v1".into()));
+}
+
 // All daemons may end at once; the planner's row says what the last planner knew.
 #[parameterized(
     same_version = { "v1", true, true },
