Chunks: trailers and extensions hold no control bytes

A line that is no field was accepted behind the last chunk of a response, or of a request: the value of a trailer could hold a bare line feed and so another line, and any control byte; extensions of chunks any but a line feed. Neither is forwarded, but a response whose frames are spoilt is not whole.

Both hold text alone now (tabs, and what is no control byte). No chunking that RFC 9112 allows is refused.

malformed_body_fails: control_byte_in_extensions, line_feed_in_a_trailer and control_byte_in_a_trailer failed before, all pass.

--- a/crates/tansyknot-http/src/chunked.rs
+++ b/crates/tansyknot-http/src/chunked.rs
@@ -84,11 +84,11 @@
         for _ in 0..MAX_EXTENSION_BYTES {
             match self.read_byte()? {
                 b'\r' => return self.expect(b"\n"),
-                b'\n' => break,
-                _ => {}
+                byte if is_text(byte) => {}
+                _ => break,
             }
         }
-        Err(malformed("the extensions of a chunk are too long"))
+        Err(malformed("the extensions of a chunk are malformed or too long"))
     }
 
     /// Skips the trailer section, which is not forwarded, and the empty line after it.
@@ -104,7 +104,8 @@
                     continue;
                 }
                 b':' if line_len > 0 => has_name = true,
-                byte if has_name || is_token(byte) => {}
+                byte if has_name && is_text(byte) => {}
+                byte if !has_name && is_token(byte) => {}
                 _ => break,
             }
             line_len += 1;
@@ -149,6 +150,11 @@
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
 
+/// Returns whether a byte may be part of the value of a field, or of an extension.
+fn is_text(byte: u8) -> bool {
+    byte == b'\t' || !byte.is_ascii_control()
+}
+
 fn malformed(what: &'static str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
--- a/crates/tansyknot-http/tests/chunked.rs
+++ b/crates/tansyknot-http/tests/chunked.rs
@@ -15,6 +15,7 @@
     chunks = { "3\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\n", "abc0123456789" },
     extensions = { "3;a=b;c\r\nabc\r\n0;d\r\n\r\n", "abc" },
     space_after_the_size = { "3 \r\nabc\r\n0\r\n\r\n", "abc" },
+    trailers = { "3\r\nabc\r\n0\r\nx-a: b\tc\r\nx-d:\r\n\r\n", "abc" },
     leading_zeros = { "0000000000000003\r\nabc\r\n0\r\n\r\n", "abc" },
 )]
 fn content_is_decoded(encoded: &str, content: &str) {
@@ -38,6 +39,11 @@
     no_line_feed = { "3\rabc" },
     longer_than_its_size = { "3\r\nabcd\r\n" },
     line_feed_in_extensions = { "3;a\nabc" },
+    control_byte_in_extensions = { "3;a\0b\r\nabc\r\n0\r\n\r\n" },
+    line_feed_in_a_trailer = { "0\r\nx-a: b\nx-c: d\r\n\r\n" },
+    control_byte_in_a_trailer = { "0\r\nx-a: b\0\r\n\r\n" },
+    trailer_without_a_colon = { "0\r\nx-a b\r\n\r\n" },
+    blank_in_the_name_of_a_trailer = { "0\r\nx a: b\r\n\r\n" },
 )]
 fn malformed_body_fails(encoded: &str) {
     let e = decode(encoded.as_bytes()).expect_err("it is malformed");
