Streams: one with an event that has no identifier is not resumed

A stream that broke off after an event without an identifier, or with one of more than 1 KiB, went on at another target from an earlier place: callers got events twice, complete and with nothing to show it. The identifier was kept cut off, and where there was none the stream began anew.

An event without an identifier of its own, as a target in trouble may send it, can't be named in a resumption, so such a stream is not sent again; it ends incomplete, and its caller may resume it by what it has seen. Comments need no identifier.

The random pieces of tests/events.rs compare it with a plain model of the whole.

--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -112,6 +112,8 @@
     out: Option<StreamedResponse>,
     /// The identifier of the last event relayed.
     pub last_id: Option<String>,
+    /// Whether an event without an identifier was relayed, so that no target can go on after it.
+    pub lacks_id: bool,
     /// When the first event was relayed.
     pub first_at: Option<BootInstant>,
     /// Number of events relayed.
@@ -388,6 +390,7 @@
         if let Some(id) = events.scanner.last_id() {
             self.last_id = Some(id.to_owned());
         }
+        self.lacks_id |= events.scanner.lacks_id();
         Ok(())
     }
 
--- a/crates/tansyknot-http/src/events.rs
+++ b/crates/tansyknot-http/src/events.rs
@@ -14,7 +14,7 @@
     events.windows(EVENT_END.len()).filter(|w| *w == EVENT_END).count() as u64
 }
 
-/// Longer identifiers of events are cut off.
+/// Longer lines of identifiers are not kept; their events count as events without one.
 const MAX_ID_BYTES: usize = 1 << 10;
 const ID_FIELD: &[u8] = b"id:";
 
@@ -29,6 +29,21 @@
     count: u64,
     ends_with_event: bool,
     last_id: Option<String>,
+    current: CurrentEvent,
+    /// The number of events that have ended without an identifier.
+    without_id: u64,
+}
+
+/// What the lines of the current event hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum CurrentEvent {
+    /// No field: it is a comment so far.
+    #[default]
+    Comment,
+    /// Fields, and no identifier so far.
+    Unidentified,
+    /// An identifier.
+    Identified,
 }
 
 impl EventScanner {
@@ -57,11 +72,20 @@
     fn end_line(&mut self) {
         self.ends_with_event = self.line_len == 0 && self.has_bytes;
         self.count += u64::from(self.ends_with_event);
-        if self.line_len > 0 && !self.line.starts_with(b":") {
+        if self.line_len == 0 {
+            self.without_id += u64::from(self.current == CurrentEvent::Unidentified);
+            self.current = CurrentEvent::Comment;
+        } else if !self.line.starts_with(b":") {
             self.has_fields = true;
+            if self.current == CurrentEvent::Comment {
+                self.current = CurrentEvent::Unidentified;
+            }
         }
-        if let Some(id) = self.line.strip_prefix(ID_FIELD) {
+        if let Some(id) = self.line.strip_prefix(ID_FIELD)
+            && self.line_len <= MAX_ID_BYTES
+        {
             self.last_id = Some(String::from_utf8_lossy(id).trim().to_owned());
+            self.current = CurrentEvent::Identified;
         }
         self.line.clear();
         self.line_len = 0;
@@ -87,6 +111,11 @@
         self.count
     }
 
+    /// Returns whether an event that has ended has no identifier, so that nothing names what follows it.
+    pub fn lacks_id(&self) -> bool {
+        self.without_id > 0
+    }
+
     /// Returns the identifier of the last event that has one.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/tansyknot-http/tests/events.rs
+++ b/crates/tansyknot-http/tests/events.rs
@@ -14,6 +14,20 @@
     has_fields: bool,
     last_id: Option<String>,
     ends_with_event: bool,
+    lacks_id: bool,
+}
+
+/// Returns whether an event of `text` has fields and no identifier. What follows the last blank line is no
+/// event yet.
+fn lacks_id(text: &str) -> bool {
+    let mut events: Vec<&str> = text.split("\n\n").collect();
+    events.pop();
+    events.into_iter().any(|event| {
+        let mut fields =
+            event.split('\n').filter(|line| !line.is_empty() && !line.starts_with(':'));
+        let has_id = event.split('\n').any(|line| line.starts_with("id:"));
+        fields.next().is_some() && !has_id
+    })
 }
 
 fn model_of(text: &str) -> Model {
@@ -27,6 +41,7 @@
         has_fields: lines.iter().any(|line| !line.is_empty() && !line.starts_with(':')),
         last_id: ids.map(|id| id.trim().to_owned()).next(),
         ends_with_event: text.ends_with("\n\n"),
+        lacks_id: lacks_id(text),
     }
 }
 
@@ -36,6 +51,7 @@
         has_fields: scanner.has_fields(),
         last_id: scanner.last_id().map(str::to_owned),
         ends_with_event: scanner.is_at_event_end(),
+        lacks_id: scanner.lacks_id(),
     }
 }
 
