Streams: a route that is added does not count as one that was moved

Each change of a service's routes counted as if a stream could have come from another service, also a route that was added, as configurations do all the time: resumptions of unknown origin would have been refused for as long as a stream may last after each.

A stream can only have come from a service that has lost a route, or a part of one. Digests name the routes below each route that lead elsewhere, and a service's routes count as new only if those of another service have changed as well.

routes_of_streams_differ_where_a_stream_may_come_to_another_service, and the cases added_to_b and b_is_new of the history; the tests of streams that outlive all daemons pass as before.

--- a/crates/tansyknot-fleet/src/catalog.rs
+++ b/crates/tansyknot-fleet/src/catalog.rs
@@ -78,10 +78,14 @@
         self.split.iter().any(|(name, weight)| name == service && *weight > 0)
     }
 
+    /// Returns the services that receive requests of the route.
+    pub fn services(&self) -> BTreeSet<&ServiceName> {
+        self.split.iter().filter(|(_, weight)| *weight > 0).map(|(name, _)| name).collect()
+    }
+
     /// Returns the service that receives all requests of the route, if there is only one.
     pub fn sole_service(&self) -> Option<&ServiceName> {
-        let mut services =
-            self.split.iter().filter(|(_, weight)| *weight > 0).map(|(name, _)| name);
+        let mut services = self.services().into_iter();
         let service = services.next()?;
         services.next().is_none().then_some(service)
     }
@@ -259,17 +263,29 @@
         self.longest_timeouts.get(service).copied().unwrap_or_default()
     }
 
-    /// Returns digests of the routes of streams that lead to each service. They are the same at all
-    /// daemons.
+    /// Returns digests of the routes of streams that lead to each service, each with those below it that
+    /// lead elsewhere. They are the same at all daemons.
     pub fn stream_routes(&self) -> RouteDigests {
         let mut lines: BTreeMap<ServiceName, BTreeSet<String>> = BTreeMap::new();
-        let routes = self.routes.values().flatten();
-        for route in routes.filter(|route| route.repeatability.is_stream()) {
-            let split = route.split.iter().filter(|(_, weight)| *weight > 0);
-            let services: BTreeSet<&ServiceName> = split.map(|(name, _)| name).collect();
-            let line = format!("{} {} {services:?}", route.host, route.prefix);
-            for service in services {
-                lines.entry(service.clone()).or_default().insert(line.clone());
+        for routes in self.routes.values() {
+            let mut routes: Vec<&Route> = routes.iter().map(Arc::as_ref).collect();
+            routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+            for (n, route) in routes.iter().enumerate() {
+                if !route.repeatability.is_stream() {
+                    continue;
+                }
+                let services = route.services();
+                let below = routes[n + 1..].iter();
+                let below = below.take_while(|other| other.prefix.starts_with(&*route.prefix));
+                let elsewhere: Vec<&str> = below
+                    .filter(|other| other.services() != services)
+                    .map(|other| &*other.prefix)
+                    .collect();
+                let (host, prefix) = (&route.host, &route.prefix);
+                let line = format!("{host} {prefix} {services:?} {elsewhere:?}");
+                for service in services {
+                    lines.entry(service.clone()).or_default().insert(line.clone());
+                }
             }
         }
         let digest = |lines: BTreeSet<String>| {
--- a/crates/tansyknot-fleet/src/stream_origin/routing.rs
+++ b/crates/tansyknot-fleet/src/stream_origin/routing.rs
@@ -1,10 +1,10 @@
-//! Since when the routes of streams have led to each service.
+//! Since when no route of streams has been moved to each service.
 //!
 //! A stream whose origin nobody knows may have begun at another service than the one to which its route
 //! leads now.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -13,11 +13,11 @@
 /// Digests of the routes of streams that lead to each service.
 pub type RouteDigests = BTreeMap<ServiceName, u64>;
 
-/// The routes of streams of the configuration in force, and when they last changed.
+/// The routes of streams of the configuration in force, and when one was last moved.
 #[derive(Debug, Default)]
 pub struct RoutingHistory {
     in_force: Option<RouteDigests>,
-    changed_at: HashMap<ServiceName, Time>,
+    moved_at: HashMap<ServiceName, Time>,
     /// What the last planner had in force when this daemon started, until the daemon has a configuration.
     inherited: Option<RouteDigests>,
     /// Whether the planner's row has been read.
@@ -46,10 +46,10 @@
         }
     }
 
-    /// Returns for how long the same routes are known to have led to a service; `None` if no change is
-    /// known.
+    /// Returns for how long no route is known to have been moved to a service; `None` if none is known to
+    /// have been moved there.
     pub fn unchanged_for(&self, service: &ServiceName, now: Time) -> Option<Duration> {
-        self.changed_at.get(service).map(|at| now.since(*at))
+        self.moved_at.get(service).map(|at| now.since(*at))
     }
 
     /// Returns the routes of the configuration in force, if there is one.
@@ -57,9 +57,14 @@
         self.in_force.clone()
     }
 
+    /// Records the services to which a route may have been moved. A route that is added or removed alone
+    /// changes those of one service; one that is moved changes those of another service as well.
     fn record_changes(&mut self, before: &RouteDigests, after: &RouteDigests, now: Time) {
-        let changed =
-            after.iter().filter(|(service, digest)| before.get(*service) != Some(*digest));
-        self.changed_at.extend(changed.map(|(service, _)| (service.clone(), now)));
+        let services: BTreeSet<&ServiceName> = before.keys().chain(after.keys()).collect();
+        let is_changed = |service: &&ServiceName| before.get(*service) != after.get(*service);
+        let changed: Vec<&ServiceName> = services.into_iter().filter(is_changed).collect();
+        if changed.len() > 1 {
+            self.moved_at.extend(changed.into_iter().map(|service| (service.clone(), now)));
+        }
     }
 }
