Streams: one that can't be resumed is not handed over from a slow target

A resumable stream with an event without an identifier was cut off as soon as its target paused and another one had a free slot: the handover closed the connection for a target that could not go on with it, spent a retry, and left the other target counted with a request that never came.

The handover sees what the relay has seen, and leaves such a stream where it is.

slow_stream_with_an_event_without_an_identifier_stays_with_its_target failed before (event 1 alone, incomplete), passes. Found by reading; the fault came with the change that no longer resumes such streams.

--- a/crates/tansyknot-fleet/src/response_relay.rs
+++ b/crates/tansyknot-fleet/src/response_relay.rs
@@ -2,8 +2,10 @@
 //! events.
 
 use std::{
+    cell::Cell,
     io::{self, Read, Write},
     net::TcpStream,
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -113,7 +115,7 @@
     /// The identifier of the last event relayed.
     pub last_id: Option<String>,
     /// Whether an event without an identifier was relayed, so that no target can go on after it.
-    pub lacks_id: bool,
+    pub lacks_id: Rc<Cell<bool>>,
     /// When the first event was relayed.
     pub first_at: Option<BootInstant>,
     /// Number of events relayed.
@@ -390,7 +392,7 @@
         if let Some(id) = events.scanner.last_id() {
             self.last_id = Some(id.to_owned());
         }
-        self.lacks_id |= events.scanner.lacks_id();
+        self.lacks_id.set(self.lacks_id.get() || events.scanner.lacks_id());
         Ok(())
     }
 
--- a/crates/tansyknot-fleet/src/serve/handover.rs
+++ b/crates/tansyknot-fleet/src/serve/handover.rs
@@ -1,7 +1,7 @@
 //! Search for another target before an unresponsive target is abandoned.
 
 use std::{
-    cell::{OnceCell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -41,6 +41,8 @@
     cache: CacheNeed,
     /// Set once an event has arrived, which may be after the handover was prepared.
     origin: Rc<OnceCell<Origin>>,
+    /// Set once no other target can go on with the stream.
+    lacks_id: Rc<Cell<bool>>,
     tried: Vec<TargetName>,
     deadline: BootInstant,
     next_target: RefCell<Option<Arc<Target>>>,
@@ -62,6 +64,7 @@
             zones: want.zones.cloned(),
             cache: want.cache,
             origin: Rc::clone(&request.origin),
+            lacks_id: Rc::clone(&request.relay.lacks_id),
             tried,
             deadline: request.give_up_at(),
             next_target: RefCell::default(),
@@ -75,6 +78,9 @@
     }
 
     fn find(&self) -> Option<Arc<Target>> {
+        if self.lacks_id.get() {
+            return None;
+        }
         let may_crash_another = {
             let mut poison = self.state.poison();
             poison.withholds(&self.suspects) || !poison.convicted_of(&self.suspects).is_empty()
--- a/crates/tansyknot-fleet/src/serve/request.rs
+++ b/crates/tansyknot-fleet/src/serve/request.rs
@@ -327,7 +327,7 @@
     }
 
     pub(super) fn may_run_again(&self) -> bool {
-        self.is_repeatable() && self.runs < self.route.max_attempts && !self.relay.lacks_id
+        self.is_repeatable() && self.runs < self.route.max_attempts && !self.relay.lacks_id.get()
     }
 
     pub(super) fn give_up_at(&self) -> BootInstant {
