Streams: routes and the reports of versions agree on what has moved

A request that read a configuration in the moment in which it was put in force could be decided by the routes of the one before, and two configurations in force one right after the other could be recorded in the wrong order. And a follower told its planner since when a service has one version, not since when its routes lead there, so that a planner that has just started could write the longer time into the row.

Routes are recorded under the lock of the configuration; reports are bounded as the row is.

--- a/crates/tansyknot-fleet/src/peering.rs
+++ b/crates/tansyknot-fleet/src/peering.rs
@@ -395,6 +395,11 @@
         let is_planner_new = self.published().is_planner_new(self.lease.fence(), now);
         let waiting = self.state.admission().report(now);
         self.state.record_software_view(now);
+        let software = if seq.is_multiple_of(SOFTWARE_REPORT_DEMANDS) {
+            self.state.sole_versions_on_routes()
+        } else {
+            SoleVersions::new()
+        };
         let mut fleet = self.state.fleet();
         fleet.expire(now);
         if fleet.log_unresponsive_targets(now) {
@@ -417,11 +422,7 @@
             scheduling: SchedulingReport { waiting, ..fleet.observation_report(now) },
             promise: self.lease.promise(now),
             is_retired: self.lease.is_retired(now),
-            software: if seq.is_multiple_of(SOFTWARE_REPORT_DEMANDS) {
-                fleet.sole_versions(now)
-            } else {
-                SoleVersions::new()
-            },
+            software,
         }
     }
 
--- a/crates/tansyknot-fleet/src/state.rs
+++ b/crates/tansyknot-fleet/src/state.rs
@@ -484,7 +484,7 @@
         if is_newer {
             let routes = catalog.stream_routes();
             *current = Some(Arc::new(catalog));
-            drop(current);
+            // Whoever reads the catalog finds its routes recorded.
             let now = self.now();
             self.origins().routing.put_in_force(routes, now);
         }
